--- /dev/null
+++ b/crates/coveroute-drill/src/main.rs
@@ -0,0 +1,263 @@
+//! The simulator's wire before coveroute's decisions: reads batches, hosts instances that share nothing,
+//! and writes one reply a batch. Words, units and ids are translated here; nothing is decided.
+mod settings;
+mod wire;
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::io::{self, BufRead, Write as _};
+use std::panic::{self, AssertUnwindSafe};
+
+use coveroute::policy::Node;
+use coveroute::types::{Entry, Input, List, Outcome, Output, Report, Standing, Submission, Tgt};
+use wire::{Event, Gauge, Line, Record};
+
+type Fault = String;
+
+/// One instance: its decisions, and its own numbering of what the wire names.
+struct Instance {
+    node: Node,
+    names: settings::Names,
+    executors: Vec<String>,
+    numbers: BTreeMap<String, Tgt>,
+}
+
+impl Instance {
+    fn tgt(&mut self, executor: &str) -> Tgt {
+        if let Some(&tgt) = self.numbers.get(executor) {
+            return tgt;
+        }
+        self.executors.push(executor.to_owned());
+        self.numbers.insert(executor.to_owned(), self.executors.len() - 1);
+        self.executors.len() - 1
+    }
+
+    fn entry(&mut self, record: &Record) -> Result<Entry, Fault> {
+        let standing = match record.availability.as_deref() {
+            Some("U") | None => Standing::Ready,
+            Some("L") => Standing::Draining,
+            Some("D") => Standing::Gone,
+            Some(other) => return Err(format!("unknown availability {other}")),
+        };
+        Ok(Entry {
+            tgt: self.tgt(&record.executor),
+            mark: mark(&record.executor),
+            zone: position(&mut self.names.zones, record.area.as_deref().unwrap_or("")),
+            cell: record.block.unwrap_or(0),
+            kind: position(&mut self.names.kinds, record.hw.as_deref().unwrap_or("")),
+            weight: record.weight.unwrap_or(1.0),
+            started: record.started_at.unwrap_or(0.0) / 1e3,
+            standing,
+        })
+    }
+
+    fn input(&mut self, line: &Line, event: Event, pages: &[Vec<Record>]) -> Result<Input, Fault> {
+        let id = || line.job.ok_or("no job");
+        Ok(match event {
+            Event::Submit => Input::Submitted(Submission {
+                id: id()?,
+                operation: position(&mut self.names.operations, line.lane.as_deref().ok_or("no lane")?),
+                tenant: line
+                    .org
+                    .as_ref()
+                    .and_then(|org| org.0.as_deref())
+                    .map(|o| position(&mut self.names.tenants, o)),
+                timeout: line.ttl.ok_or("no ttl")? / 1e3,
+                hint: line.hint.map(|hint| hint / 1e3),
+            }),
+            Event::Settled => Input::Settled {
+                id: id()?,
+                forward: line.copy.unwrap_or(0),
+                outcome: outcome(line.verdict.as_deref())?,
+                took: line.time_taken.unwrap_or(0.0) / 1e3,
+                ended: line.terminal,
+                report: report(line.gauge),
+            },
+            Event::StatusNote | Event::First => Input::Alive { id: id()?, forward: line.copy.unwrap_or(0) },
+            Event::Expired => Input::Expired(id()?),
+            Event::Timer => Input::Timer(line.cookie.unwrap_or(0)),
+            Event::Health => Input::Probed {
+                tgt: self.tgt(line.executor.as_deref().ok_or("no executor")?),
+                outcome: outcome(line.verdict.as_deref())?,
+                report: report(line.gauge),
+            },
+            Event::Heard => Input::Heard {
+                from: line.by.ok_or("no by")?,
+                text: line.contents.as_deref().unwrap_or("").to_owned(),
+            },
+            Event::Members => {
+                let scope = line.scope.as_deref().ok_or("no scope")?;
+                if scope == "lost" {
+                    return Ok(Input::List(List::Lost));
+                }
+                let page = line.page.and_then(|page| pages.get(page)).ok_or("no such page")?;
+                let entries = page.iter().map(|record| self.entry(record)).collect::<Result<_, _>>()?;
+                Input::List(match scope {
+                    "incr" => List::Changes(entries),
+                    "total" => List::Whole(entries),
+                    "warm_copy" => List::Kept(entries),
+                    other => return Err(format!("unknown scope {other}")),
+                })
+            }
+            Event::Init | Event::Kill | Event::Catalog | Event::BeginBatch | Event::OverToYou => {
+                return Err("not an instance's event".to_owned())
+            }
+        })
+    }
+
+    fn write(&self, me: i64, output: &Output, reply: &mut String) {
+        let _ = match output {
+            Output::Forward { id, tgt } => {
+                let executor = &self.executors[*tgt];
+                writeln!(reply, r#"{{"what":"TRY","nodeId":{me},"job":{id},"executor":"{executor}"}}"#)
+            }
+            Output::Withdraw { id, forward } => {
+                writeln!(reply, r#"{{"what":"WITHDRAW","nodeId":{me},"job":{id},"copy":{forward}}}"#)
+            }
+            Output::Throttle { id, pause } => {
+                let pause = pause * 1e3;
+                writeln!(reply, r#"{{"what":"DECLINE","nodeId":{me},"job":{id},"pause":{pause:.3}}}"#)
+            }
+            Output::Error { id } => writeln!(reply, r#"{{"what":"END_FAILED","nodeId":{me},"job":{id}}}"#),
+            Output::Wake { after, timer } => {
+                let after = after * 1e3;
+                writeln!(reply, r#"{{"what":"WAKE_ME","nodeId":{me},"after":{after:.3},"cookie":{timer}}}"#)
+            }
+            Output::Probe(tgt) => {
+                let executor = &self.executors[*tgt];
+                writeln!(reply, r#"{{"what":"SAMPLE","nodeId":{me},"executor":"{executor}"}}"#)
+            }
+            Output::Tell(text) => {
+                let text = serde_json::Value::from(text.as_str());
+                writeln!(reply, r#"{{"what":"TELL","nodeId":{me},"dest":null,"contents":{text}}}"#)
+            }
+            Output::Follow => writeln!(reply, r#"{{"what":"LISTEN","nodeId":{me},"on":true}}"#),
+            Output::Log(words) => {
+                let words = serde_json::Value::from(words.as_str());
+                writeln!(reply, r#"{{"what":"LOG","nodeId":{me},"words":{words}}}"#)
+            }
+        };
+    }
+}
+
+/// The index of a name, which is added when it is new.
+fn position(names: &mut Vec<String>, name: &str) -> usize {
+    names.iter().position(|known| known == name).unwrap_or_else(|| {
+        names.push(name.to_owned());
+        names.len() - 1
+    })
+}
+
+/// A short name for an executor that every node works out alike (FNV-1a, folded).
+fn mark(executor: &str) -> u16 {
+    let hash = executor.bytes().fold(0x811c_9dc5_u32, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193));
+    (hash ^ (hash >> 16)) as u16
+}
+
+fn outcome(verdict: Option<&str>) -> Result<Outcome, Fault> {
+    Ok(match verdict.ok_or("no verdict")? {
+        "Ok" => Outcome::Succeeded,
+        "Failed" => Outcome::Errored,
+        "QueueFull" => Outcome::Full,
+        "TimedOut" => Outcome::TimedOut,
+        "ConnectError" => Outcome::Unreachable,
+        "ResetByPeer" => Outcome::Reset,
+        "Canceled" => Outcome::Cancelled,
+        "Ignored" => Outcome::Moot,
+        other => return Err(format!("unknown verdict {other}")),
+    })
+}
+
+fn report(gauge: Option<Gauge>) -> Report {
+    let gauge = gauge.unwrap_or_default();
+    let sane = |value: Option<f64>| value.filter(|v| v.is_finite() && *v >= 0.0);
+    let (free, queue) = (sane(gauge.x0), sane(gauge.depth));
+    Report { free, queue, inflight: sane(gauge.concurrent), util: sane(gauge.load_share) }
+}
+
+/// All instances of this process, and the lists that their events refer to.
+#[derive(Default)]
+struct Host {
+    instances: BTreeMap<i64, Instance>,
+    pages: Vec<Vec<Record>>,
+    outputs: Vec<Output>,
+    now: f64,
+}
+
+impl Host {
+    /// Takes one line; answers true when the batch ends and the reply is due.
+    fn line(&mut self, text: &str, reply: &mut String) -> Result<bool, Fault> {
+        let mut line: Line = serde_json::from_str(text).map_err(|e| e.to_string())?;
+        match line.what {
+            Event::BeginBatch => self.now = line.time.ok_or("no time")? / 1e3,
+            Event::OverToYou => return Ok(true),
+            Event::Catalog => {
+                let page = line.page.filter(|page| *page < 16).ok_or("no page from 0 to 15")?;
+                if self.pages.len() <= page {
+                    self.pages.resize_with(page + 1, Vec::new);
+                }
+                self.pages[page] = line.records.take().ok_or("no records")?;
+            }
+            Event::Kill => {
+                self.instances.remove(&line.node_id.ok_or("no nodeId")?);
+            }
+            Event::Init => {
+                let info = line.info.take().ok_or("no info")?;
+                let (settings, names) = settings::decode(info)?;
+                let node = Node::new(settings, line.rng_seed.unwrap_or(0.0) as u64);
+                let instance = Instance { node, names, executors: Vec::new(), numbers: BTreeMap::new() };
+                self.instances.insert(line.node_id.ok_or("no nodeId")?, instance);
+            }
+            event => self.event(&line, event, reply)?,
+        }
+        Ok(false)
+    }
+
+    fn event(&mut self, line: &Line, event: Event, reply: &mut String) -> Result<(), Fault> {
+        let me = line.node_id.ok_or("no nodeId")?;
+        let Some(instance) = self.instances.get_mut(&me) else {
+            eprintln!("event for instance {me}, which is not running");
+            return Ok(());
+        };
+        let input = instance.input(line, event, &self.pages)?;
+        self.outputs.clear();
+        let (now, outputs) = (self.now, &mut self.outputs);
+        let ran = panic::catch_unwind(AssertUnwindSafe(|| instance.node.handle(now, input, outputs)));
+        match ran {
+            Ok(()) => self.outputs.iter().for_each(|output| instance.write(me, output, reply)),
+            Err(cause) => {
+                let words = cause.downcast_ref::<String>().map(String::as_str);
+                let words = words.or(cause.downcast_ref::<&str>().copied()).unwrap_or("panic without words");
+                let words = serde_json::Value::from(words);
+                let _ = writeln!(reply, r#"{{"what":"PANIC","nodeId":{me},"words":{words}}}"#);
+                self.instances.remove(&me);
+            }
+        }
+        Ok(())
+    }
+}
+
+fn run(input: &mut impl BufRead, output: &mut impl io::Write) -> Result<(), Fault> {
+    let (mut host, mut text, mut reply) = (Host::default(), String::new(), String::new());
+    while input.read_line(&mut text).map_err(|e| e.to_string())? > 0 {
+        if !text.trim().is_empty()
+            && host.line(&text, &mut reply).map_err(|e| format!("bad line: {e}: {}", text.trim_end()))?
+        {
+            reply.push_str("{\"what\":\"OK\"}\n");
+            output.write_all(reply.as_bytes()).and_then(|()| output.flush()).map_err(|e| e.to_string())?;
+            reply.clear();
+        }
+        text.clear();
+    }
+    Ok(())
+}
+
+fn main() {
+    if let Err(fault) = run(&mut io::stdin().lock(), &mut io::stdout().lock()) {
+        let _ = writeln!(io::stderr(), "coveroute-drill: {fault}");
+        std::process::exit(1);
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/coveroute-drill/src/settings.rs
@@ -0,0 +1,175 @@
+//! Reads `info` once at an instance's start: the wire's words and milliseconds become ours and seconds.
+use coveroute::types::{Cold, Effect, Group, Operation, Reports, Settings};
+use serde::Deserialize;
+use serde_json::value::RawValue;
+
+/// The names that the settings number; one that turns up later gets the next number.
+pub struct Names {
+    pub operations: Vec<String>,
+    pub tenants: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Info {
+    categories: Vec<Category>,
+    #[serde(default)]
+    family_info: FamilyInfo,
+    limits: Limits,
+    me: usize,
+    #[serde(default)]
+    orgs: Vec<OrgInfo>,
+    #[serde(default)]
+    penalties: Penalties,
+    registry_mode: String,
+    replicas_of_me: usize,
+    report: ReportInfo,
+    rules: Rules,
+    #[serde(default)]
+    skus: Vec<String>,
+    #[serde(default)]
+    value_by: String,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    zones: Vec<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Category {
+    name: String,
+    effect: String,
+    #[serde(default)]
+    group: String,
+    #[serde(default)]
+    window: f64,
+    on_time: f64,
+    aim_stretch: Option<f64>,
+    credit: f64,
+    #[serde(default)]
+    late_value: f64,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct FamilyInfo {
+    class_kind: Vec<i64>,
+    class_stretch: Vec<f64>,
+    progress: f64,
+    tells_start: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Limits {
+    max_attempts: usize,
+    #[serde(default)]
+    max_retry_after: f64,
+    #[serde(default)]
+    retry_after: bool,
+    #[serde(default)]
+    cancelling: bool,
+    #[serde(default)]
+    peers: bool,
+    #[serde(default)]
+    probing: bool,
+    #[serde(default)]
+    second_copies: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct OrgInfo {
+    name: String,
+    #[serde(default)]
+    quota_rps: f64,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct Penalties {
+    cross_zone: f64,
+}
+
+#[derive(Deserialize)]
+struct ReportInfo {
+    source: String,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Rules {
+    start_capacity: f64,
+    warm_up: f64,
+    overload_factor: f64,
+    fall: f64,
+}
+
+fn operation(at: usize, category: &Category, family: &FamilyInfo) -> Result<Operation, String> {
+    let group = match category.group.as_str() {
+        "zone" => Group::Zone,
+        "cell" => Group::Cell,
+        _ => Group::All,
+    };
+    let effect = match category.effect.as_str() {
+        "free" => Effect::Idempotent,
+        "guarded" => Effect::Deduplicated { group, window: category.window / 1e3 },
+        "single_shot" => Effect::NonIdempotent,
+        other => return Err(format!("unknown effect {other}")),
+    };
+    let stretch = family.class_stretch.get(at).copied().or(category.aim_stretch);
+    Ok(Operation {
+        effect,
+        objective: category.on_time / 1e3,
+        stretch: stretch.unwrap_or(0.0),
+        value: category.credit,
+        late_value: category.late_value,
+        kind: family.class_kind.get(at).and_then(|kind| usize::try_from(*kind).ok()),
+    })
+}
+
+pub fn decode(info: &RawValue) -> Result<(Settings, Names), String> {
+    let mut info: Info = serde_json::from_str(info.get()).map_err(|e| format!("info: {e}"))?;
+    let numbered = info.categories.iter().enumerate();
+    let operations = numbered.map(|(at, c)| operation(at, c, &info.family_info)).collect::<Result<_, _>>()?;
+    let zone = crate::position(&mut info.zones, &info.zone);
+    let settings = Settings {
+        me: info.me,
+        nodes: info.replicas_of_me,
+        zone,
+        operations,
+        quotas: info.orgs.iter().map(|org| org.quota_rps).collect(),
+        value_by_work: info.value_by == "work",
+        cross_zone_price: info.penalties.cross_zone,
+        must_ask: info.registry_mode == "on_request",
+        cold: Cold {
+            start: info.rules.start_capacity,
+            warm: info.rules.warm_up / 1e3,
+            factor: info.rules.overload_factor,
+            fall: info.rules.fall / 1e3,
+        },
+        max_forwards: info.limits.max_attempts,
+        second_copies: info.limits.second_copies,
+        cancelling: info.limits.cancelling,
+        probing: info.limits.probing,
+        peers: info.limits.peers,
+        max_pause: if info.limits.retry_after { info.limits.max_retry_after / 1e3 } else { 0.0 },
+        reports: match info.report.source.as_str() {
+            "answers" => Reports::Answers,
+            "probe" => Reports::Probes,
+            _ => Reports::Never,
+        },
+        progress: info.family_info.progress / 1e3,
+        tells_start: info.family_info.tells_start,
+    };
+    let names = Names {
+        operations: info.categories.into_iter().map(|c| c.name).collect(),
+        tenants: info.orgs.into_iter().map(|o| o.name).collect(),
+        zones: info.zones,
+        kinds: info.skus,
+    };
+    Ok((settings, names))
+}
--- /dev/null
+++ b/src/types.rs
@@ -0,0 +1,184 @@
+//! What goes into and comes out of the decision module. Times are seconds; no decision stands here.
+
+/// An invocation's id, as the protocol gave it.
+pub type InvId = u32;
+/// An executor's small index at this node.
+pub type Tgt = usize;
+
+/// How far an operation's effect may be repeated.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Effect {
+    Idempotent,
+    Deduplicated { group: Group, window: f64 },
+    NonIdempotent,
+}
+
+/// The executors that drop each other's repeats.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Debug)]
+pub struct Operation {
+    pub effect: Effect,
+    /// Latency objective: this long plus `stretch` times the invocation's own running time.
+    pub objective: f64,
+    pub stretch: f64,
+    /// Billed value, and the part of it that an answer after the objective still earns.
+    pub value: f64,
+    pub late_value: f64,
+    /// The machine kind it needs, if any.
+    pub kind: Option<usize>,
+}
+
+/// Where load reports are found.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Reports {
+    Answers,
+    Probes,
+    Never,
+}
+
+/// The limits that keep a cold executor standing.
+#[derive(Clone, Debug)]
+pub struct Cold {
+    pub start: f64,
+    pub warm: f64,
+    pub factor: f64,
+    pub fall: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub me: usize,
+    pub nodes: usize,
+    pub zone: usize,
+    pub operations: Vec<Operation>,
+    /// Each tenant's invocations a second within its share, over all nodes.
+    pub quotas: Vec<f64>,
+    /// Billed value counts by work, not by invocation.
+    pub value_by_work: bool,
+    pub cross_zone_price: f64,
+    /// The list of executors comes only when asked for.
+    pub must_ask: bool,
+    pub cold: Cold,
+    pub max_forwards: usize,
+    pub second_copies: bool,
+    pub cancelling: bool,
+    pub probing: bool,
+    pub peers: bool,
+    pub max_pause: f64,
+    pub reports: Reports,
+    /// Interval of progress notes, 0 for none.
+    pub progress: f64,
+    pub tells_start: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One line of the list of executors.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    pub tgt: Tgt,
+    /// The same at every node, for messages between them.
+    pub mark: u16,
+    pub zone: usize,
+    pub cell: i64,
+    pub kind: usize,
+    pub weight: f64,
+    pub started: f64,
+    pub standing: Standing,
+}
+
+#[derive(Clone, Debug)]
+pub enum List {
+    Changes(Vec<Entry>),
+    Whole(Vec<Entry>),
+    /// What this node last held before it was started again.
+    Kept(Vec<Entry>),
+    Lost,
+}
+
+#[derive(Clone, Debug)]
+pub struct Submission {
+    pub id: InvId,
+    pub operation: usize,
+    pub tenant: Option<usize>,
+    /// Time left until the client gives up.
+    pub timeout: f64,
+    /// Rough running time on a standard core.
+    pub hint: Option<f64>,
+}
+
+/// How a forward or a probe ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Outcome {
+    Succeeded,
+    Errored,
+    Full,
+    TimedOut,
+    Unreachable,
+    Reset,
+    Cancelled,
+    Moot,
+}
+
+/// A load report; a value that is absent or senseless is `None`.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    pub free: Option<f64>,
+    pub queue: Option<f64>,
+    pub inflight: Option<f64>,
+    pub util: Option<f64>,
+}
+
+#[derive(Clone, Debug)]
+pub enum Input {
+    List(List),
+    Submitted(Submission),
+    Settled {
+        id: InvId,
+        forward: usize,
+        outcome: Outcome,
+        took: f64,
+        ended: bool,
+        report: Report,
+    },
+    /// A forward has started or goes on.
+    Alive {
+        id: InvId,
+        forward: usize,
+    },
+    Expired(InvId),
+    Timer(u64),
+    Probed {
+        tgt: Tgt,
+        outcome: Outcome,
+        report: Report,
+    },
+    Heard {
+        from: usize,
+        text: String,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    Forward { id: InvId, tgt: Tgt },
+    Withdraw { id: InvId, forward: usize },
+    Throttle { id: InvId, pause: f64 },
+    Error { id: InvId },
+    Wake { after: f64, timer: u64 },
+    Probe(Tgt),
+    Tell(String),
+    Follow,
+    Log(String),
+}
