--- a/crates/coveroute-drill/src/main.rs
+++ b/crates/coveroute-drill/src/main.rs
@@ -9,7 +9,7 @@
 use std::panic::{self, AssertUnwindSafe};
 
 use coveroute::policy::Node;
-use coveroute::types::{Entry, Input, List, Outcome, Output, Report, Standing, Submission, Tgt};
+use coveroute::types::{Entry, Input, List, Outcome, Output, Report, Settled, Standing, Submission, Tgt};
 use wire::{Event, Gauge, Line, Record};
 
 type Fault = String;
@@ -45,7 +45,6 @@
             zone: position(&mut self.names.zones, record.area.as_deref().unwrap_or("")),
             cell: record.block.unwrap_or(0),
             kind: position(&mut self.names.kinds, record.hw.as_deref().unwrap_or("")),
-            weight: record.weight.unwrap_or(1.0),
             started: record.started_at.unwrap_or(0.0) / 1e3,
             standing,
         })
@@ -65,14 +64,14 @@
                 timeout: line.ttl.ok_or("no ttl")? / 1e3,
                 hint: line.hint.map(|hint| hint / 1e3),
             }),
-            Event::Settled => Input::Settled {
+            Event::Settled => Input::Settled(Settled {
                 id: id()?,
                 forward: line.copy.unwrap_or(0),
                 outcome: outcome(line.verdict.as_deref())?,
                 took: line.time_taken.unwrap_or(0.0) / 1e3,
                 ended: line.terminal,
                 report: report(line.gauge),
-            },
+            }),
             Event::StatusNote | Event::First => Input::Alive { id: id()?, forward: line.copy.unwrap_or(0) },
             Event::Expired => Input::Expired(id()?),
             Event::Timer => Input::Timer(line.cookie.unwrap_or(0)),
--- a/crates/coveroute-drill/src/settings.rs
+++ b/crates/coveroute-drill/src/settings.rs
@@ -17,11 +17,15 @@
     categories: Vec<Category>,
     #[serde(default)]
     family_info: FamilyInfo,
+    #[serde(default)]
+    goal: Goal,
     limits: Limits,
     me: usize,
     #[serde(default)]
     orgs: Vec<OrgInfo>,
     #[serde(default)]
+    over_share_worth: Option<f64>,
+    #[serde(default)]
     penalties: Penalties,
     registry_mode: String,
     replicas_of_me: usize,
@@ -88,6 +92,13 @@
     quota_rps: f64,
 }
 
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct Goal {
+    whole: f64,
+    worst_class: f64,
+}
+
 #[derive(Default, Deserialize)]
 #[serde(rename_all = "camelCase", default)]
 struct Penalties {
@@ -142,6 +153,9 @@
         zone,
         operations,
         quotas: info.orgs.iter().map(|org| org.quota_rps).collect(),
+        over_share_value: info.over_share_worth.unwrap_or(1.0),
+        goal_whole: info.goal.whole,
+        goal_worst_operation: info.goal.worst_class,
         value_by_work: info.value_by == "work",
         cross_zone_price: info.penalties.cross_zone,
         must_ask: info.registry_mode == "on_request",
--- a/crates/coveroute-drill/src/wire.rs
+++ b/crates/coveroute-drill/src/wire.rs
@@ -89,7 +89,6 @@
 #[serde(rename_all = "camelCase")]
 pub struct Record {
     pub executor: String,
-    pub weight: Option<f64>,
     pub area: Option<String>,
     pub started_at: Option<f64>,
     pub block: Option<i64>,
--- a/src/types.rs
+++ b/src/types.rs
@@ -59,8 +59,13 @@
     pub operations: Vec<Operation>,
     /// Each tenant's invocations a second within its share, over all nodes.
     pub quotas: Vec<f64>,
+    /// What billed value beyond a tenant's share is worth.
+    pub over_share_value: f64,
     /// Billed value counts by work, not by invocation.
     pub value_by_work: bool,
+    /// Weights of the whole service and of its worst operation in the operators' goal.
+    pub goal_whole: f64,
+    pub goal_worst_operation: f64,
     pub cross_zone_price: f64,
     /// The list of executors comes only when asked for.
     pub must_ask: bool,
@@ -77,15 +82,16 @@
     pub tells_start: bool,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Standing {
     Ready,
     Draining,
+    #[default]
     Gone,
 }
 
 /// One line of the list of executors.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Entry {
     pub tgt: Tgt,
     /// The same at every node, for messages between them.
@@ -93,7 +99,6 @@
     pub zone: usize,
     pub cell: i64,
     pub kind: usize,
-    pub weight: f64,
     pub started: f64,
     pub standing: Standing,
 }
@@ -140,18 +145,22 @@
     pub util: Option<f64>,
 }
 
+/// The end of one forward; `ended` when the invocation has its final answer.
+#[derive(Clone, Debug)]
+pub struct Settled {
+    pub id: InvId,
+    pub forward: usize,
+    pub outcome: Outcome,
+    pub took: f64,
+    pub ended: bool,
+    pub report: Report,
+}
+
 #[derive(Clone, Debug)]
 pub enum Input {
     List(List),
     Submitted(Submission),
-    Settled {
-        id: InvId,
-        forward: usize,
-        outcome: Outcome,
-        took: f64,
-        ended: bool,
-        report: Report,
-    },
+    Settled(Settled),
     /// A forward has started or goes on.
     Alive {
         id: InvId,
