--- a/crates/coveroute-drill/src/main.rs
+++ b/crates/coveroute-drill/src/main.rs
@@ -63,6 +63,7 @@
                     .map(|o| position(&mut self.names.tenants, o)),
                 timeout: line.ttl.ok_or("no ttl")? / 1e3,
                 hint: line.hint.map(|hint| hint / 1e3),
+                memory: line.memory,
             }),
             Event::Settled => Input::Settled(Settled {
                 id: id()?,
@@ -171,7 +172,13 @@
     let gauge = gauge.unwrap_or_default();
     let sane = |value: Option<f64>| value.filter(|v| v.is_finite() && *v >= 0.0);
     let (free, queue) = (sane(gauge.x0), sane(gauge.depth));
-    Report { free, queue, inflight: sane(gauge.concurrent), util: sane(gauge.load_share) }
+    Report {
+        free,
+        queue,
+        inflight: sane(gauge.concurrent),
+        util: sane(gauge.load_share),
+        memory: sane(gauge.x1),
+    }
 }
 
 /// All instances of this process, and the lists that their events refer to.
--- a/crates/coveroute-drill/src/wire.rs
+++ b/crates/coveroute-drill/src/wire.rs
@@ -45,6 +45,7 @@
     pub org: Option<Org<'a>>,
     pub ttl: Option<f64>,
     pub hint: Option<f64>,
+    pub memory: Option<f64>,
     pub cookie: Option<u64>,
     pub by: Option<usize>,
     #[serde(borrow)]
@@ -80,6 +81,7 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize)]
 pub struct Gauge {
     pub x0: Option<f64>,
+    pub x1: Option<f64>,
     pub depth: Option<f64>,
     pub concurrent: Option<f64>,
     pub load_share: Option<f64>,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -88,6 +88,7 @@
     end: f64,
     hint: f64,
     load: f64,
+    memory: f64,
     press: f64,
     drawn: Option<Tgt>,
     forwards: Vec<Fwd>,
@@ -121,6 +122,8 @@
     asked: f64,
     refused: f64,
     held: usize,
+    memory: f64,
+    foreign: f64,
     running: usize,
     told: usize,
     others: Vec<u8>,
@@ -242,6 +245,7 @@
     peer_heard: Vec<f64>,
     phi: f64,
     util: f64,
+    memory: f64,
     /// This node's part of the work that executors hold.
     part: f64,
     solved: f64,
@@ -269,6 +273,7 @@
             peer_heard: vec![0.0; nodes],
             phi: 0.0,
             util: 0.5,
+            memory: 0.5,
             part: 1.0 / nodes as f64,
             solved: 0.0,
             solves: 0,
@@ -342,8 +347,8 @@
         if t.entry.started != entry.started {
             // A new start time is a new process: what was known of the old one says nothing of it.
             let others = vec![0; self.peer_heard.len()];
-            let (held, good) = (t.held, GOOD_AT_START);
-            *t = Executor { held, good, others, heard: now, turn: usize::MAX, ..Executor::default() };
+            let (held, memory, good) = (t.held, t.memory, GOOD_AT_START);
+            *t = Executor { held, memory, good, others, heard: now, turn: usize::MAX, ..Executor::default() };
         }
         t.entry = entry;
     }
@@ -353,6 +358,8 @@
     fn submitted(&mut self, now: f64, sub: Submission, out: &mut Vec<Output>) {
         /// A held invocation is answered this long before the client gives up: several batches.
         const BEFORE_END: f64 = 0.1;
+        /// Weight of an invocation in the mean memory: some fifty.
+        const MEMORY_NEW: f64 = 0.02;
         let Some(op) = self.set.operations.get(sub.operation) else {
             // An operation that the settings don't name: nothing is known of how it may run, so nothing is sent.
             return out.push(Output::Throttle { id: sub.id, pause: 0.0 });
@@ -361,6 +368,8 @@
         class.arrived += 1.0;
         let hint = sub.hint.filter(|h| h.is_finite() && *h > 0.0).unwrap_or(1.0);
         let load = class.pace.map_or(op.objective, |pace| pace.exp() * hint);
+        let memory = sub.memory.filter(|m| m.is_finite() && *m > 0.0).unwrap_or(0.0);
+        self.memory += MEMORY_NEW * (memory - self.memory);
         // What it can wait and still be in time, if it then runs as its like do.
         let spare = (op.objective + (op.stretch - 1.0) * load).max(0.5 * op.objective);
         let late = if op.late_value > 0.0 { op.objective + op.stretch * load } else { 0.0 };
@@ -379,6 +388,7 @@
             end,
             hint,
             load,
+            memory,
             press: 0.0,
             drawn: None,
             forwards: Vec::new(),
@@ -465,6 +475,7 @@
         let (tgt, op, hint) = (fwd.tgt, inv.op, inv.hint);
         let t = &mut self.tgts[tgt];
         t.held = t.held.saturating_sub(1);
+        t.memory = if t.held == 0 { 0.0 } else { (t.memory - inv.memory).max(0.0) };
         t.running = t.running.saturating_sub(usize::from(fwd.started));
         match outcome {
             Outcome::Succeeded => Self::succeeded(now, t, &mut self.classes[op], took / hint, out),
@@ -537,7 +548,10 @@
         // Without the number at work, the most ever seen free or at work is all that is known of the slots.
         let seen = busy.map_or(t.slots.max(t.running as f64), |busy| busy + free);
         t.slots = if busy.is_some() { seen.round().max(1.0) } else { seen.max(free.round()) };
-        (t.free, t.reported) = (free, now);
+        // Work in an executor's queue beside free slots waits for memory, and all that is sent after waits too.
+        (t.free, t.reported) = (if report.queue.unwrap_or(0.0) >= 0.5 { 0.0 } else { free }, now);
+        let others = (report.inflight.unwrap_or(0.0) - t.held as f64).max(0.0) * self.memory;
+        t.foreign = report.memory.map_or(others, |spare| (t.slots - spare - t.memory).max(0.0));
         t.unseen = if now - t.last_sent < TOO_YOUNG { 1.0 } else { 0.0 };
         let util = report.util.or((t.slots > 0.0).then(|| 1.0 - free / t.slots));
         self.util += UTIL_NEW * (util.unwrap_or(self.util).clamp(0.0, 1.0) - self.util);
@@ -663,8 +677,9 @@
             if !self.able(now, inv, t) || !self.cold_room(now, t, inv.load) {
                 continue;
             }
+            let fits = t.slots <= 0.0 || t.memory + t.foreign + inv.memory <= t.slots;
             match self.room(now, t) {
-                Some(room) if room >= ONE && asks == 0 => return Place::Here(i),
+                Some(room) if room >= ONE && fits && asks == 0 => return Place::Here(i),
                 Some(_) => {}
                 None => {
                     stale[asks] = Some(i);
@@ -689,6 +704,7 @@
         let Some(inv) = self.invs.get_mut(&id) else { return };
         inv.forwards.push(Fwd { tgt, sent: now, fate: Fate::Out, started: false });
         let t = &mut self.tgts[tgt];
+        t.memory += inv.memory;
         t.spent = inv.load + if t.turn == turn { t.spent } else { 0.0 };
         t.heard = if t.held == 0 { now } else { t.heard };
         (t.turn, t.held, t.unseen, t.last_sent, t.trial) = (turn, t.held + 1, t.unseen + 1.0, now, false);
--- a/src/types.rs
+++ b/src/types.rs
@@ -121,6 +121,8 @@
     pub timeout: f64,
     /// Rough running time on a standard core.
     pub hint: Option<f64>,
+    /// Memory units it needs.
+    pub memory: Option<f64>,
 }
 
 /// How a forward or a probe ended.
@@ -143,6 +145,8 @@
     pub queue: Option<f64>,
     pub inflight: Option<f64>,
     pub util: Option<f64>,
+    /// Free memory, in units of which an executor has one a slot.
+    pub memory: Option<f64>,
 }
 
 /// The end of one forward; `ended` when the invocation has its final answer.
