--- a/crates/coveroute-drill/src/main.rs
+++ b/crates/coveroute-drill/src/main.rs
@@ -81,10 +81,10 @@
                 outcome: outcome(line.verdict.as_deref())?,
                 report: report(line.gauge),
             },
-            Event::Heard => Input::Heard {
-                from: line.by.ok_or("no by")?,
-                text: line.contents.as_deref().unwrap_or("").to_owned(),
-            },
+            Event::Heard => {
+                let (whole, held) = message(line.contents.as_deref().unwrap_or(""));
+                Input::Heard { from: line.by.ok_or("no by")?, whole, held }
+            }
             Event::Members => {
                 let scope = line.scope.as_deref().ok_or("no scope")?;
                 if scope == "lost" {
@@ -127,9 +127,16 @@
                 let executor = &self.executors[*tgt];
                 writeln!(reply, r#"{{"what":"SAMPLE","nodeId":{me},"executor":"{executor}"}}"#)
             }
-            Output::Tell(text) => {
-                let text = serde_json::Value::from(text.as_str());
-                writeln!(reply, r#"{{"what":"TELL","nodeId":{me},"dest":null,"contents":{text}}}"#)
+            Output::Tell { whole, held } => {
+                let chunks = held.chunks(TOLD_AT_MOST).map(Some);
+                let chunks: Vec<_> = if held.is_empty() { vec![None] } else { chunks.collect() };
+                chunks.into_iter().enumerate().try_for_each(|(at, chunk)| {
+                    let first = if *whole && at == 0 { 'f' } else { 'h' };
+                    write!(reply, r#"{{"what":"TELL","nodeId":{me},"dest":null,"contents":"{first}"#)?;
+                    let mut items = chunk.unwrap_or_default().iter();
+                    items.try_for_each(|(mark, count)| write!(reply, "{mark:04x}{count:02x}"))?;
+                    writeln!(reply, "\"}}")
+                })
             }
             Output::Follow => writeln!(reply, r#"{{"what":"LISTEN","nodeId":{me},"on":true}}"#),
             Output::Log(words) => {
@@ -154,6 +161,17 @@
     (hash ^ (hash >> 16)) as u16
 }
 
+/// The most counts that fit a message of 256 bytes.
+const TOLD_AT_MOST: usize = 42;
+
+/// Reads a message between nodes: `f` for all counts or `h` for changes, then four hex digits of an executor's
+/// mark and two of a count, again and again. What does not read so is skipped.
+fn message(text: &str) -> (bool, Vec<(u16, u8)>) {
+    let items = text.as_bytes().get(1..).unwrap_or(&[]).chunks_exact(6);
+    let number = |item| std::str::from_utf8(item).ok().and_then(|item| u32::from_str_radix(item, 16).ok());
+    (text.starts_with('f'), items.filter_map(number).map(|n| ((n >> 8) as u16, n as u8)).collect())
+}
+
 fn outcome(verdict: Option<&str>) -> Result<Outcome, Fault> {
     Ok(match verdict.ok_or("no verdict")? {
         "Ok" => Outcome::Succeeded,
--- /dev/null
+++ b/src/chance.rs
@@ -0,0 +1,23 @@
+//! Chance: the only source of random numbers, started from the seed that the caller gives.
+
+/// Multiply-with-carry (Marsaglia's lag 1, 32 bits).
+#[derive(Debug, Default)]
+pub struct Chance(u64);
+
+impl Chance {
+    pub fn new(seed: u64) -> Self {
+        Chance((seed % 0x7fff_ffff_ffff) | 1)
+    }
+
+    pub fn draw(&mut self) -> f64 {
+        self.0 = (self.0 & 0xffff_ffff) * 4_294_957_665 + (self.0 >> 32);
+        (self.0 & 0xffff_ffff) as f64 / 4_294_967_296.0
+    }
+
+    /// A draw from Beta(a, b), whole a and b: the a-th smallest of a + b - 1 even draws.
+    pub fn beta(&mut self, a: usize, b: usize) -> f64 {
+        let mut draws: Vec<f64> = (0..a + b - 1).map(|_| self.draw()).collect();
+        draws.sort_by(f64::total_cmp);
+        draws[a - 1]
+    }
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -5,6 +5,7 @@
 //! Its interface, all inputs, outputs and settings, is `types.rs`; docs/design.md tells why it decides as it does.
 use std::collections::BTreeMap;
 
+use crate::chance::Chance;
 use crate::types::*;
 
 /// Timers: the solve, another look at what waits, asking again for the list.
@@ -12,37 +13,6 @@
 const LOOK: u64 = 1;
 const ASK: u64 = 2;
 
-/// Where an invocation stands. `Suspect`: nothing is out, but an earlier forward may have run.
-/// `Again`: out, and an earlier forward may have run or is out too.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Life {
-    Waiting,
-    Out,
-    Suspect,
-    Again,
-    Ended,
-}
-
-/// `NotRun`, `MayHaveRun`: the last that was out ended, and of all of them this holds.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Turn {
-    Sent,
-    Finished,
-    NotRun,
-    MayHaveRun,
-    GaveUp,
-}
-
-/// `Answer`: throttle where the operation allows it after a forward that may have run, else error.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Act {
-    Keep,
-    Queue,
-    Close,
-    Throttle,
-    Answer,
-}
-
 /// State, input, next state, effect. What is not listed changes nothing: late, double or unknown events.
 const TABLE: [(Life, Turn, Life, Act); 14] = [
     (Life::Waiting, Turn::Sent, Life::Out, Act::Keep),
@@ -61,83 +31,6 @@
     (Life::Again, Turn::Finished, Life::Ended, Act::Close),
 ];
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Fate {
-    Out,
-    NotRun,
-    MayHaveRun,
-}
-
-#[derive(Clone, Debug)]
-struct Fwd {
-    tgt: Tgt,
-    sent: f64,
-    fate: Fate,
-    started: bool,
-}
-
-/// `over`: beyond its tenant's share. In time if sent before `aim`, given up while it waits after `until`,
-/// client timeout at `end`. `load`: how long it keeps an ordinary slot busy. `press`: its place in the queue.
-#[derive(Clone, Debug)]
-struct Inv {
-    op: usize,
-    life: Life,
-    over: bool,
-    aim: f64,
-    until: f64,
-    end: f64,
-    hint: f64,
-    load: f64,
-    memory: f64,
-    press: f64,
-    drawn: Option<Tgt>,
-    forwards: Vec<Fwd>,
-}
-
-impl Inv {
-    fn outs(&self) -> usize {
-        self.forwards.iter().filter(|f| f.fate == Fate::Out).count()
-    }
-
-    /// The first forward that may have run: its group and time bind all further ones.
-    fn anchor(&self) -> Option<&Fwd> {
-        self.forwards.iter().find(|f| f.fate != Fate::NotRun)
-    }
-}
-
-/// What is known of one executor. `slow`: smoothed log of its latency over what the same operation takes
-/// elsewhere. `slots`: 0 while unknown. `unseen`: own forwards that its last report can't have seen. `others`:
-/// what the other nodes hold there. `heard`: last sign of life, or when it last got work while it had none.
-#[derive(Clone, Debug, Default)]
-struct Executor {
-    entry: Entry,
-    mu: f64,
-    beta: f64,
-    slow: f64,
-    sampled: f64,
-    slots: f64,
-    free: f64,
-    unseen: f64,
-    reported: f64,
-    asked: f64,
-    refused: f64,
-    held: usize,
-    memory: f64,
-    foreign: f64,
-    running: usize,
-    told: usize,
-    others: Vec<u8>,
-    last_sent: f64,
-    heard: f64,
-    silent: bool,
-    doubtful: bool,
-    trial: bool,
-    good: f64,
-    bad: f64,
-    turn: usize,
-    spent: f64,
-}
-
 impl Executor {
     fn elsewhere(&self) -> f64 {
         self.others.iter().map(|&n| f64::from(n)).sum()
@@ -180,33 +73,6 @@
     }
 }
 
-/// What is known of one operation: the smoothed log of its latency (a second of hint, where there is one), its
-/// invocations a second, and the part of them that was sent in time.
-#[derive(Clone, Debug, Default)]
-struct Class {
-    pace: Option<f64>,
-    arrived: f64,
-    rate: f64,
-    timely: f64,
-}
-
-/// Multiply-with-carry (Marsaglia's lag 1, 32 bits).
-struct Chance(u64);
-
-impl Chance {
-    fn next(&mut self) -> f64 {
-        self.0 = (self.0 & 0xffff_ffff) * 4_294_957_665 + (self.0 >> 32);
-        (self.0 & 0xffff_ffff) as f64 / 4_294_967_296.0
-    }
-
-    /// A draw from Beta(a, b), whole a and b: the a-th smallest of a + b - 1 even draws.
-    fn beta(&mut self, a: usize, b: usize) -> f64 {
-        let mut draws: Vec<f64> = (0..a + b - 1).map(|_| self.next()).collect();
-        draws.sort_by(f64::total_cmp);
-        draws[a - 1]
-    }
-}
-
 /// COOP (paper, section 3): the Nash-bargaining split of phi over executors of rates mu, the slowest left out
 /// while their rate is below the common spare rate c.
 pub fn coop(mu: &[f64], phi: f64) -> Vec<f64> {
@@ -224,14 +90,7 @@
     beta
 }
 
-/// Where an invocation can go now. `Never`: no executor may take it, now or later.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Place {
-    Here(Tgt),
-    Later,
-    Never,
-}
-
+#[derive(Default)]
 pub struct Node {
     set: Settings,
     chance: Chance,
@@ -258,28 +117,22 @@
 const SOLVE_EVERY: f64 = 0.25;
 /// Invocations a tenant may be ahead of its share at this node: a second or two of one that is over it.
 const BURST: f64 = 8.0;
+/// A held invocation is answered this long before the client gives up: several batches.
+const BEFORE_END: f64 = 0.1;
 
 impl Node {
     pub fn new(set: Settings, seed: u64) -> Self {
         let nodes = set.nodes.max(set.me + 1);
         Node {
-            chance: Chance((seed % 0x7fff_ffff_ffff) | 1),
-            tgts: Vec::new(),
-            rank: Vec::new(),
-            waiting: Vec::new(),
-            invs: BTreeMap::new(),
+            chance: Chance::new(seed),
             classes: vec![Class::default(); set.operations.len()],
             tokens: vec![BURST; set.quotas.len()],
             peer_heard: vec![0.0; nodes],
-            phi: 0.0,
             util: 0.5,
             memory: 0.5,
             part: 1.0 / nodes as f64,
-            solved: 0.0,
-            solves: 0,
-            looking: false,
-            list_lost: 0,
             set,
+            ..Node::default()
         }
     }
 
@@ -295,14 +148,12 @@
             Input::Timer(_) if self.list_lost > 0 => out.push(Output::Follow),
             Input::Timer(_) => {}
             Input::Probed { tgt, outcome, report } => self.probed(now, tgt, outcome, report, out),
-            Input::Heard { from, text } => self.peer(now, from, &text),
+            Input::Heard { from, whole, held } => self.peer(now, from, whole, held),
         }
         self.look(now, out);
         self.tell(false, out);
     }
 
-    // ---- the list ----
-
     fn list(&mut self, now: f64, list: List, out: &mut Vec<Output>) {
         /// First wait before the list is asked for again, doubled up to three times: well inside the interval
         /// in which a silent node is held to know what it never heard.
@@ -315,7 +166,7 @@
                 out.push(Output::Log("list of executors out of reach".into()));
             }
             let wait = ASK_AGAIN * f64::from(1 << (self.list_lost - 1).min(3));
-            return out.push(Output::Wake { after: wait * (0.5 + self.chance.next()), timer: ASK });
+            return out.push(Output::Wake { after: wait * (0.5 + self.chance.draw()), timer: ASK });
         };
         self.list_lost = 0;
         if first {
@@ -353,17 +204,13 @@
         t.entry = entry;
     }
 
-    // ---- an invocation's life ----
-
     fn submitted(&mut self, now: f64, sub: Submission, out: &mut Vec<Output>) {
-        /// A held invocation is answered this long before the client gives up: several batches.
-        const BEFORE_END: f64 = 0.1;
         /// Weight of an invocation in the mean memory: some fifty.
         const MEMORY_NEW: f64 = 0.02;
-        let Some(op) = self.set.operations.get(sub.operation) else {
-            // An operation that the settings don't name: nothing is known of how it may run, so nothing is sent.
-            return out.push(Output::Throttle { id: sub.id, pause: 0.0 });
-        };
+        // An operation that the settings don't name may run nobody knows how; a client's last milliseconds (a
+        // late retry) end before anything could be answered. Neither is sent.
+        let op = self.set.operations.get(sub.operation).filter(|_| sub.timeout > BEFORE_END);
+        let Some(op) = op else { return out.push(Output::Throttle { id: sub.id, pause: 0.0 }) };
         let class = &mut self.classes[sub.operation];
         class.arrived += 1.0;
         let hint = sub.hint.filter(|h| h.is_finite() && *h > 0.0).unwrap_or(1.0);
@@ -379,20 +226,8 @@
             *tokens -= if over { 0.0 } else { 1.0 };
         }
         let end = now + sub.timeout;
-        let inv = Inv {
-            op: sub.operation,
-            life: Life::Waiting,
-            over,
-            aim: now + spare,
-            until: (now + spare + late).min(end - BEFORE_END),
-            end,
-            hint,
-            load,
-            memory,
-            press: 0.0,
-            drawn: None,
-            forwards: Vec::new(),
-        };
+        let (aim, until) = (now + spare, (now + spare + late).min(end - BEFORE_END));
+        let inv = Inv { op: sub.operation, over, aim, until, end, hint, load, memory, ..Inv::default() };
         self.invs.insert(sub.id, inv);
         self.queue(now, sub.id);
     }
@@ -435,13 +270,13 @@
         inv.life = row.2;
         let (effect, end) = (self.set.operations[inv.op].effect, inv.end);
         // Throttled clients are spread over the upper half of what they honour, not to return as one.
-        let pause = self.set.max_pause * (0.5 + 0.5 * self.chance.next());
+        let pause = self.set.max_pause * (0.5 + 0.5 * self.chance.draw());
         match (row.3, effect) {
             (Act::Keep, _) => return,
             (Act::Queue, _) => {
                 self.queue(now, id);
                 // A time-out at the client's own end leaves time for nothing but the answer.
-                return if now >= end - 1e-3 {
+                return if now >= end - BEFORE_END {
                     self.step(now, id, Turn::GaveUp, out)
                 };
             }
@@ -497,8 +332,6 @@
         }
     }
 
-    // ---- executors: rates, room, health ----
-
     /// Only answers that succeeded count as latencies: an executor that fails fast must not look fast.
     fn succeeded(now: f64, t: &mut Executor, class: &mut Class, took: f64, out: &mut Vec<Output>) {
         /// Weights of a new latency: an executor's mean over some ten answers, an operation's over fifty.
@@ -630,13 +463,11 @@
         ((!t.doubtful && !t.silent) || (t.trial && again)) && self.may_go(now, inv, t)
     }
 
-    // ---- the ordinary path: a draw by shares, and the pass ----
-
     /// Draws by beta, or evenly while all are zero.
     fn draw(&mut self, now: f64, id: InvId) -> Option<Tgt> {
         /// What a zero share is tried with, as a part of the mean share: one in fifty keeps its figures alive.
         const TRIAL: f64 = 0.02;
-        let point = self.chance.next();
+        let point = self.chance.draw();
         let inv = &self.invs[&id];
         let able = || self.rank.iter().copied().filter(|&i| self.able(now, inv, &self.tgts[i]));
         let (many, sum) = able().fold((0, 0.0), |(n, sum), i| (n + 1, sum + self.tgts[i].beta));
@@ -755,8 +586,6 @@
         self.waiting.sort_by(|a, b| press(b).total_cmp(&press(a)));
     }
 
-    // ---- the solve ----
-
     fn tick(&mut self, now: f64, out: &mut Vec<Output>) {
         /// What an interval leaves of remembered failures: half after some six seconds.
         const FORGET: f64 = 0.97;
@@ -889,38 +718,27 @@
         }
     }
 
-    // ---- peers ----
-
     /// Tells the other nodes what this one holds: the counts that changed, or all of them.
     fn tell(&mut self, whole: bool, out: &mut Vec<Output>) {
-        /// The most bytes a message may have.
-        const MOST: usize = 256;
         if !self.set.peers || self.set.nodes < 2 {
             return;
         }
-        let mut text = String::from(if whole { "f" } else { "h" });
+        let mut held = Vec::new();
         for t in self.tgts.iter_mut().filter(|t| if whole { t.held > 0 } else { t.held != t.told }) {
-            if text.len() + 6 <= MOST {
-                t.told = t.held;
-                text.push_str(&format!("{:04x}{:02x}", t.entry.mark, t.held.min(255)));
-            }
+            t.told = t.held;
+            held.push((t.entry.mark, t.held.min(255) as u8));
         }
-        if whole || text.len() > 1 {
-            out.push(Output::Tell(text));
+        if whole || !held.is_empty() {
+            out.push(Output::Tell { whole, held });
         }
     }
 
-    fn peer(&mut self, now: f64, from: usize, text: &str) {
+    fn peer(&mut self, now: f64, from: usize, whole: bool, held: Vec<(u16, u8)>) {
         let Some(heard) = self.peer_heard.get_mut(from) else { return };
         *heard = now;
-        if text.starts_with('f') {
-            self.tgts.iter_mut().for_each(|t| t.hold(from, 0));
-        }
-        for item in text.as_bytes().get(1..).unwrap_or(&[]).chunks_exact(6) {
-            let number = std::str::from_utf8(item).ok().and_then(|item| u32::from_str_radix(item, 16).ok());
-            let Some(number) = number else { continue };
-            let (mark, count) = ((number >> 8) as u16, number as u8);
-            for t in self.tgts.iter_mut().filter(|t| t.entry.mark == mark) {
+        for t in &mut self.tgts {
+            let told = held.iter().find(|told| told.0 == t.entry.mark).map(|told| told.1);
+            if let Some(count) = told.or(whole.then_some(0)) {
                 t.hold(from, count);
             }
         }
--- a/src/types.rs
+++ b/src/types.rs
@@ -1,4 +1,5 @@
-//! What goes into and comes out of the decision module. Times are seconds; no decision stands here.
+//! What goes into and comes out of the decision module, and the records it keeps. Times are seconds; no decision
+//! stands here.
 
 /// An invocation's id, as the protocol gave it.
 pub type InvId = u32;
@@ -35,15 +36,16 @@
 }
 
 /// Where load reports are found.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Reports {
     Answers,
     Probes,
+    #[default]
     Never,
 }
 
 /// The limits that keep a cold executor standing.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Cold {
     pub start: f64,
     pub warm: f64,
@@ -51,7 +53,7 @@
     pub fall: f64,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Settings {
     pub me: usize,
     pub nodes: usize,
@@ -177,9 +179,11 @@
         outcome: Outcome,
         report: Report,
     },
+    /// What another node holds: the counts that changed, by the executor's mark, or all that are not 0.
     Heard {
         from: usize,
-        text: String,
+        whole: bool,
+        held: Vec<(u16, u8)>,
     },
 }
 
@@ -191,7 +195,136 @@
     Error { id: InvId },
     Wake { after: f64, timer: u64 },
     Probe(Tgt),
-    Tell(String),
+    Tell { whole: bool, held: Vec<(u16, u8)> },
     Follow,
     Log(String),
 }
+
+// What the decisions keep between inputs.
+
+/// Where an invocation stands. `Suspect`: nothing is out, but an earlier forward may have run.
+/// `Again`: out, and an earlier forward may have run or is out too.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Life {
+    #[default]
+    Waiting,
+    Out,
+    Suspect,
+    Again,
+    Ended,
+}
+
+/// `NotRun`, `MayHaveRun`: the last that was out ended, and of all of them this holds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Turn {
+    Sent,
+    Finished,
+    NotRun,
+    MayHaveRun,
+    GaveUp,
+}
+
+/// `Answer`: throttle where the operation allows it after a forward that may have run, else error.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Act {
+    Keep,
+    Queue,
+    Close,
+    Throttle,
+    Answer,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fate {
+    Out,
+    NotRun,
+    MayHaveRun,
+}
+
+#[derive(Clone, Debug)]
+pub struct Fwd {
+    pub tgt: Tgt,
+    pub sent: f64,
+    pub fate: Fate,
+    pub started: bool,
+}
+
+/// `over`: beyond its tenant's share. In time if sent before `aim`, given up while it waits after `until`,
+/// client timeout at `end`. `load`: how long it keeps an ordinary slot busy. `press`: its place in the queue.
+#[derive(Clone, Debug, Default)]
+pub struct Inv {
+    pub op: usize,
+    pub life: Life,
+    pub over: bool,
+    pub aim: f64,
+    pub until: f64,
+    pub end: f64,
+    pub hint: f64,
+    pub load: f64,
+    pub memory: f64,
+    pub press: f64,
+    pub drawn: Option<Tgt>,
+    pub forwards: Vec<Fwd>,
+}
+
+impl Inv {
+    pub fn outs(&self) -> usize {
+        self.forwards.iter().filter(|f| f.fate == Fate::Out).count()
+    }
+
+    /// The first forward that may have run: its group and time bind all further ones.
+    pub fn anchor(&self) -> Option<&Fwd> {
+        self.forwards.iter().find(|f| f.fate != Fate::NotRun)
+    }
+}
+
+/// What is known of one executor. `slow`: smoothed log of its latency over what the same operation takes
+/// elsewhere. `slots`: 0 while unknown. `unseen`: own forwards that its last report can't have seen. `others`:
+/// what the other nodes hold there. `heard`: last sign of life, or when it last got work while it had none.
+#[derive(Clone, Debug, Default)]
+pub struct Executor {
+    pub entry: Entry,
+    pub mu: f64,
+    pub beta: f64,
+    pub slow: f64,
+    pub sampled: f64,
+    pub slots: f64,
+    pub free: f64,
+    pub unseen: f64,
+    pub reported: f64,
+    pub asked: f64,
+    pub refused: f64,
+    pub held: usize,
+    pub memory: f64,
+    pub foreign: f64,
+    pub running: usize,
+    pub told: usize,
+    pub others: Vec<u8>,
+    pub last_sent: f64,
+    pub heard: f64,
+    pub silent: bool,
+    pub doubtful: bool,
+    pub trial: bool,
+    pub good: f64,
+    pub bad: f64,
+    pub turn: usize,
+    pub spent: f64,
+}
+
+/// What is known of one operation: the smoothed log of its latency (a second of hint, where there is one), its
+/// invocations a second, and the part of them that was sent in time.
+#[derive(Clone, Debug, Default)]
+pub struct Class {
+    pub pace: Option<f64>,
+    pub arrived: f64,
+    pub rate: f64,
+    pub timely: f64,
+}
+
+/// Where an invocation can go now. `Never`: no executor may take it, now or later.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Place {
+    Here(Tgt),
+    Later,
+    Never,
+}
