--- a/src/policy.rs
+++ b/src/policy.rs
@@ -235,18 +235,20 @@
     /// What serving it now adds to the operators' goal for each second of a slot: its part of all billed value,
     /// and, while its operation is the worst served, that part of the goal too.
     fn press(&self, now: f64, inv: &Inv) -> f64 {
-        /// Operations served in time about as badly as the worst count with it.
-        const WORST_BAND: f64 = 0.05;
+        /// So far behind the best served, an operation counts fully as the worst: a quarter of its traffic.
+        const BEHIND: f64 = 0.25;
         let worth = |op: usize, load: f64| {
             self.set.operations[op].value * if self.set.value_by_work { load } else { 1.0 }
         };
         let load_of = |c: &Class| c.pace.map_or(1.0, f64::exp);
         let all: f64 = self.classes.iter().enumerate().map(|(op, c)| c.rate * worth(op, load_of(c))).sum();
-        let worst = self.classes.iter().filter(|c| c.rate > 0.0).map(|c| c.timely).fold(1.0, f64::min);
+        let best = self.classes.iter().map(|c| c.timely).fold(0.0, f64::max);
         let (op, class) = (&self.set.operations[inv.op], &self.classes[inv.op]);
         let mut part = self.set.goal_whole / all.max(1e-6);
-        if class.timely <= worst + WORST_BAND && class.rate > 0.0 {
-            part += self.set.goal_worst_operation / (class.rate * worth(inv.op, load_of(class))).max(1e-6);
+        if class.rate > 0.0 {
+            let behind = ((best - class.timely) / BEHIND).clamp(0.0, 1.0);
+            part += behind * self.set.goal_worst_operation
+                / (class.rate * worth(inv.op, load_of(class))).max(1e-6);
         }
         let late = if now > inv.aim { op.late_value } else { 1.0 };
         let over = if inv.over { self.set.over_share_value } else { 1.0 };
