--- a/src/policy.rs
+++ b/src/policy.rs
@@ -32,29 +32,15 @@
 ];
 
 impl Executor {
-    fn elsewhere(&self) -> f64 {
-        self.others.iter().map(|&n| f64::from(n)).sum()
-    }
-
-    fn hold(&mut self, from: usize, count: u8) {
-        self.others.iter_mut().skip(from).take(1).for_each(|n| *n = count);
-    }
-
     /// The part of its capacity that an executor has at least.
     fn warmth(&self, now: f64, cold: &Cold) -> f64 {
-        let age = (now - self.entry.started).max(0.0);
-        let warm = self.entry.started <= 0.0 || age >= cold.warm;
-        if warm {
-            1.0
-        } else {
-            cold.start + (1.0 - cold.start) * age / cold.warm
-        }
+        let age = if self.entry.started > 0.0 { (now - self.entry.started).max(0.0) } else { f64::INFINITY };
+        (cold.start + (1.0 - cold.start) * age / cold.warm).min(1.0)
     }
 
-    /// Doubtful below this mean of the posterior, trusted again a little above it.
     fn judge(&mut self, out: &mut Vec<Output>) {
-        const DOUBT: f64 = 0.65;
-        const TRUST: f64 = 0.75;
+        const DOUBT: f64 = 0.65; // Mean of the posterior: below it doubtful,
+        const TRUST: f64 = 0.75; // above this one trusted again, with a gap against wavering.
         let mean = (1.0 + self.good) / (2.0 + self.good + self.bad);
         let doubtful = mean < if self.doubtful { TRUST } else { DOUBT };
         if doubtful != self.doubtful {
@@ -65,8 +51,7 @@
     }
 
     fn failed(&mut self, weight: f64, out: &mut Vec<Output>) {
-        /// What a failure leaves of the successes remembered: two in a row outweigh them.
-        const GOOD_LEFT: f64 = 0.7;
+        const GOOD_LEFT: f64 = 0.7; // Of remembered successes, after a failure: two in a row outweigh them.
         self.bad += weight;
         self.good *= GOOD_LEFT.powf(weight);
         self.judge(out);
@@ -113,12 +98,9 @@
     list_lost: u32,
 }
 
-/// How often the shares are re-solved: several times in the shortest running time met, cheap at any size.
-const SOLVE_EVERY: f64 = 0.25;
-/// Invocations a tenant may be ahead of its share at this node: a second or two of one that is over it.
-const BURST: f64 = 8.0;
-/// A held invocation is answered this long before the client gives up: several batches.
-const BEFORE_END: f64 = 0.1;
+const SOLVE_EVERY: f64 = 0.25; // Several times in the shortest running time met; cheap at any size.
+const BURST: f64 = 8.0; // Invocations a tenant may be ahead of its share: a second or two of traffic.
+const BEFORE_END: f64 = 0.1; // A held invocation is answered this long before its end: several batches.
 
 impl Node {
     pub fn new(set: Settings, seed: u64) -> Self {
@@ -145,8 +127,7 @@
             Input::Expired(id) => self.step(now, id, Turn::Finished, out),
             Input::Timer(SOLVE) => self.tick(now, out),
             Input::Timer(LOOK) => self.review(now, out),
-            Input::Timer(_) if self.list_lost > 0 => out.push(Output::Follow),
-            Input::Timer(_) => {}
+            Input::Timer(_) => out.extend((self.list_lost > 0).then_some(Output::Follow)),
             Input::Probed { tgt, outcome, report } => self.probed(now, tgt, outcome, report, out),
             Input::Heard { from, whole, held } => self.peer(now, from, whole, held),
         }
@@ -172,21 +153,17 @@
         if first {
             self.solved = now;
             out.push(Output::Wake { after: SOLVE_EVERY, timer: SOLVE });
-            if self.set.must_ask {
-                out.push(Output::Follow);
-            }
+            out.extend(self.set.must_ask.then_some(Output::Follow));
         }
         // Guards against an executor that was removed while this node did not hear: absent means gone.
-        for t in self.tgts.iter_mut().filter(|t| whole && !entries.iter().any(|e| e.tgt == t.entry.tgt)) {
-            t.entry.standing = Standing::Gone;
-        }
+        let absent = |t: &&mut Executor| whole && !entries.iter().any(|e| e.tgt == t.entry.tgt);
+        self.tgts.iter_mut().filter(absent).for_each(|t| t.entry.standing = Standing::Gone);
         entries.into_iter().for_each(|entry| self.entry(now, entry, out));
         self.solve(now);
     }
 
     fn entry(&mut self, now: f64, entry: Entry, out: &mut Vec<Output>) {
-        /// Successes granted to an executor nothing is known of: two failures in a row make it doubtful.
-        const GOOD_AT_START: f64 = 4.0;
+        const GOOD_AT_START: f64 = 4.0; // Of an unknown executor: two failures in a row make it doubtful.
         while self.tgts.len() <= entry.tgt {
             let entry = Entry { tgt: self.tgts.len(), started: f64::NAN, ..Entry::default() };
             self.tgts.push(Executor { entry, ..Executor::default() });
@@ -205,10 +182,9 @@
     }
 
     fn submitted(&mut self, now: f64, sub: Submission, out: &mut Vec<Output>) {
-        /// Weight of an invocation in the mean memory: some fifty.
-        const MEMORY_NEW: f64 = 0.02;
-        // An operation that the settings don't name may run nobody knows how; a client's last milliseconds (a
-        // late retry) end before anything could be answered. Neither is sent.
+        const MEMORY_NEW: f64 = 0.02; // Weight of an invocation in the mean memory: some fifty.
+                                      // An operation that the settings don't name may run nobody knows how; a client's last milliseconds (a
+                                      // late retry) end before anything could be answered. Neither is sent.
         let op = self.set.operations.get(sub.operation).filter(|_| sub.timeout > BEFORE_END);
         let Some(op) = op else { return out.push(Output::Throttle { id: sub.id, pause: 0.0 }) };
         let class = &mut self.classes[sub.operation];
@@ -235,8 +211,7 @@
     /// What serving it now adds to the operators' goal for each second of a slot: its part of all billed value,
     /// and, while its operation is the worst served, that part of the goal too.
     fn press(&self, now: f64, inv: &Inv) -> f64 {
-        /// So far behind the best served, an operation counts fully as the worst: a quarter of its traffic.
-        const BEHIND: f64 = 0.25;
+        const BEHIND: f64 = 0.25; // So far behind the best served an operation counts fully as the worst.
         let worth = |op: usize, load: f64| {
             self.set.operations[op].value * if self.set.value_by_work { load } else { 1.0 }
         };
@@ -259,14 +234,11 @@
         let press = self.press(now, &self.invs[&id]);
         let at = self.waiting.partition_point(|other| self.invs.get(other).is_some_and(|o| o.press >= press));
         self.waiting.insert(at, id);
-        if let Some(inv) = self.invs.get_mut(&id) {
-            (inv.press, inv.drawn) = (press, None);
-        }
+        self.invs.entry(id).and_modify(|inv| inv.press = press);
     }
 
     fn step(&mut self, now: f64, id: InvId, turn: Turn, out: &mut Vec<Output>) {
-        /// Weight of an invocation in the part of its operation that is sent in time: some fifty.
-        const TIMELY_NEW: f64 = 0.02;
+        const TIMELY_NEW: f64 = 0.02; // Weight of an invocation in what is sent in time: some fifty.
         let Some(inv) = self.invs.get_mut(&id) else { return };
         let Some(row) = TABLE.iter().find(|row| row.0 == inv.life && row.1 == turn) else { return };
         inv.life = row.2;
@@ -278,9 +250,8 @@
             (Act::Queue, _) => {
                 self.queue(now, id);
                 // A time-out at the client's own end leaves time for nothing but the answer.
-                return if now >= end - BEFORE_END {
-                    self.step(now, id, Turn::GaveUp, out)
-                };
+                let turn = if now >= end - BEFORE_END { Turn::GaveUp } else { Turn::NotRun };
+                return self.step(now, id, turn, out);
             }
             (Act::Close, _) => {}
             (Act::Throttle, _)
@@ -310,6 +281,7 @@
         let proven = matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::Moot);
         fwd.fate = if proven { Fate::NotRun } else { Fate::MayHaveRun };
         let (tgt, op, hint) = (fwd.tgt, inv.op, inv.hint);
+        inv.drawn = None;
         let t = &mut self.tgts[tgt];
         t.held = t.held.saturating_sub(1);
         t.memory = if t.held == 0 { 0.0 } else { (t.memory - inv.memory).max(0.0) };
@@ -317,10 +289,8 @@
         match outcome {
             Outcome::Succeeded => Self::succeeded(now, t, &mut self.classes[op], took / hint, out),
             Outcome::Full => t.refused = now,
-            Outcome::Errored | Outcome::Reset | Outcome::Unreachable | Outcome::TimedOut => {
-                t.failed(1.0, out)
-            }
             Outcome::Cancelled | Outcome::Moot => {}
+            _ => t.failed(1.0, out),
         }
         let (outs, ran) = (inv.outs(), inv.anchor().is_some());
         if inv.life == Life::Ended && outs == 0 {
@@ -336,11 +306,9 @@
 
     /// Only answers that succeeded count as latencies: an executor that fails fast must not look fast.
     fn succeeded(now: f64, t: &mut Executor, class: &mut Class, took: f64, out: &mut Vec<Output>) {
-        /// Weights of a new latency: an executor's mean over some ten answers, an operation's over fifty.
-        const SLOW_NEW: f64 = 0.1;
-        const PACE_NEW: f64 = 0.02;
-        /// The most successes that count, so that failures soon outweigh them.
-        const GOOD_MOST: f64 = 8.0;
+        const SLOW_NEW: f64 = 0.1; // Weight of a latency in its executor's mean: some ten answers.
+        const PACE_NEW: f64 = 0.02; // And in its operation's: some fifty.
+        const GOOD_MOST: f64 = 8.0; // The most successes that count, so that failures soon outweigh them.
         let log = took.max(1e-4).ln();
         let pace = class.pace.get_or_insert(log);
         let ratio = (log - *pace).clamp(-3.0, 3.0);
@@ -361,22 +329,17 @@
 
     fn probed(&mut self, now: f64, tgt: Tgt, outcome: Outcome, report: Report, out: &mut Vec<Output>) {
         let Some(t) = self.tgts.get_mut(tgt) else { return };
-        match outcome {
-            Outcome::Succeeded => self.report(now, tgt, report),
-            Outcome::Full => t.refused = now,
-            // Half of a failure: a probe waits beside the work and may be late for small reasons.
-            _ => {
-                t.refused = now;
-                t.failed(0.5, out);
-            }
+        if outcome == Outcome::Succeeded {
+            return self.report(now, tgt, report);
         }
+        t.refused = now;
+        // Half of a failure: a probe waits beside the work and may be late for small reasons.
+        t.failed(if outcome == Outcome::Full { 0.0 } else { 0.5 }, out);
     }
 
     fn report(&mut self, now: f64, tgt: Tgt, report: Report) {
-        /// Forwards this young may be missing from a report: some round trips and refreshes.
-        const TOO_YOUNG: f64 = 0.03;
-        /// Weight of a new report in the mean utilisation: some seconds' worth.
-        const UTIL_NEW: f64 = 0.02;
+        const TOO_YOUNG: f64 = 0.03; // Forwards this young may be missing from a report: some round trips.
+        const UTIL_NEW: f64 = 0.02; // Weight of a new report in the mean utilisation: some seconds' worth.
         let t = &mut self.tgts[tgt];
         let Some(free) = report.free else { return };
         let busy = report.inflight.zip(report.queue).map(|(inflight, queue)| (inflight - queue).max(0.0));
@@ -394,13 +357,10 @@
 
     /// Free slots that may be counted on; `None` when what is known is too old.
     fn room(&self, now: f64, t: &Executor) -> Option<f64> {
-        /// A report of free slots holds as long as few others send there, one of none a little longer.
-        const FREE_HOLDS: f64 = 0.1;
-        const FULL_HOLDS: f64 = 0.25;
-        /// After a forward came back full, whatever reports say: what it lacks may not be slots.
-        const REFUSED_HOLDS: f64 = 0.2;
-        /// Without reports: an executor yields above this multiple of the mean forwards held, and one more.
-        const PASS: f64 = 1.5;
+        const FREE_HOLDS: f64 = 0.1; // A report of room holds while few others can have sent there.
+        const FULL_HOLDS: f64 = 0.25; // One of none a little longer: it errs only by waiting.
+        const REFUSED_HOLDS: f64 = 0.2; // After a full answer, whatever the reports say of its slots.
+        const PASS: f64 = 1.5; // Without reports: yields above this multiple of the mean held, and one.
         if t.refused > 0.0 && now - t.refused < REFUSED_HOLDS {
             return Some(0.0);
         }
@@ -423,8 +383,7 @@
         if share >= 1.0 {
             return true;
         }
-        let turn = self.turn(now, t);
-        let slots = t.slots.max(1.0);
+        let (turn, slots) = (self.turn(now, t), t.slots.max(1.0));
         let spent = if t.turn == turn { t.spent } else { 0.0 };
         turn % self.set.nodes.max(1) == self.set.me
             && spent + load <= 0.5 * cold.factor * share * slots * cold.fall
@@ -437,8 +396,7 @@
 
     /// Whether the rules let this invocation go there.
     fn may_go(&self, now: f64, inv: &Inv, t: &Executor) -> bool {
-        /// Kept off the end of the window in which repeats are dropped: several times the way there.
-        const WINDOW_MARGIN: f64 = 0.1;
+        const WINDOW_MARGIN: f64 = 0.1; // Off the end of the window: several times the way to an executor.
         let op = &self.set.operations[inv.op];
         t.entry.standing == Standing::Ready
             && op.kind.is_none_or(|kind| kind == t.entry.kind)
@@ -467,8 +425,7 @@
 
     /// Draws by beta, or evenly while all are zero.
     fn draw(&mut self, now: f64, id: InvId) -> Option<Tgt> {
-        /// What a zero share is tried with, as a part of the mean share: one in fifty keeps its figures alive.
-        const TRIAL: f64 = 0.02;
+        const TRIAL: f64 = 0.02; // Of the mean share, for a zero share: one in fifty keeps its figures alive.
         let point = self.chance.draw();
         let inv = &self.invs[&id];
         let able = || self.rank.iter().copied().filter(|&i| self.able(now, inv, &self.tgts[i]));
@@ -483,51 +440,38 @@
     }
 
     fn place(&mut self, now: f64, id: InvId, out: &mut Vec<Output>) -> Place {
-        /// A crossing at this price or dearer (a part of an invocation's billed value) goes after the own zone.
-        const CROSSING_DEAR: f64 = 0.03;
-        /// Executors asked for their state at a time.
-        const ASKED: usize = 2;
+        const CROSSING_DEAR: f64 = 0.03; // Part of a billed value: from here on the own zone goes first.
+        const ASKED: usize = 2; // Executors asked for their state at a time.
         let inv = &self.invs[&id];
         let spent = inv.forwards.len() >= self.set.max_forwards;
         if spent || (inv.anchor().is_some() && !self.tgts.iter().any(|t| self.may_go(now, inv, t))) {
             return Place::Never;
         }
         let keeps = inv.drawn.filter(|&i| self.able(now, inv, &self.tgts[i]));
-        let Some(first) = keeps.or_else(|| self.draw(now, id)) else { return Place::Later };
-        if let Some(inv) = self.invs.get_mut(&id) {
-            inv.drawn = Some(first);
-        }
+        let drawn = keeps.or_else(|| self.draw(now, id));
+        let Some(first) = drawn else { return Place::Later };
+        self.invs.entry(id).and_modify(|inv| inv.drawn = drawn);
         let inv = &self.invs[&id];
         let from = self.rank.iter().position(|&i| i == first).unwrap_or(0);
         let dear = self.set.cross_zone_price >= CROSSING_DEAR;
         let order = self.rank[from..].iter().chain(&self.rank[..from]);
         let near = |i: &&Tgt| !dear || self.tgts[**i].entry.zone == self.set.zone;
         let order = order.clone().filter(near).chain(order.filter(|i| !near(i)));
-        let mut stale = [None; ASKED];
-        let mut asks = 0;
-        for &i in order {
+        let mut stale = Vec::new();
+        let able = |t: &Executor| self.able(now, inv, t) && self.cold_room(now, t, inv.load);
+        for &i in order.filter(|&&i| able(&self.tgts[i])) {
             let t = &self.tgts[i];
-            if !self.able(now, inv, t) || !self.cold_room(now, t, inv.load) {
-                continue;
-            }
             let fits = t.slots <= 0.0 || t.memory + t.foreign + inv.memory <= t.slots;
             match self.room(now, t) {
-                Some(room) if room >= ONE && fits && asks == 0 => return Place::Here(i),
+                None => stale.push(i),
+                Some(room) if room >= ONE && fits && stale.is_empty() => return Place::Here(i),
                 Some(_) => {}
-                None => {
-                    stale[asks] = Some(i);
-                    asks += 1;
-                }
-            }
-            if asks == ASKED {
-                break;
             }
         }
-        for i in stale.into_iter().flatten() {
-            if now - self.tgts[i].asked > ASKED_HOLDS {
-                self.tgts[i].asked = now;
-                out.push(Output::Probe(i));
-            }
+        stale.truncate(ASKED);
+        for i in stale.into_iter().filter(|&i| now - self.tgts[i].asked > ASKED_HOLDS).collect::<Vec<_>>() {
+            self.tgts[i].asked = now;
+            out.push(Output::Probe(i));
         }
         Place::Later
     }
@@ -548,8 +492,7 @@
 
     /// Sends what waits, the most pressing first, while any executor has room or could be asked.
     fn look(&mut self, now: f64, out: &mut Vec<Output>) {
-        /// How soon what waits is looked at again: a few batches, and short beside any objective.
-        const LOOK_EVERY: f64 = 0.025;
+        const LOOK_EVERY: f64 = 0.025; // A few batches, and short beside any objective.
         let mut at = 0;
         while at < self.waiting.len() {
             let open =
@@ -574,27 +517,17 @@
     fn review(&mut self, now: f64, out: &mut Vec<Output>) {
         self.looking = false;
         for id in std::mem::take(&mut self.waiting) {
-            let late = self.invs.get(&id).is_none_or(|inv| now >= inv.until);
-            match late {
+            match now >= self.invs[&id].until {
                 true => self.step(now, id, Turn::GaveUp, out),
-                false => {
-                    let press = self.press(now, &self.invs[&id]);
-                    self.waiting.push(id);
-                    self.invs.entry(id).and_modify(|inv| inv.press = press);
-                }
+                false => self.queue(now, id),
             }
         }
-        let press = |id: &InvId| self.invs.get(id).map_or(0.0, |inv| inv.press);
-        self.waiting.sort_by(|a, b| press(b).total_cmp(&press(a)));
     }
 
     fn tick(&mut self, now: f64, out: &mut Vec<Output>) {
-        /// What an interval leaves of remembered failures: half after some six seconds.
-        const FORGET: f64 = 0.97;
-        /// A peer not heard for this long, three whole counts, is taken to hold nothing.
-        const PEER_SILENT: f64 = 3.0;
-        /// Weight of the newest interval in phi: some two seconds.
-        const PHI_NEW: f64 = 0.12;
+        const FORGET: f64 = 0.97; // Of remembered failures, each interval: half after six seconds.
+        const PEER_SILENT: f64 = 3.0; // Three whole counts: a peer not heard for this long holds nothing.
+        const PHI_NEW: f64 = 0.12; // Weight of the newest interval in phi: some two seconds.
         let passed = (now - self.solved).max(1e-3);
         (self.solved, self.solves) = (now, self.solves + 1);
         let new = if self.solves == 1 { 1.0 } else { PHI_NEW };
@@ -602,10 +535,7 @@
             class.rate += new * (std::mem::take(&mut class.arrived) / passed - class.rate);
         }
         self.phi = self.classes.iter().map(|class| class.rate).sum();
-        for (from, heard) in
-            self.peer_heard.iter().enumerate().filter(|(_, heard)| now - **heard > PEER_SILENT)
-        {
-            let _ = heard;
+        for from in (0..self.peer_heard.len()).filter(|&from| now - self.peer_heard[from] > PEER_SILENT) {
             self.tgts.iter_mut().for_each(|t| t.hold(from, 0));
         }
         // Executors tell their work's progress: silent beyond one interval and a half, it stands still. Where
@@ -620,33 +550,25 @@
                 (t.heard, t.silent) = (now, true);
                 t.failed(2.0, out);
             }
-            if t.doubtful {
-                t.judge(out);
-            }
+            t.judge(out);
         }
         self.share_out(passed);
         self.solve(now);
-        self.rescue(now, out);
         self.sample(now, out);
-        if self.solves.is_multiple_of(4) {
-            self.tell(true, out);
-        }
+        self.tell(self.solves.is_multiple_of(4), out);
         out.push(Output::Wake { after: SOLVE_EVERY, timer: SOLVE });
     }
 
     /// Tenants' shares are for all nodes: this node counts its part by what it holds of all that is at work.
     fn share_out(&mut self, passed: f64) {
-        /// Weight of the newest interval in the part: some ten seconds.
-        const PART_NEW: f64 = 0.025;
+        const PART_NEW: f64 = 0.025; // Weight of the newest interval in the part: some ten seconds.
         let held: f64 = self.tgts.iter().map(|t| t.held as f64).sum();
         let seen = |t: &Executor| match self.set.peers {
             true => t.held as f64 + t.elsewhere(),
             false => (t.slots - t.free).max(t.held as f64),
         };
         let all: f64 = self.tgts.iter().map(seen).sum();
-        if all >= 1.0 {
-            self.part += PART_NEW * (held / all - self.part);
-        }
+        self.part += PART_NEW * if all >= 1.0 { held / all - self.part } else { 0.0 };
         for (tokens, quota) in self.tokens.iter_mut().zip(&self.set.quotas) {
             *tokens = (*tokens + passed * quota * self.part).min(BURST);
         }
@@ -654,9 +576,8 @@
 
     /// Rates from own latencies and reports, then COOP, then the order of the pass.
     fn solve(&mut self, now: f64) {
-        /// What an interval without own outcomes leaves of an executor's difference from the mean.
-        const DRIFT: f64 = 0.98;
-        const UNSAMPLED: f64 = 3.0;
+        const DRIFT: f64 = 0.98; // Of an executor's difference from the mean, each interval without outcomes.
+        const UNSAMPLED: f64 = 3.0; // Some invocations' time: so long without an own outcome, it drifts.
         let known = self.tgts.iter().map(|t| t.slots).filter(|slots| *slots > 0.0);
         let (many, slots) = known.fold((0.0, 0.0), |(n, sum), slots| (n + 1.0, sum + slots));
         let usual = if many > 0.0 { slots / many } else { 1.0 };
@@ -687,29 +608,10 @@
         self.rank = rank;
     }
 
-    /// A second copy for what an executor gone silent holds, where the operation allows it and room is known.
-    fn rescue(&mut self, now: f64, out: &mut Vec<Output>) {
-        let stuck = |inv: &Inv| {
-            let pays = self.set.operations[inv.op].late_value > 0.0 || now < inv.aim;
-            let silent = |f: &Fwd| f.fate != Fate::Out || self.tgts[f.tgt].silent;
-            inv.life == Life::Out && pays && now < inv.end && inv.forwards.iter().all(silent)
-        };
-        if !self.set.second_copies || !self.tgts.iter().any(|t| t.silent) {
-            return;
-        }
-        let ids: Vec<InvId> = self.invs.iter().filter(|(_, inv)| stuck(inv)).map(|(&id, _)| id).collect();
-        for id in ids {
-            if let Place::Here(tgt) = self.place(now, id, out) {
-                self.send(now, id, tgt, out);
-            }
-        }
-    }
-
     /// Where only probes report, nodes probe in turn, the executor first whose report is oldest.
     fn sample(&mut self, now: f64, out: &mut Vec<Output>) {
-        let (first, nodes) = (self.solves == 1, self.set.nodes.max(1));
-        let due = first || self.solves % nodes == self.set.me % nodes;
-        if self.set.reports != Reports::Probes || !self.set.probing || !due {
+        let (first, due) = (self.solves == 1, self.solves % self.set.nodes.max(1) == self.set.me);
+        if self.set.reports != Reports::Probes || !self.set.probing || !(first || due) {
             return;
         }
         let mut order = self.rank.clone();
@@ -747,10 +649,8 @@
     }
 }
 
-/// One free slot, allowing for noise in reports.
-const ONE: f64 = 0.9;
-/// How long a probe's answer is waited for before the executor may be asked again.
-const ASKED_HOLDS: f64 = 0.1;
+const ONE: f64 = 0.9; // One free slot, allowing for noise in reports.
+const ASKED_HOLDS: f64 = 0.1; // How long a probe's answer is waited for before the next.
 
 #[cfg(test)]
 mod tests;
--- a/src/types.rs
+++ b/src/types.rs
@@ -311,6 +311,17 @@
     pub spent: f64,
 }
 
+impl Executor {
+    /// What the other nodes hold there.
+    pub fn elsewhere(&self) -> f64 {
+        self.others.iter().map(|&n| f64::from(n)).sum()
+    }
+
+    pub fn hold(&mut self, from: usize, count: u8) {
+        self.others.iter_mut().skip(from).take(1).for_each(|n| *n = count);
+    }
+}
+
 /// What is known of one operation: the smoothed log of its latency (a second of hint, where there is one), its
 /// invocations a second, and the part of them that was sent in time.
 #[derive(Clone, Debug, Default)]
