A tenant over its share weighs less by quota over rate, in place of a token bucket

Cause: which of a tenant's invocations count as beyond its share can't be told by one node; a local bucket marked the wrong ones and shed a fifth of what was in share.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -85,7 +85,7 @@
     waiting: Vec<InvId>,
     invs: BTreeMap<InvId, Inv>,
     classes: Vec<Class>,
-    tokens: Vec<f64>,
+    tenants: Vec<Class>,
     peer_heard: Vec<f64>,
     phi: f64,
     util: f64,
@@ -99,7 +99,6 @@
 }
 
 const SOLVE_EVERY: f64 = 0.25; // Several times in the shortest running time met; cheap at any size.
-const BURST: f64 = 8.0; // Invocations a tenant may be ahead of its share: a second or two of traffic.
 const BEFORE_END: f64 = 0.1; // A held invocation is answered this long before its end: several batches.
 
 impl Node {
@@ -108,7 +107,7 @@
         Node {
             chance: Chance::new(seed),
             classes: vec![Class::default(); set.operations.len()],
-            tokens: vec![BURST; set.quotas.len()],
+            tenants: vec![Class::default(); set.quotas.len()],
             peer_heard: vec![0.0; nodes],
             util: 0.5,
             memory: 0.5,
@@ -196,14 +195,16 @@
         // What it can wait and still be in time, if it then runs as its like do.
         let spare = (op.objective + (op.stretch - 1.0) * load).max(0.5 * op.objective);
         let late = if op.late_value > 0.0 { op.objective + op.stretch * load } else { 0.0 };
-        let mut over = false;
-        if let Some(tokens) = sub.tenant.and_then(|tenant| self.tokens.get_mut(tenant)) {
-            over = *tokens < 1.0;
-            *tokens -= if over { 0.0 } else { 1.0 };
-        }
+        let tenant = sub.tenant.filter(|&tenant| tenant < self.tenants.len());
+        let in_share = tenant.map_or(1.0, |tenant| {
+            self.tenants[tenant].arrived += 1.0;
+            let (rate, quota) = (self.tenants[tenant].rate, self.set.quotas[tenant] * self.part);
+            (quota / rate.max(1e-3)).min(1.0)
+        });
+        let worth = in_share + (1.0 - in_share) * self.set.over_share_value;
         let end = now + sub.timeout;
         let (aim, until) = (now + spare, (now + spare + late).min(end - BEFORE_END));
-        let inv = Inv { op: sub.operation, over, aim, until, end, hint, load, memory, ..Inv::default() };
+        let inv = Inv { op: sub.operation, worth, aim, until, end, hint, load, memory, ..Inv::default() };
         self.invs.insert(sub.id, inv);
         self.queue(now, sub.id);
     }
@@ -226,8 +227,7 @@
                 / (class.rate * worth(inv.op, load_of(class))).max(1e-6);
         }
         let late = if now > inv.aim { op.late_value } else { 1.0 };
-        let over = if inv.over { self.set.over_share_value } else { 1.0 };
-        part * worth(inv.op, inv.load) * late * over / inv.load.max(1e-3)
+        part * worth(inv.op, inv.load) * late * inv.worth / inv.load.max(1e-3)
     }
 
     fn queue(&mut self, now: f64, id: InvId) {
@@ -531,7 +531,7 @@
         let passed = (now - self.solved).max(1e-3);
         (self.solved, self.solves) = (now, self.solves + 1);
         let new = if self.solves == 1 { 1.0 } else { PHI_NEW };
-        for class in &mut self.classes {
+        for class in self.classes.iter_mut().chain(&mut self.tenants) {
             class.rate += new * (std::mem::take(&mut class.arrived) / passed - class.rate);
         }
         self.phi = self.classes.iter().map(|class| class.rate).sum();
@@ -552,7 +552,7 @@
             }
             t.judge(out);
         }
-        self.share_out(passed);
+        self.share_out();
         self.solve(now);
         self.sample(now, out);
         self.tell(self.solves.is_multiple_of(4), out);
@@ -560,7 +560,7 @@
     }
 
     /// Tenants' shares are for all nodes: this node counts its part by what it holds of all that is at work.
-    fn share_out(&mut self, passed: f64) {
+    fn share_out(&mut self) {
         const PART_NEW: f64 = 0.025; // Weight of the newest interval in the part: some ten seconds.
         let held: f64 = self.tgts.iter().map(|t| t.held as f64).sum();
         let seen = |t: &Executor| match self.set.peers {
@@ -569,9 +569,6 @@
         };
         let all: f64 = self.tgts.iter().map(seen).sum();
         self.part += PART_NEW * if all >= 1.0 { held / all - self.part } else { 0.0 };
-        for (tokens, quota) in self.tokens.iter_mut().zip(&self.set.quotas) {
-            *tokens = (*tokens + passed * quota * self.part).min(BURST);
-        }
     }
 
     /// Rates from own latencies and reports, then COOP, then the order of the pass.
--- a/src/types.rs
+++ b/src/types.rs
@@ -249,13 +249,13 @@
     pub started: bool,
 }
 
-/// `over`: beyond its tenant's share. In time if sent before `aim`, given up while it waits after `until`,
+/// `worth`: the part of its billed value that counts, as its tenant is over its share. In time if sent before `aim`, given up while it waits after `until`,
 /// client timeout at `end`. `load`: how long it keeps an ordinary slot busy. `press`: its place in the queue.
 #[derive(Clone, Debug, Default)]
 pub struct Inv {
     pub op: usize,
     pub life: Life,
-    pub over: bool,
+    pub worth: f64,
     pub aim: f64,
     pub until: f64,
     pub end: f64,
