--- a/src/policy.rs
+++ b/src/policy.rs
@@ -452,9 +452,9 @@
         let Some(first) = drawn else { return Place::Later };
         self.invs.entry(id).and_modify(|inv| inv.drawn = drawn);
         let inv = &self.invs[&id];
-        let from = self.rank.iter().position(|&i| i == first).unwrap_or(0);
         let dear = self.set.cross_zone_price >= CROSSING_DEAR;
-        let order = self.rank[from..].iter().chain(&self.rank[..from]);
+        let next = self.rank.iter().filter(|&&i| i != first && self.tgts[i].beta > 0.0);
+        let order = std::iter::once(&first).chain(next);
         let near = |i: &&Tgt| !dear || self.tgts[**i].entry.zone == self.set.zone;
         let order = order.clone().filter(near).chain(order.filter(|i| !near(i)));
         let mut stale = Vec::new();
