--- a/src/policy.rs
+++ b/src/policy.rs
@@ -89,6 +89,8 @@
     peer_heard: Vec<f64>,
     phi: f64,
     util: f64,
+    /// Mean own forwards held, at the last solve.
+    held: f64,
     memory: f64,
     /// This node's part of the work that executors hold.
     part: f64,
@@ -234,7 +236,7 @@
         let press = self.press(now, &self.invs[&id]);
         let at = self.waiting.partition_point(|other| self.invs.get(other).is_some_and(|o| o.press >= press));
         self.waiting.insert(at, id);
-        self.invs.entry(id).and_modify(|inv| inv.press = press);
+        self.invs.entry(id).and_modify(|inv| (inv.press, inv.late) = (press, now > inv.aim));
     }
 
     fn step(&mut self, now: f64, id: InvId, turn: Turn, out: &mut Vec<Output>) {
@@ -288,7 +290,7 @@
         t.running = t.running.saturating_sub(usize::from(fwd.started));
         match outcome {
             Outcome::Succeeded => Self::succeeded(now, t, &mut self.classes[op], took / hint, out),
-            Outcome::Full => t.refused = now,
+            Outcome::Full => (t.refused, t.refusals) = (now, t.refusals + 1),
             Outcome::Cancelled | Outcome::Moot => {}
             _ => t.failed(1.0, out),
         }
@@ -314,7 +316,7 @@
         let ratio = (log - *pace).clamp(-3.0, 3.0);
         *pace += PACE_NEW * (ratio - t.slow);
         t.slow += SLOW_NEW * (ratio - t.slow);
-        (t.sampled, t.heard, t.silent) = (now, now, false);
+        (t.sampled, t.heard, t.silent, t.refusals) = (now, now, false, 0);
         t.good = (t.good + 1.0).min(GOOD_MOST);
         t.judge(out);
     }
@@ -332,7 +334,7 @@
         if outcome == Outcome::Succeeded {
             return self.report(now, tgt, report);
         }
-        t.refused = now;
+        (t.refused, t.refusals) = (now, t.refusals.max(1));
         // Half of a failure: a probe waits beside the work and may be late for small reasons.
         t.failed(if outcome == Outcome::Full { 0.0 } else { 0.5 }, out);
     }
@@ -359,9 +361,9 @@
     fn room(&self, now: f64, t: &Executor) -> Option<f64> {
         const FREE_HOLDS: f64 = 0.1; // A report of room holds while few others can have sent there.
         const FULL_HOLDS: f64 = 0.25; // One of none a little longer: it errs only by waiting.
-        const REFUSED_HOLDS: f64 = 0.2; // After a full answer, whatever the reports say of its slots.
+        const REFUSED_HOLDS: f64 = 0.2; // After a full answer, whatever reports say; doubled by each more.
         const PASS: f64 = 1.5; // Without reports: yields above this multiple of the mean held, and one.
-        if t.refused > 0.0 && now - t.refused < REFUSED_HOLDS {
+        if t.refusals > 0 && now - t.refused < REFUSED_HOLDS * f64::from(1 << (t.refusals - 1).min(5)) {
             return Some(0.0);
         }
         if self.set.peers && t.slots > 0.0 {
@@ -372,8 +374,7 @@
             let holds = if room >= ONE { FREE_HOLDS } else { FULL_HOLDS };
             return (t.slots > 0.0 && now - t.reported <= holds).then_some(room);
         }
-        let held: usize = self.rank.iter().map(|&i| self.tgts[i].held).sum();
-        Some(PASS * held as f64 / self.rank.len().max(1) as f64 + 1.0 - t.held as f64)
+        Some(PASS * self.held + 1.0 - t.held as f64)
     }
 
     /// A cold executor takes its budget from nodes in turn, by their number, each turn as long as the span
@@ -492,9 +493,10 @@
 
     /// Sends what waits, the most pressing first, while any executor has room or could be asked.
     fn look(&mut self, now: f64, out: &mut Vec<Output>) {
+        const MISSES: usize = 6; // Looked at without finding a place: CPU is scarce where queues are long.
         const LOOK_EVERY: f64 = 0.025; // A few batches, and short beside any objective.
         let mut at = 0;
-        while at < self.waiting.len() {
+        while at < self.waiting.len().min(MISSES) {
             let open =
                 |t: &Executor| self.room(now, t).map_or(now - t.asked > ASKED_HOLDS, |room| room >= ONE);
             if !self.rank.iter().any(|&i| open(&self.tgts[i])) {
@@ -513,13 +515,15 @@
         }
     }
 
-    /// Orders anew what waits, and gives up what has waited for as long as that can pay.
+    /// Puts back what is late now, and gives up what has waited for as long as that can pay.
     fn review(&mut self, now: f64, out: &mut Vec<Output>) {
         self.looking = false;
         for id in std::mem::take(&mut self.waiting) {
-            match now >= self.invs[&id].until {
-                true => self.step(now, id, Turn::GaveUp, out),
-                false => self.queue(now, id),
+            let inv = &self.invs[&id];
+            match (now >= inv.until, now > inv.aim && !inv.late) {
+                (true, _) => self.step(now, id, Turn::GaveUp, out),
+                (false, true) => self.queue(now, id),
+                (false, false) => self.waiting.push(id),
             }
         }
     }
@@ -602,6 +606,7 @@
             members.iter().zip(coop(&mu, phi)).for_each(|(&i, beta)| self.tgts[i].beta = beta);
         }
         rank.sort_by(|&a, &b| self.tgts[b].beta.total_cmp(&self.tgts[a].beta).then(a.cmp(&b)));
+        self.held = rank.iter().map(|&i| self.tgts[i].held as f64).sum::<f64>() / rank.len().max(1) as f64;
         self.rank = rank;
     }
 
--- a/src/types.rs
+++ b/src/types.rs
@@ -263,6 +263,7 @@
     pub load: f64,
     pub memory: f64,
     pub press: f64,
+    pub late: bool,
     pub drawn: Option<Tgt>,
     pub forwards: Vec<Fwd>,
 }
@@ -294,6 +295,7 @@
     pub reported: f64,
     pub asked: f64,
     pub refused: f64,
+    pub refusals: u32,
     pub held: usize,
     pub memory: f64,
     pub foreign: f64,
