--- a/src/policy.rs
+++ b/src/policy.rs
@@ -184,8 +184,9 @@
 
     fn submitted(&mut self, now: f64, sub: Submission, out: &mut Vec<Output>) {
         const MEMORY_NEW: f64 = 0.02; // Weight of an invocation in the mean memory: some fifty.
-                                      // An operation that the settings don't name may run nobody knows how; a client's last milliseconds (a
-                                      // late retry) end before anything could be answered. Neither is sent.
+        const WAIT: f64 = 0.5; // Of what could be spared on the mean: running times vary as much again.
+                               // An operation that the settings don't name may run nobody knows how; a client's last milliseconds (a
+                               // late retry) end before anything could be answered. Neither is sent.
         let op = self.set.operations.get(sub.operation).filter(|_| sub.timeout > BEFORE_END);
         let Some(op) = op else { return out.push(Output::Throttle { id: sub.id, pause: 0.0 }) };
         let class = &mut self.classes[sub.operation];
@@ -195,7 +196,10 @@
         let memory = sub.memory.filter(|m| m.is_finite() && *m > 0.0).unwrap_or(0.0);
         self.memory += MEMORY_NEW * (memory - self.memory);
         // What it can wait and still be in time, if it then runs as its like do.
-        let spare = (op.objective + (op.stretch - 1.0) * load).max(0.5 * op.objective);
+        let spare = WAIT * (op.objective + (op.stretch - 1.0) * load).max(0.5 * op.objective);
+        // A client that comes back has less time left than one that comes first: its objective has run since.
+        class.longest = class.longest.max(sub.timeout);
+        let aim = now + spare - (class.longest - sub.timeout);
         let late = if op.late_value > 0.0 { op.objective + op.stretch * load } else { 0.0 };
         let tenant = sub.tenant.filter(|&tenant| tenant < self.tenants.len());
         let in_share = tenant.map_or(1.0, |tenant| {
@@ -205,7 +209,7 @@
         });
         let worth = in_share + (1.0 - in_share) * self.set.over_share_value;
         let end = now + sub.timeout;
-        let (aim, until) = (now + spare, (now + spare + late).min(end - BEFORE_END));
+        let until = (aim.max(now) + late).min(end - BEFORE_END);
         let inv = Inv { op: sub.operation, worth, aim, until, end, hint, load, memory, ..Inv::default() };
         self.invs.insert(sub.id, inv);
         self.queue(now, sub.id);
--- a/src/types.rs
+++ b/src/types.rs
@@ -332,6 +332,8 @@
     pub arrived: f64,
     pub rate: f64,
     pub timely: f64,
+    /// Longest time that a client came with.
+    pub longest: f64,
 }
 
 /// Where an invocation can go now. `Never`: no executor may take it, now or later.
