--- a/src/policy.rs
+++ b/src/policy.rs
@@ -50,6 +50,12 @@
         }
     }
 
+    /// A sign of life: what it was blamed for while silent is forgiven, as it works off what it holds.
+    fn woke(&mut self, now: f64) {
+        self.heard = now;
+        self.bad *= if std::mem::take(&mut self.silent) { 0.0 } else { 1.0 };
+    }
+
     fn failed(&mut self, weight: f64, out: &mut Vec<Output>) {
         const GOOD_LEFT: f64 = 0.7; // Of remembered successes, after a failure: two in a row outweigh them.
         self.bad += weight;
@@ -270,11 +276,9 @@
         let in_time = inv.forwards.last().is_some_and(|f| turn == Turn::Finished && f.sent <= inv.aim);
         let class = &mut self.classes[inv.op];
         class.timely += TIMELY_NEW * (f64::from(u8::from(in_time)) - class.timely);
-        for (forward, fwd) in inv.forwards.iter().enumerate() {
-            if fwd.fate == Fate::Out && self.set.cancelling {
-                out.push(Output::Withdraw { id, forward });
-            }
-        }
+        let still_out =
+            inv.forwards.iter().enumerate().filter(|f| f.1.fate == Fate::Out && self.set.cancelling);
+        out.extend(still_out.map(|(forward, _)| Output::Withdraw { id, forward }));
         if inv.outs() == 0 {
             self.invs.remove(&id);
         }
@@ -296,6 +300,8 @@
             Outcome::Succeeded => Self::succeeded(now, t, &mut self.classes[op], took / hint, out),
             Outcome::Full => (t.refused, t.refusals) = (now, t.refusals + 1),
             Outcome::Cancelled | Outcome::Moot => {}
+            // Nothing listens there: the next would lose the time of a connect as well.
+            Outcome::Unreachable => t.failed(3.0, out),
             _ => t.failed(1.0, out),
         }
         let (outs, ran) = (inv.outs(), inv.anchor().is_some());
@@ -320,7 +326,8 @@
         let ratio = (log - *pace).clamp(-3.0, 3.0);
         *pace += PACE_NEW * (ratio - t.slow);
         t.slow += SLOW_NEW * (ratio - t.slow);
-        (t.sampled, t.heard, t.silent, t.refusals) = (now, now, false, 0);
+        t.woke(now);
+        (t.sampled, t.refusals) = (now, 0);
         t.good = (t.good + 1.0).min(GOOD_MOST);
         t.judge(out);
     }
@@ -330,17 +337,18 @@
         let Some(fwd) = fwd.filter(|f| f.fate == Fate::Out) else { return };
         let t = &mut self.tgts[fwd.tgt];
         t.running += usize::from(!std::mem::replace(&mut fwd.started, true));
-        (t.heard, t.silent) = (now, false);
+        t.woke(now);
     }
 
     fn probed(&mut self, now: f64, tgt: Tgt, outcome: Outcome, report: Report, out: &mut Vec<Output>) {
         let Some(t) = self.tgts.get_mut(tgt) else { return };
-        if outcome == Outcome::Succeeded {
-            return self.report(now, tgt, report);
+        match outcome {
+            Outcome::Succeeded => return self.report(now, tgt, report),
+            Outcome::Full => {}
+            // Half of a failure: a probe waits beside the work and may be late for small reasons.
+            _ => t.failed(0.5, out),
         }
         (t.refused, t.refusals) = (now, t.refusals.max(1));
-        // Half of a failure: a probe waits beside the work and may be late for small reasons.
-        t.failed(if outcome == Outcome::Full { 0.0 } else { 0.5 }, out);
     }
 
     fn report(&mut self, now: f64, tgt: Tgt, report: Report) {
@@ -535,6 +543,7 @@
     fn tick(&mut self, now: f64, out: &mut Vec<Output>) {
         const FORGET: f64 = 0.97; // Of remembered failures, each interval: half after six seconds.
         const PEER_SILENT: f64 = 3.0; // Three whole counts: a peer not heard for this long holds nothing.
+        const TRY_AT: f64 = 0.7; // A doubtful one is tried when the draw is near what trusted ones reach.
         const PHI_NEW: f64 = 0.12; // Weight of the newest interval in phi: some two seconds.
         let passed = (now - self.solved).max(1e-3);
         (self.solved, self.solves) = (now, self.solves + 1);
@@ -552,7 +561,7 @@
         for t in &mut self.tgts {
             t.bad *= FORGET;
             let (a, b) = (1 + t.good.round() as usize, 1 + t.bad.round().min(12.0) as usize);
-            t.trial = (t.doubtful || t.silent) && self.chance.beta(a, b) >= 0.5;
+            t.trial = (t.doubtful || t.silent) && self.chance.beta(a, b) >= TRY_AT;
             let limit = if self.set.tells_start && t.running == 0 { 2.5 * limit } else { limit };
             if t.held > 0 && now - t.heard > limit {
                 (t.heard, t.silent) = (now, true);
