--- a/src/policy.rs
+++ b/src/policy.rs
@@ -146,8 +146,7 @@
         /// First wait before the list is asked for again, doubled up to three times: well inside the interval
         /// in which a silent node is held to know what it never heard.
         const ASK_AGAIN: f64 = 0.5;
-        let whole = !matches!(list, List::Changes(_));
-        let first = matches!(list, List::Kept(_));
+        let (whole, first) = (!matches!(list, List::Changes(_)), matches!(list, List::Kept(_)));
         let (List::Changes(entries) | List::Whole(entries) | List::Kept(entries)) = list else {
             self.list_lost += 1;
             if self.list_lost == 2 {
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -1,6 +1,63 @@
 use super::*;
 use test_case::test_case;
 
+const DEDUP_ALL: Effect = Effect::Deduplicated { group: Group::All, window: 2.0 };
+const DEDUP_CELL: Effect = Effect::Deduplicated { group: Group::Cell, window: 2.0 };
+const ID: InvId = 7;
+
+fn operation(effect: Effect) -> Operation {
+    Operation { effect, objective: 1.0, stretch: 1.0, value: 1.0, late_value: 0.0, kind: None }
+}
+
+/// A node of four with one operation and `many` ready, trusted executors, two to a cell.
+fn node(effect: Effect, many: usize) -> Node {
+    let cold = Cold { start: 0.25, warm: 8.0, factor: 4.0, fall: 2.0 };
+    let operations = vec![operation(effect)];
+    let set =
+        Settings { operations, nodes: 4, max_forwards: 3, cold, second_copies: true, ..Settings::default() };
+    let mut node = Node::new(set, 5);
+    let ready = |tgt| Entry { tgt, standing: Standing::Ready, cell: tgt as i64 / 2, ..Entry::default() };
+    let mut out = Vec::new();
+    node.list(0.0, List::Whole((0..many).map(ready).collect()), &mut out);
+    node
+}
+
+fn entry(tgt: Tgt, standing: Standing, started: f64) -> Entry {
+    Entry { tgt, standing, started, ..Entry::default() }
+}
+
+/// Adds an invocation whose earlier forwards, all sent at 1, went to executors 0, 1, ... with these fates.
+fn add(node: &mut Node, life: Life, fates: &[Fate]) {
+    let forward = |(tgt, &fate)| Fwd { tgt, sent: 1.0, fate, started: false };
+    let forwards: Vec<Fwd> = fates.iter().enumerate().map(forward).collect();
+    let inv = Inv {
+        life,
+        aim: 5.0,
+        until: 5.0,
+        end: 10.0,
+        hint: 1.0,
+        load: 1.0,
+        worth: 1.0,
+        forwards,
+        ..Inv::default()
+    };
+    node.invs.insert(ID, inv);
+    if matches!(life, Life::Waiting | Life::Suspect) {
+        node.waiting.push(ID);
+    }
+}
+
+fn settle(node: &mut Node, now: f64, outcome: Outcome) -> Vec<Output> {
+    let (forward, took, ended, report) = (0, 0.1, outcome == Outcome::Succeeded, Report::default());
+    let mut out = Vec::new();
+    node.settled(now, Settled { id: ID, forward, outcome, took, ended, report }, &mut out);
+    out
+}
+
+fn submit(timeout: f64, operation: usize) -> Submission {
+    Submission { id: ID, operation, tenant: None, timeout, hint: None, memory: None }
+}
+
 #[test_case(&[8.0, 5.0, 2.0], 7.0, &[5.0, 2.0, 0.0]; "the paper's example two: the slowest is left out")]
 #[test_case(&[2.0, 8.0, 5.0], 7.0, &[0.0, 5.0, 2.0]; "order does not matter")]
 #[test_case(&[4.0, 4.0], 2.0, &[1.0, 1.0]; "equal rates share evenly")]
@@ -13,3 +70,259 @@
     let got = coop(mu, phi);
     assert!(got.len() == beta.len() && got.iter().zip(beta).all(|(a, b)| (a - b).abs() < 1e-9), "{got:?}");
 }
+
+#[test_case(&[6.0, 2.0], 0.70, 0.80; "by shares")]
+#[test_case(&[0.0, 0.0], 0.45, 0.55; "evenly while all are zero")]
+#[test_case(&[1.0, 0.0], 0.97, 0.999; "a zero share is still tried")]
+fn draws_by_share(beta: &[f64], least: f64, most: f64) {
+    let mut node = node(Effect::Idempotent, beta.len());
+    add(&mut node, Life::Waiting, &[]);
+    beta.iter().enumerate().for_each(|(i, &beta)| node.tgts[i].beta = beta);
+    let first = (0..4000).filter(|_| node.draw(2.0, ID) == Some(0)).count() as f64 / 4000.0;
+    assert!((least..most).contains(&first), "{first}");
+}
+
+// Rule 2, a further forward: each effect, after each outcome of the only forward so far.
+#[test_case(Effect::NonIdempotent, Outcome::Full, Some(Life::Waiting); "full proves that it never ran")]
+#[test_case(Effect::NonIdempotent, Outcome::Unreachable, Some(Life::Waiting); "so does no connection")]
+#[test_case(Effect::NonIdempotent, Outcome::Moot, Some(Life::Waiting); "so does one never sent")]
+#[test_case(Effect::NonIdempotent, Outcome::Errored, Some(Life::Suspect); "an error may have run")]
+#[test_case(Effect::NonIdempotent, Outcome::Reset, Some(Life::Suspect); "a reset may have run")]
+#[test_case(Effect::NonIdempotent, Outcome::TimedOut, Some(Life::Suspect); "a time out may have run")]
+#[test_case(Effect::NonIdempotent, Outcome::Cancelled, Some(Life::Suspect); "a withdrawal may have run")]
+#[test_case(Effect::Idempotent, Outcome::Succeeded, None; "a success ends it")]
+fn a_forwards_end_moves_the_life(effect: Effect, outcome: Outcome, life: Option<Life>) {
+    let mut node = node(effect, 4);
+    add(&mut node, Life::Out, &[Fate::Out]);
+    settle(&mut node, 2.0, outcome);
+    assert_eq!(node.invs.get(&ID).map(|inv| inv.life), life);
+}
+
+#[test_case(Effect::Idempotent, Fate::MayHaveRun, 1.5, &[1, 2, 3]; "idempotent goes anywhere else")]
+#[test_case(Effect::NonIdempotent, Fate::MayHaveRun, 1.5, &[]; "non idempotent goes nowhere")]
+#[test_case(Effect::NonIdempotent, Fate::Out, 1.5, &[]; "nor beside one that is out")]
+#[test_case(Effect::NonIdempotent, Fate::NotRun, 1.5, &[0, 1, 2, 3]; "unless it is proven not run")]
+#[test_case(DEDUP_ALL, Fate::MayHaveRun, 1.5, &[1, 2, 3]; "deduplicated by all goes anywhere else")]
+#[test_case(DEDUP_CELL, Fate::MayHaveRun, 1.5, &[1]; "deduplicated by cell stays in the cell")]
+#[test_case(DEDUP_CELL, Fate::MayHaveRun, 2.95, &[]; "and not up to the window's end")]
+fn further_forwards_keep_rule_two(effect: Effect, fate: Fate, now: f64, expected: &[Tgt]) {
+    let mut node = node(effect, 4);
+    add(&mut node, Life::Suspect, &[fate]);
+    let may: Vec<Tgt> = (0..4).filter(|&i| node.may_go(now, &node.invs[&ID], &node.tgts[i])).collect();
+    assert_eq!(may, expected);
+}
+
+#[test_case(Effect::NonIdempotent, Life::Waiting, true; "nothing ran: throttled")]
+#[test_case(Effect::NonIdempotent, Life::Suspect, false; "non idempotent that may have run: error")]
+#[test_case(Effect::Idempotent, Life::Suspect, true; "idempotent: throttled")]
+#[test_case(DEDUP_ALL, Life::Suspect, true; "deduplicated by all: throttled")]
+#[test_case(DEDUP_CELL, Life::Suspect, false; "deduplicated by a narrower group: error")]
+fn giving_up_answers_by_the_effect(effect: Effect, life: Life, throttled: bool) {
+    let mut node = node(effect, 2);
+    add(&mut node, life, &[if life == Life::Waiting { Fate::NotRun } else { Fate::MayHaveRun }]);
+    let mut out = Vec::new();
+    node.step(2.0, ID, Turn::GaveUp, &mut out);
+    let expected = if throttled { Output::Throttle { id: ID, pause: 0.0 } } else { Output::Error { id: ID } };
+    assert_eq!((out, node.waiting.len(), node.invs.len()), (vec![expected], 0, 0));
+}
+
+#[test_case(Turn::Finished; "a second end")]
+#[test_case(Turn::GaveUp; "giving up while out")]
+fn late_and_double_events_change_nothing(turn: Turn) {
+    let mut node = node(Effect::Idempotent, 2);
+    add(&mut node, if turn == Turn::GaveUp { Life::Out } else { Life::Ended }, &[Fate::Out]);
+    let mut out = Vec::new();
+    node.step(2.0, ID, turn, &mut out);
+    assert!(out.is_empty() && node.invs.len() == 1);
+}
+
+#[test]
+fn a_time_out_at_the_clients_end_is_answered_at_once() {
+    let mut node = node(Effect::NonIdempotent, 2);
+    add(&mut node, Life::Out, &[Fate::Out]);
+    assert_eq!(settle(&mut node, 10.0, Outcome::TimedOut), vec![Output::Error { id: ID }]);
+}
+
+#[test_case(0.0075, 0, true; "a late retry's last milliseconds")]
+#[test_case(9.0, 5, true; "an operation the settings don't name")]
+#[test_case(9.0, 0, false; "an ordinary one waits for its forward")]
+fn answered_at_the_door(timeout: f64, operation: usize, throttled: bool) {
+    let (mut node, mut out) = (node(Effect::NonIdempotent, 2), Vec::new());
+    node.submitted(1.0, submit(timeout, operation), &mut out);
+    assert_eq!(out == vec![Output::Throttle { id: ID, pause: 0.0 }], throttled);
+}
+
+#[test]
+fn what_waits_too_long_is_throttled_ahead_of_its_end() {
+    let (mut node, mut out) = (node(Effect::NonIdempotent, 0), Vec::new());
+    node.submitted(1.0, submit(0.3, 0), &mut out);
+    node.review(1.2, &mut out);
+    assert_eq!(out, vec![Output::Throttle { id: ID, pause: 0.0 }]);
+}
+
+#[test]
+fn a_retrys_objective_counts_from_its_first_try() {
+    let (mut node, mut out) = (node(Effect::Idempotent, 0), Vec::new());
+    node.submitted(1.0, Submission { id: 1, ..submit(9.0, 0) }, &mut out);
+    node.submitted(3.0, submit(7.0, 0), &mut out);
+    assert!((node.invs[&1].aim - node.invs[&ID].aim).abs() < 1e-9);
+}
+
+#[test_case(List::Whole(vec![entry(0, Standing::Ready, 0.0)]), Standing::Gone; "absent from a whole list means gone")]
+#[test_case(List::Changes(vec![entry(0, Standing::Ready, 0.0)]), Standing::Ready; "absent from changes means the same")]
+#[test_case(List::Kept(vec![entry(1, Standing::Draining, 0.0)]), Standing::Draining; "a kept list may hold a drained one")]
+#[test_case(List::Lost, Standing::Ready; "a failed call leaves the list")]
+fn lists_are_followed(list: List, expected: Standing) {
+    let (mut node, mut out) = (node(Effect::Idempotent, 2), Vec::new());
+    add(&mut node, Life::Waiting, &[]);
+    node.list(3.0, list, &mut out);
+    assert_eq!(node.tgts[1].entry.standing, expected);
+    assert_eq!(node.may_go(3.0, &node.invs[&ID], &node.tgts[1]), expected == Standing::Ready);
+}
+
+#[test]
+fn a_lost_list_is_asked_again_later_and_later() {
+    let (mut node, mut waits) = (node(Effect::Idempotent, 1), Vec::new());
+    (0..6).for_each(|_| node.list(1.0, List::Lost, &mut waits));
+    let waits: Vec<f64> = waits
+        .iter()
+        .filter_map(|o| if let Output::Wake { after, .. } = o { Some(*after) } else { None })
+        .collect();
+    assert!(waits.len() == 6 && waits[0] < 0.8 && waits[5] > 2.0 && waits[5] < 6.1, "{waits:?}");
+}
+
+#[test]
+fn a_new_start_forgets_the_old_process_but_not_what_is_out() {
+    let (mut node, mut out) = (node(Effect::Idempotent, 1), Vec::new());
+    (node.tgts[0].bad, node.tgts[0].held, node.tgts[0].slow) = (9.0, 2, 1.0);
+    node.entry(5.0, entry(0, Standing::Ready, 4.0), &mut out);
+    assert_eq!((node.tgts[0].bad, node.tgts[0].held, node.tgts[0].slow), (0.0, 2, 0.0));
+}
+
+#[test_case(1.0, 0.5, true; "its turn, within the budget")]
+#[test_case(3.0, 0.5, false; "another node's turn")]
+#[test_case(1.0, 9.0, false; "more than the budget of a turn")]
+#[test_case(8.5, 9.0, true; "warm by now")]
+fn a_cold_executor_takes_its_budget_in_turns(age: f64, load: f64, room: bool) {
+    let mut node = node(Effect::Idempotent, 1);
+    (node.tgts[0].entry.started, node.tgts[0].slots) = (10.0, 2.0);
+    assert_eq!(node.cold_room(10.0 + age, &node.tgts[0], load), room);
+}
+
+#[test_case(Outcome::Errored, 3; "errors")]
+#[test_case(Outcome::Reset, 3; "resets")]
+#[test_case(Outcome::TimedOut, 3; "time outs")]
+#[test_case(Outcome::Unreachable, 1; "no connection, at once")]
+fn failures_bring_doubt_and_no_speed(outcome: Outcome, many: usize) {
+    let mut node = node(Effect::Idempotent, 2);
+    for _ in 0..many {
+        add(&mut node, Life::Out, &[Fate::Out]);
+        settle(&mut node, 2.0, outcome);
+    }
+    assert!(node.tgts[0].doubtful && node.tgts[0].slow == 0.0 && !node.tgts[1].doubtful);
+}
+
+#[test_case(Effect::Idempotent, true, true; "a trial goes with what can be sent again")]
+#[test_case(Effect::NonIdempotent, true, false; "but not with what cannot")]
+#[test_case(Effect::Idempotent, false, false; "none without the draw")]
+fn doubtful_executors_work_on_the_draw(effect: Effect, trial: bool, able: bool) {
+    let mut node = node(effect, 1);
+    add(&mut node, Life::Waiting, &[]);
+    (node.tgts[0].doubtful, node.tgts[0].trial) = (true, trial);
+    assert_eq!(node.able(2.0, &node.invs[&ID], &node.tgts[0]), able);
+}
+
+#[test]
+fn the_posteriors_draw_never_quite_forgets() {
+    let mut chance = Chance::new(3);
+    let mut share = |a, b| (0..4000).filter(|_| chance.beta(a, b) >= 0.5).count();
+    let (sound, even, bad) = (share(8, 1), share(3, 3), share(1, 7));
+    assert!(sound > 3900 && (1800..2200).contains(&even) && (1..100).contains(&bad), "{sound} {even} {bad}");
+}
+
+#[test]
+fn silence_brings_doubt_and_a_sign_of_life_ends_it() {
+    let (mut node, mut out) = (node(Effect::Idempotent, 1), Vec::new());
+    node.set.progress = 1.0;
+    add(&mut node, Life::Out, &[Fate::Out]);
+    (node.tgts[0].held, node.tgts[0].heard) = (1, 1.0);
+    node.tick(2.0, &mut out);
+    assert!(!node.tgts[0].silent, "within one interval and a half");
+    node.tick(3.0, &mut out);
+    assert!(node.tgts[0].silent && node.tgts[0].bad > 0.0);
+    node.alive(3.1, ID, 0);
+    assert!(!node.tgts[0].silent && node.tgts[0].bad == 0.0);
+}
+
+#[test_case(2.0, 0.0, 2.0, 1.0; "free slots count")]
+#[test_case(2.0, 1.0, 3.0, 0.0; "none where work waits beside them, for memory")]
+#[test_case(0.0, 2.0, 5.0, 0.0; "none free")]
+fn reports_tell_the_room(free: f64, queue: f64, inflight: f64, least: f64) {
+    let mut node = node(Effect::Idempotent, 1);
+    (node.set.reports, node.set.probing) = (Reports::Answers, true);
+    let report =
+        Report { free: Some(free), queue: Some(queue), inflight: Some(inflight), ..Report::default() };
+    node.report(2.0, 0, report);
+    let room = node.room(2.05, &node.tgts[0]);
+    assert!(room.is_some_and(|room| (room >= ONE) == (least > 0.0)), "{room:?}");
+    assert_eq!(node.room(2.5, &node.tgts[0]), None, "too old to be counted on");
+}
+
+#[test]
+fn a_full_answer_outweighs_reports_and_rests_longer_each_time() {
+    let mut node = node(Effect::Idempotent, 1);
+    (node.set.reports, node.set.probing) = (Reports::Answers, true);
+    (node.tgts[0].free, node.tgts[0].slots, node.tgts[0].reported) = (2.0, 2.0, 3.0);
+    let mut rests = |refusals, now| {
+        (node.tgts[0].refused, node.tgts[0].refusals) = (2.9, refusals);
+        node.tgts[0].reported = now;
+        node.room(now, &node.tgts[0]) == Some(0.0)
+    };
+    assert!(rests(1, 3.0) && !rests(1, 3.2) && rests(3, 3.2) && !rests(0, 3.0));
+}
+
+#[test]
+fn slots_are_the_most_seen_free_not_a_sum_of_two_moments() {
+    let mut node = node(Effect::Idempotent, 1);
+    node.tgts[0].held = 3;
+    (0..9).for_each(|i| node.report(f64::from(i), 0, Report { free: Some(2.1), ..Report::default() }));
+    assert_eq!(node.tgts[0].slots, 2.0);
+}
+
+#[test]
+fn the_pass_goes_down_the_shares_and_not_to_a_zero_share() {
+    let (mut node, mut out) = (node(Effect::Idempotent, 3), Vec::new());
+    add(&mut node, Life::Waiting, &[]);
+    node.set.peers = true;
+    for (i, beta) in [1.0, 3.0, 0.0].into_iter().enumerate() {
+        (node.tgts[i].beta, node.tgts[i].slots) = (beta, 2.0);
+    }
+    (node.rank, node.tgts[0].held) = (vec![1, 0, 2], 2);
+    node.invs.entry(ID).and_modify(|inv| inv.drawn = Some(0));
+    assert_eq!(node.place(2.0, ID, &mut out), Place::Here(1));
+    node.tgts[1].held = 2;
+    assert_eq!(node.place(2.0, ID, &mut out), Place::Later);
+}
+
+#[test]
+fn peers_counts_are_kept_and_wrong_ones_ignored() {
+    let mut node = node(Effect::Idempotent, 2);
+    node.tgts[1].entry.mark = 9;
+    node.peer(1.0, 2, false, vec![(9, 4), (77, 1)]);
+    node.peer(1.0, 99, true, vec![(9, 8)]);
+    assert_eq!((node.tgts[0].elsewhere(), node.tgts[1].elsewhere()), (0.0, 4.0));
+    node.peer(2.0, 2, true, vec![]);
+    assert_eq!(node.tgts[1].elsewhere(), 0.0);
+}
+
+#[test]
+fn the_same_events_give_the_same_outputs() {
+    let play = || {
+        let (mut node, mut out) = (node(Effect::Idempotent, 5), Vec::new());
+        for id in 0..50 {
+            node.handle(f64::from(id), Input::Submitted(Submission { id, ..submit(9.0, 0) }), &mut out);
+        }
+        out
+    };
+    assert!(play() == play() && !play().is_empty());
+}
