--- a/src/policy.rs
+++ b/src/policy.rs
@@ -452,7 +452,6 @@
     }
 
     fn place(&mut self, now: f64, id: InvId, out: &mut Vec<Output>) -> Place {
-        const CROSSING_DEAR: f64 = 0.03; // Part of a billed value: from here on the own zone goes first.
         const ASKED: usize = 2; // Executors asked for their state at a time.
         let inv = &self.invs[&id];
         let spent = inv.forwards.len() >= self.set.max_forwards;
@@ -464,7 +463,7 @@
         let Some(first) = drawn else { return Place::Later };
         self.invs.entry(id).and_modify(|inv| inv.drawn = drawn);
         let inv = &self.invs[&id];
-        let dear = self.set.cross_zone_price >= CROSSING_DEAR;
+        let dear = self.set.cross_zone_price > 0.0;
         let next = self.rank.iter().filter(|&&i| i != first && self.tgts[i].beta > 0.0);
         let order = std::iter::once(&first).chain(next);
         let near = |i: &&Tgt| !dear || self.tgts[**i].entry.zone == self.set.zone;
