--- a/src/policy.rs
+++ b/src/policy.rs
@@ -95,6 +95,8 @@
     peer_heard: Vec<f64>,
     phi: f64,
     util: f64,
+    /// Mean billed value of an invocation.
+    value: f64,
     /// Mean own forwards held, at the last solve.
     held: f64,
     memory: f64,
@@ -143,15 +145,12 @@
     }
 
     fn list(&mut self, now: f64, list: List, out: &mut Vec<Output>) {
-        /// First wait before the list is asked for again, doubled up to three times: well inside the interval
-        /// in which a silent node is held to know what it never heard.
-        const ASK_AGAIN: f64 = 0.5;
+        const ASK_AGAIN: f64 = 0.5; // Doubled up to three times: inside what a silent node is held to know.
         let (whole, first) = (!matches!(list, List::Changes(_)), matches!(list, List::Kept(_)));
         let (List::Changes(entries) | List::Whole(entries) | List::Kept(entries)) = list else {
             self.list_lost += 1;
-            if self.list_lost == 2 {
-                out.push(Output::Log("list of executors out of reach".into()));
-            }
+            let told = self.list_lost == 2;
+            out.extend(told.then(|| Output::Log("list of executors out of reach".into())));
             let wait = ASK_AGAIN * f64::from(1 << (self.list_lost - 1).min(3));
             return out.push(Output::Wake { after: wait * (0.5 + self.chance.draw()), timer: ASK });
         };
@@ -175,9 +174,8 @@
             self.tgts.push(Executor { entry, ..Executor::default() });
         }
         let t = &mut self.tgts[entry.tgt];
-        if t.entry.standing == Standing::Ready && entry.standing == Standing::Draining {
-            out.push(Output::Log(format!("executor {:04x} drains", entry.mark)));
-        }
+        let drains = t.entry.standing == Standing::Ready && entry.standing == Standing::Draining;
+        out.extend(drains.then(|| Output::Log(format!("executor {:04x} drains", entry.mark))));
         if t.entry.started != entry.started {
             // A new start time is a new process: what was known of the old one says nothing of it.
             let others = vec![0; self.peer_heard.len()];
@@ -190,8 +188,9 @@
     fn submitted(&mut self, now: f64, sub: Submission, out: &mut Vec<Output>) {
         const MEMORY_NEW: f64 = 0.02; // Weight of an invocation in the mean memory: some fifty.
         const WAIT: f64 = 0.5; // Of what could be spared on the mean: running times vary as much again.
-                               // An operation that the settings don't name may run nobody knows how; a client's last milliseconds (a
-                               // late retry) end before anything could be answered. Neither is sent.
+
+        // An operation that the settings don't name may run nobody knows how; a client's last milliseconds (a
+        // late retry) end before anything could be answered. Neither is sent.
         let op = self.set.operations.get(sub.operation).filter(|_| sub.timeout > BEFORE_END);
         let Some(op) = op else { return out.push(Output::Throttle { id: sub.id, pause: 0.0 }) };
         let class = &mut self.classes[sub.operation];
@@ -214,8 +213,11 @@
         });
         let worth = in_share + (1.0 - in_share) * self.set.over_share_value;
         let end = now + sub.timeout;
+        // A crossing waits for the part of its spare time that it would cost of the value it serves.
+        let dear = self.set.cross_zone_price * self.value / self.value(sub.operation, load).max(1e-6);
         let until = (aim.max(now) + late).min(end - BEFORE_END);
-        let inv = Inv { op: sub.operation, worth, aim, until, end, hint, load, memory, ..Inv::default() };
+        let (op, cross) = (sub.operation, now + dear * spare);
+        let inv = Inv { op, worth, aim, until, end, hint, load, memory, cross, ..Inv::default() };
         self.invs.insert(sub.id, inv);
         self.queue(now, sub.id);
     }
@@ -224,21 +226,21 @@
     /// and, while its operation is the worst served, that part of the goal too.
     fn press(&self, now: f64, inv: &Inv) -> f64 {
         const BEHIND: f64 = 0.25; // So far behind the best served an operation counts fully as the worst.
-        let worth = |op: usize, load: f64| {
-            self.set.operations[op].value * if self.set.value_by_work { load } else { 1.0 }
-        };
-        let load_of = |c: &Class| c.pace.map_or(1.0, f64::exp);
-        let all: f64 = self.classes.iter().enumerate().map(|(op, c)| c.rate * worth(op, load_of(c))).sum();
         let best = self.classes.iter().map(|c| c.timely).fold(0.0, f64::max);
         let (op, class) = (&self.set.operations[inv.op], &self.classes[inv.op]);
-        let mut part = self.set.goal_whole / all.max(1e-6);
+        let mut part = self.set.goal_whole / (self.value * self.phi).max(1e-6);
         if class.rate > 0.0 {
             let behind = ((best - class.timely) / BEHIND).clamp(0.0, 1.0);
-            part += behind * self.set.goal_worst_operation
-                / (class.rate * worth(inv.op, load_of(class))).max(1e-6);
+            let usual = self.value(inv.op, class.pace.map_or(1.0, f64::exp));
+            part += behind * self.set.goal_worst_operation / (class.rate * usual).max(1e-6);
         }
         let late = if now > inv.aim { op.late_value } else { 1.0 };
-        part * worth(inv.op, inv.load) * late * inv.worth / inv.load.max(1e-3)
+        part * self.value(inv.op, inv.load) * late * inv.worth / inv.load.max(1e-3)
+    }
+
+    /// Billed value of an invocation.
+    fn value(&self, op: usize, load: f64) -> f64 {
+        self.set.operations[op].value * if self.set.value_by_work { load } else { 1.0 }
     }
 
     fn queue(&mut self, now: f64, id: InvId) {
@@ -467,7 +469,7 @@
         let next = self.rank.iter().filter(|&&i| i != first && self.tgts[i].beta > 0.0);
         let order = std::iter::once(&first).chain(next);
         let near = |i: &&Tgt| !dear || self.tgts[**i].entry.zone == self.set.zone;
-        let order = order.clone().filter(near).chain(order.filter(|i| !near(i)));
+        let order = order.clone().filter(near).chain(order.filter(|i| now >= inv.cross && !near(i)));
         let mut stale = Vec::new();
         let able = |t: &Executor| self.able(now, inv, t) && self.cold_room(now, t, inv.load);
         for &i in order.filter(|&&i| able(&self.tgts[i])) {
@@ -550,11 +552,12 @@
             class.rate += new * (std::mem::take(&mut class.arrived) / passed - class.rate);
         }
         self.phi = self.classes.iter().map(|class| class.rate).sum();
+        let usual = |(op, c): (usize, &Class)| c.rate * self.value(op, c.pace.map_or(1.0, f64::exp));
+        self.value = self.classes.iter().enumerate().map(usual).sum::<f64>() / self.phi.max(1e-6);
         for from in (0..self.peer_heard.len()).filter(|&from| now - self.peer_heard[from] > PEER_SILENT) {
             self.tgts.iter_mut().for_each(|t| t.hold(from, 0));
         }
-        // Executors tell their work's progress: silent beyond one interval and a half, it stands still. Where
-        // starts are told and none was, the work may just be queued.
+        // Silent: no sign for one and a half intervals, or longer where starts are told and none was (queued).
         let limit = if self.set.progress > 0.0 { 1.5 * self.set.progress + 0.2 } else { 5.0 };
         for t in &mut self.tgts {
             t.bad *= FORGET;
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -304,6 +304,17 @@
     assert_eq!(node.place(2.0, ID, &mut out), Place::Later);
 }
 
+#[test_case(0.0, 1.5, Place::Here(0); "free where crossings cost nothing")]
+#[test_case(0.5, 1.0, Place::Later; "dear ones wait for the own zone")]
+#[test_case(0.5, 2.0, Place::Here(0); "but not for longer than they cost")]
+fn crossings_wait_for_what_they_cost(price: f64, now: f64, place: Place) {
+    let (mut node, mut out) = (node(Effect::Idempotent, 1), Vec::new());
+    add(&mut node, Life::Waiting, &[]);
+    (node.set.peers, node.set.zone, node.set.cross_zone_price, node.tgts[0].slots) = (true, 1, price, 2.0);
+    node.invs.entry(ID).and_modify(|inv| inv.cross = 1.4);
+    assert_eq!(node.place(now, ID, &mut out), place);
+}
+
 #[test]
 fn peers_counts_are_kept_and_wrong_ones_ignored() {
     let mut node = node(Effect::Idempotent, 2);
--- a/src/types.rs
+++ b/src/types.rs
@@ -257,6 +257,7 @@
     pub life: Life,
     pub worth: f64,
     pub aim: f64,
+    pub cross: f64,
     pub until: f64,
     pub end: f64,
     pub hint: f64,
