--- a/src/policy.rs
+++ b/src/policy.rs
@@ -95,6 +95,7 @@
     peer_heard: Vec<f64>,
     phi: f64,
     util: f64,
+    misled: f64,
     /// Mean billed value of an invocation.
     value: f64,
     /// Mean own forwards held, at the last solve.
@@ -149,8 +150,7 @@
         let (whole, first) = (!matches!(list, List::Changes(_)), matches!(list, List::Kept(_)));
         let (List::Changes(entries) | List::Whole(entries) | List::Kept(entries)) = list else {
             self.list_lost += 1;
-            let told = self.list_lost == 2;
-            out.extend(told.then(|| Output::Log("list of executors out of reach".into())));
+            out.extend((self.list_lost == 2).then(|| Output::Log("list of executors out of reach".into())));
             let wait = ASK_AGAIN * f64::from(1 << (self.list_lost - 1).min(3));
             return out.push(Output::Wake { after: wait * (0.5 + self.chance.draw()), timer: ASK });
         };
@@ -238,7 +238,6 @@
         part * self.value(inv.op, inv.load) * late * inv.worth / inv.load.max(1e-3)
     }
 
-    /// Billed value of an invocation.
     fn value(&self, op: usize, load: f64) -> f64 {
         self.set.operations[op].value * if self.set.value_by_work { load } else { 1.0 }
     }
@@ -286,6 +285,7 @@
     }
 
     fn settled(&mut self, now: f64, settled: Settled, out: &mut Vec<Output>) {
+        const MISLED_NEW: f64 = 0.05; // Weight of an outcome in how often reports mislead: some twenty.
         let Settled { id, forward, outcome, took, ended, report } = settled;
         let Some(inv) = self.invs.get_mut(&id) else { return };
         let Some(fwd) = inv.forwards.get_mut(forward).filter(|f| f.fate == Fate::Out) else { return };
@@ -309,6 +309,9 @@
         if inv.life == Life::Ended && outs == 0 {
             self.invs.remove(&id);
         }
+        // Full beside reported room: the report speaks of another time than now.
+        let late = outcome == Outcome::Full && report.free >= Some(ONE) && report.queue < Some(0.5);
+        self.misled += MISLED_NEW * (f64::from(u8::from(late)) - self.misled);
         self.report(now, tgt, report);
         match (ended || outcome == Outcome::Succeeded, outs) {
             (true, _) => self.step(now, id, Turn::Finished, out),
@@ -375,6 +378,7 @@
         const FREE_HOLDS: f64 = 0.1; // A report of room holds while few others can have sent there.
         const FULL_HOLDS: f64 = 0.25; // One of none a little longer: it errs only by waiting.
         const REFUSED_HOLDS: f64 = 0.2; // After a full answer, whatever reports say; doubled by each more.
+        const MISLED: f64 = 0.07; // Two of the last twenty forwards misled: reports are too late to go by.
         const PASS: f64 = 1.5; // Without reports: yields above this multiple of the mean held, and one.
         if t.refusals > 0 && now - t.refused < REFUSED_HOLDS * f64::from(1 << (t.refusals - 1).min(5)) {
             return Some(0.0);
@@ -382,7 +386,7 @@
         if self.set.peers && t.slots > 0.0 {
             return Some(t.slots - t.held as f64 - t.elsewhere());
         }
-        if self.set.reports == Reports::Answers && self.set.probing {
+        if self.set.reports == Reports::Answers && self.set.probing && self.misled < MISLED {
             let room = t.free - t.unseen;
             let holds = if room >= ONE { FREE_HOLDS } else { FULL_HOLDS };
             return (t.slots > 0.0 && now - t.reported <= holds).then_some(room);
@@ -580,11 +584,10 @@
     /// Tenants' shares are for all nodes: this node counts its part by what it holds of all that is at work.
     fn share_out(&mut self) {
         const PART_NEW: f64 = 0.025; // Weight of the newest interval in the part: some ten seconds.
-        let held: f64 = self.tgts.iter().map(|t| t.held as f64).sum();
-        let seen = |t: &Executor| match self.set.peers {
-            true => t.held as f64 + t.elsewhere(),
-            false => (t.slots - t.free).max(t.held as f64),
-        };
+        let own = |t: &Executor| t.held as f64;
+        let held: f64 = self.tgts.iter().map(own).sum();
+        let all = |t: &Executor| own(t) + if self.set.peers { t.elsewhere() } else { 0.0 };
+        let seen = |t: &Executor| all(t).max(if self.set.peers { 0.0 } else { t.slots - t.free });
         let all: f64 = self.tgts.iter().map(seen).sum();
         self.part += PART_NEW * if all >= 1.0 { held / all - self.part } else { 0.0 };
     }
@@ -641,15 +644,12 @@
 
     /// Tells the other nodes what this one holds: the counts that changed, or all of them.
     fn tell(&mut self, whole: bool, out: &mut Vec<Output>) {
-        if !self.set.peers || self.set.nodes < 2 {
-            return;
-        }
         let mut held = Vec::new();
         for t in self.tgts.iter_mut().filter(|t| if whole { t.held > 0 } else { t.held != t.told }) {
             t.told = t.held;
             held.push((t.entry.mark, t.held.min(255) as u8));
         }
-        if whole || !held.is_empty() {
+        if self.set.peers && (whole || !held.is_empty()) {
             out.push(Output::Tell { whole, held });
         }
     }
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -281,6 +281,22 @@
     assert!(rests(1, 3.0) && !rests(1, 3.2) && rests(3, 3.2) && !rests(0, 3.0));
 }
 
+#[test_case(1.0, 0.0, None; "full beside reported room, twice: reports are late, the pass goes by what is held")]
+#[test_case(1.0, 1.0, Some(1.0); "full for want of memory: reports are right")]
+#[test_case(0.0, 0.0, Some(1.0); "full as reported: reports are right")]
+fn late_reports_are_told_by_full_answers(free: f64, queue: f64, believed: Option<f64>) {
+    let mut node = node(Effect::Idempotent, 2);
+    (node.set.reports, node.set.probing, node.held) = (Reports::Answers, true, 2.0);
+    for _ in 0..2 {
+        add(&mut node, Life::Out, &[Fate::Out]);
+        let report = Report { free: Some(free), queue: Some(queue), ..Report::default() };
+        let full = Settled { id: ID, forward: 0, outcome: Outcome::Full, took: 0.0, ended: false, report };
+        node.settled(2.0, full, &mut Vec::new());
+    }
+    (node.tgts[1].free, node.tgts[1].slots, node.tgts[1].reported) = (1.0, 2.0, 2.0);
+    assert_eq!(node.room(2.0, &node.tgts[1]), believed.or(Some(4.0)));
+}
+
 #[test]
 fn slots_are_the_most_seen_free_not_a_sum_of_two_moments() {
     let mut node = node(Effect::Idempotent, 1);
