--- a/crates/coveroute-drill/src/main.rs
+++ b/crates/coveroute-drill/src/main.rs
@@ -164,8 +164,8 @@
 /// The most counts that fit a message of 256 bytes.
 const TOLD_AT_MOST: usize = 42;
 
-/// Reads a message between nodes: `f` for all counts or `h` for changes, then four hex digits of an executor's
-/// mark and two of a count, again and again. What does not read so is skipped.
+/// Reads a message between nodes: `f` for all counts, `h` for changes, then for each executor four hex digits
+/// of its mark and two of the count. What does not read so is skipped.
 fn message(text: &str) -> (bool, Vec<(u16, u8)>) {
     let items = text.as_bytes().get(1..).unwrap_or(&[]).chunks_exact(6);
     let number = |item| std::str::from_utf8(item).ok().and_then(|item| u32::from_str_radix(item, 16).ok());
--- a/crates/coveroute-drill/src/settings.rs
+++ b/crates/coveroute-drill/src/settings.rs
@@ -80,8 +80,6 @@
     peers: bool,
     #[serde(default)]
     probing: bool,
-    #[serde(default)]
-    second_copies: bool,
 }
 
 #[derive(Deserialize)]
@@ -166,7 +164,6 @@
             fall: info.rules.fall / 1e3,
         },
         max_forwards: info.limits.max_attempts,
-        second_copies: info.limits.second_copies,
         cancelling: info.limits.cancelling,
         probing: info.limits.probing,
         peers: info.limits.peers,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,8 +1,8 @@
 //! Every decision of a coveroute node.
 //!
-//! How it is called: `Node::new(settings, seed)` once, then `handle(now, input, &mut outputs)` for each thing that
-//! happens, in order; the caller carries out the outputs in order. Nothing here waits, reads a clock or does I/O.
-//! Its interface, all inputs, outputs and settings, is `types.rs`; docs/design.md tells why it decides as it does.
+//! How it is called: `Node::new(settings, seed)` once, then `handle(now, input, &mut outputs)` for each thing
+//! that happens, in order; the caller carries out the outputs in order. Nothing here waits or reads a clock.
+//! Its interface (inputs, outputs, settings) is `types.rs`; docs/design.md tells why it decides as it does.
 use std::collections::BTreeMap;
 
 use crate::chance::Chance;
@@ -222,7 +222,7 @@
         self.queue(now, sub.id);
     }
 
-    /// What serving it now adds to the operators' goal for each second of a slot: its part of all billed value,
+    /// What serving it now adds to the operators' goal per second of a slot: its part of all billed value,
     /// and, while its operation is the worst served, that part of the goal too.
     fn press(&self, now: f64, inv: &Inv) -> f64 {
         const BEHIND: f64 = 0.25; // So far behind the best served an operation counts fully as the worst.
@@ -364,7 +364,7 @@
         // Without the number at work, the most ever seen free or at work is all that is known of the slots.
         let seen = busy.map_or(t.slots.max(t.running as f64), |busy| busy + free);
         t.slots = if busy.is_some() { seen.round().max(1.0) } else { seen.max(free.round()) };
-        // Work in an executor's queue beside free slots waits for memory, and all that is sent after waits too.
+        // Work queued beside free slots waits for memory, and all that is sent after waits too.
         (t.free, t.reported) = (if report.queue.unwrap_or(0.0) >= 0.5 { 0.0 } else { free }, now);
         let others = (report.inflight.unwrap_or(0.0) - t.held as f64).max(0.0) * self.memory;
         t.foreign = report.memory.map_or(others, |spare| (t.slots - spare - t.memory).max(0.0));
@@ -434,7 +434,7 @@
             })
     }
 
-    /// May go there, and is trusted to be answered. Doubtful or silent executors: only on the posterior's draw,
+    /// May go there, and is trusted to be answered. Doubtful or silent ones: only on the posterior's draw,
     /// and not with what could not be sent again.
     fn able(&self, now: f64, inv: &Inv, t: &Executor) -> bool {
         let again = self.set.operations[inv.op].effect != Effect::NonIdempotent;
@@ -561,7 +561,7 @@
         for from in (0..self.peer_heard.len()).filter(|&from| now - self.peer_heard[from] > PEER_SILENT) {
             self.tgts.iter_mut().for_each(|t| t.hold(from, 0));
         }
-        // Silent: no sign for one and a half intervals, or longer where starts are told and none was (queued).
+        // Silent: no sign for one and a half intervals, longer where starts are told and none was (queued).
         let limit = if self.set.progress > 0.0 { 1.5 * self.set.progress + 0.2 } else { 5.0 };
         for t in &mut self.tgts {
             t.bad *= FORGET;
@@ -627,10 +627,10 @@
         self.rank = rank;
     }
 
-    /// Where only probes report, one executor is probed each interval, the one first that was asked longest ago:
+    /// Where only probes report, a few executors are probed each interval, those asked longest ago first:
     /// its slots are learned from what is free, and a probe without an answer tells of a hang.
     fn sample(&mut self, now: f64, out: &mut Vec<Output>) {
-        const PROBE_EVERY: f64 = 3.0; // Each executor: half as often loses hangs, twice as often gains nothing.
+        const PROBE_EVERY: f64 = 3.0; // Each executor: four times rarer loses hangs, twice as often no gain.
         let part = self.rank.len() as f64 * SOLVE_EVERY / PROBE_EVERY;
         let many = if self.solves == 1 { usize::MAX } else { part.ceil() as usize };
         let mut order = self.rank.clone();
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -13,8 +13,7 @@
 fn node(effect: Effect, many: usize) -> Node {
     let cold = Cold { start: 0.25, warm: 8.0, factor: 4.0, fall: 2.0 };
     let operations = vec![operation(effect)];
-    let set =
-        Settings { operations, nodes: 4, max_forwards: 3, cold, second_copies: true, ..Settings::default() };
+    let set = Settings { operations, nodes: 4, max_forwards: 3, cold, ..Settings::default() };
     let mut node = Node::new(set, 5);
     let ready = |tgt| Entry { tgt, standing: Standing::Ready, cell: tgt as i64 / 2, ..Entry::default() };
     let mut out = Vec::new();
@@ -168,9 +167,9 @@
     assert!((node.invs[&1].aim - node.invs[&ID].aim).abs() < 1e-9);
 }
 
-#[test_case(List::Whole(vec![entry(0, Standing::Ready, 0.0)]), Standing::Gone; "absent from a whole list means gone")]
-#[test_case(List::Changes(vec![entry(0, Standing::Ready, 0.0)]), Standing::Ready; "absent from changes means the same")]
-#[test_case(List::Kept(vec![entry(1, Standing::Draining, 0.0)]), Standing::Draining; "a kept list may hold a drained one")]
+#[test_case(List::Whole(vec![entry(0, Standing::Ready, 0.0)]), Standing::Gone; "absent from a whole list")]
+#[test_case(List::Changes(vec![entry(0, Standing::Ready, 0.0)]), Standing::Ready; "absent from changes")]
+#[test_case(List::Kept(vec![entry(1, Standing::Draining, 0.0)]), Standing::Draining; "kept as draining")]
 #[test_case(List::Lost, Standing::Ready; "a failed call leaves the list")]
 fn lists_are_followed(list: List, expected: Standing) {
     let (mut node, mut out) = (node(Effect::Idempotent, 2), Vec::new());
@@ -281,7 +280,7 @@
     assert!(rests(1, 3.0) && !rests(1, 3.2) && rests(3, 3.2) && !rests(0, 3.0));
 }
 
-#[test_case(1.0, 0.0, None; "full beside reported room, twice: reports are late, the pass goes by what is held")]
+#[test_case(1.0, 0.0, None; "full beside reported room, twice: late")]
 #[test_case(1.0, 1.0, Some(1.0); "full for want of memory: reports are right")]
 #[test_case(0.0, 0.0, Some(1.0); "full as reported: reports are right")]
 fn late_reports_are_told_by_full_answers(free: f64, queue: f64, believed: Option<f64>) {
--- a/src/types.rs
+++ b/src/types.rs
@@ -1,5 +1,5 @@
-//! What goes into and comes out of the decision module, and the records it keeps. Times are seconds; no decision
-//! stands here.
+//! What goes into and comes out of the decision module, and the records it keeps. Times are seconds; no
+//! decision stands here.
 
 /// An invocation's id, as the protocol gave it.
 pub type InvId = u32;
@@ -73,7 +73,6 @@
     pub must_ask: bool,
     pub cold: Cold,
     pub max_forwards: usize,
-    pub second_copies: bool,
     pub cancelling: bool,
     pub probing: bool,
     pub peers: bool,
@@ -249,8 +248,9 @@
     pub started: bool,
 }
 
-/// `worth`: the part of its billed value that counts, as its tenant is over its share. In time if sent before `aim`, given up while it waits after `until`,
-/// client timeout at `end`. `load`: how long it keeps an ordinary slot busy. `press`: its place in the queue.
+/// `worth`: the part of its billed value that counts, as its tenant is over its share. In time if sent before
+/// `aim`, given up while it waits after `until`, client timeout at `end`; it crosses zones from `cross` on.
+/// `load`: how long it keeps an ordinary slot busy. `press`: its place in the queue.
 #[derive(Clone, Debug, Default)]
 pub struct Inv {
     pub op: usize,
@@ -281,7 +281,7 @@
 }
 
 /// What is known of one executor. `slow`: smoothed log of its latency over what the same operation takes
-/// elsewhere. `slots`: 0 while unknown. `unseen`: own forwards that its last report can't have seen. `others`:
+/// elsewhere. `slots`: 0 while unknown. `unseen`: forwards that its last report can't have seen. `others`:
 /// what the other nodes hold there. `heard`: last sign of life, or when it last got work while it had none.
 #[derive(Clone, Debug, Default)]
 pub struct Executor {
@@ -325,7 +325,7 @@
     }
 }
 
-/// What is known of one operation: the smoothed log of its latency (a second of hint, where there is one), its
+/// What is known of one operation or tenant: the smoothed log of its latency (a second of hint, if any), its
 /// invocations a second, and the part of them that was sent in time.
 #[derive(Clone, Debug, Default)]
 pub struct Class {
