Large fleets: two executors asked a look, one node counts for each, solves by arrivals

Now a node in a fleet over twenty draws two by share and asks them; where telling all nodes costs more than asking, an executor's counts go to the one node its mark names, which answers for it and promises a slot once; solves follow arrivals where CPU is limited by the invocation.

--- a/crates/coveroute-drill/src/settings.rs
+++ b/crates/coveroute-drill/src/settings.rs
@@ -69,6 +69,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Limits {
+    #[serde(default)]
+    cpu_us_per_request: f64,
     max_attempts: usize,
     #[serde(default)]
     max_retry_after: f64,
@@ -101,6 +103,8 @@
 #[serde(rename_all = "camelCase", default)]
 struct Penalties {
     cross_zone: f64,
+    peer: f64,
+    probe: f64,
 }
 
 #[derive(Deserialize)]
@@ -156,6 +160,9 @@
         goal_worst_operation: info.goal.worst_class,
         value_by_work: info.value_by == "work",
         cross_zone_price: info.penalties.cross_zone,
+        cpu_limit: Some(info.limits.cpu_us_per_request / 1e6).filter(|l| *l > 0.0).unwrap_or(f64::INFINITY),
+        probe_price: info.penalties.probe,
+        peer_price: info.penalties.peer,
         must_ask: info.registry_mode == "on_request",
         cold: Cold {
             start: info.rules.start_capacity,
--- a/src/chance.rs
+++ b/src/chance.rs
@@ -14,6 +14,12 @@
         (self.0 & 0xffff_ffff) as f64 / 4_294_967_296.0
     }
 
+    /// Draws an index by shares, given as their running sums; past the end if there is none.
+    pub fn pick(&mut self, sums: &[f64]) -> usize {
+        let point = self.draw() * sums.last().copied().unwrap_or(0.0);
+        sums.partition_point(|sum| *sum <= point)
+    }
+
     /// A draw from Beta(a, b), whole a and b: the a-th smallest of a + b - 1 even draws.
     pub fn beta(&mut self, a: usize, b: usize) -> f64 {
         let mut draws: Vec<f64> = (0..a + b - 1).map(|_| self.draw()).collect();
@@ -21,3 +27,12 @@
         draws[a - 1]
     }
 }
+
+/// The running sums of shares.
+pub fn sums(shares: impl Iterator<Item = f64>) -> Vec<f64> {
+    let add = |sum: &mut f64, share| {
+        *sum += share;
+        Some(*sum)
+    };
+    shares.scan(0.0, add).collect()
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -3,9 +3,7 @@
 //! How it is called: `Node::new(settings, seed)` once, then `handle(now, input, &mut outputs)` for each thing
 //! that happens, in order; the caller carries out the outputs in order. Nothing here waits or reads a clock.
 //! Its interface (inputs, outputs, settings) is `types.rs`; docs/design.md tells why it decides as it does.
-use std::collections::BTreeMap;
-
-use crate::chance::Chance;
+use crate::chance::{sums, Chance};
 use crate::types::*;
 
 /// Timers: the solve, another look at what waits, asking again for the list.
@@ -32,21 +30,13 @@
 ];
 
 impl Executor {
-    /// The part of its capacity that an executor has at least.
-    fn warmth(&self, now: f64, cold: &Cold) -> f64 {
-        let age = if self.entry.started > 0.0 { (now - self.entry.started).max(0.0) } else { f64::INFINITY };
-        (cold.start + (1.0 - cold.start) * age / cold.warm).min(1.0)
-    }
-
     fn judge(&mut self, out: &mut Vec<Output>) {
-        const DOUBT: f64 = 0.65; // Mean of the posterior: below it doubtful,
-        const TRUST: f64 = 0.75; // above this one trusted again, with a gap against wavering.
+        const DOUBT: [f64; 2] = [0.65, 0.75]; // Doubtful below this mean, until above that: against wavering.
         let mean = (1.0 + self.good) / (2.0 + self.good + self.bad);
-        let doubtful = mean < if self.doubtful { TRUST } else { DOUBT };
-        if doubtful != self.doubtful {
-            self.doubtful = doubtful;
+        let doubtful = mean < DOUBT[usize::from(self.doubtful)];
+        if doubtful != std::mem::replace(&mut self.doubtful, doubtful) {
             let words = if doubtful { "is doubtful" } else { "is trusted again" };
-            out.push(Output::Log(format!("executor {:04x} {words}", self.entry.mark)));
+            out.push(Output::Log(format!("executor {:06x} {words}", self.entry.mark)));
         }
     }
 
@@ -69,11 +59,9 @@
 pub fn coop(mu: &[f64], phi: f64) -> Vec<f64> {
     let mut order: Vec<usize> = (0..mu.len()).collect();
     order.sort_by(|&a, &b| mu[b].total_cmp(&mu[a]).then(a.cmp(&b)));
-    let mut n = mu.len();
-    let mut c = (mu.iter().sum::<f64>() - phi) / n.max(1) as f64;
+    let (mut n, mut c) = (mu.len(), (mu.iter().sum::<f64>() - phi) / mu.len().max(1) as f64);
     while n > 1 && c > mu[order[n - 1]] {
-        let all = n as f64;
-        c = (c - mu[order[n - 1]] / all) * all / (all - 1.0);
+        c = (c - mu[order[n - 1]] / n as f64) * n as f64 / (n as f64 - 1.0);
         n -= 1;
     }
     let mut beta = vec![0.0; mu.len()];
@@ -81,40 +69,22 @@
     beta
 }
 
-#[derive(Default)]
-pub struct Node {
-    set: Settings,
-    chance: Chance,
-    tgts: Vec<Executor>,
-    /// Ready executors by share, the largest first; invocations that wait, the most pressing first.
-    rank: Vec<Tgt>,
-    waiting: Vec<InvId>,
-    invs: BTreeMap<InvId, Inv>,
-    classes: Vec<Class>,
-    tenants: Vec<Class>,
-    peer_heard: Vec<f64>,
-    phi: f64,
-    util: f64,
-    misled: f64,
-    /// Mean billed value of an invocation.
-    value: f64,
-    /// Mean own forwards held, at the last solve.
-    held: f64,
-    memory: f64,
-    /// This node's part of the work that executors hold.
-    part: f64,
-    solved: f64,
-    solves: usize,
-    looking: bool,
-    list_lost: u32,
-}
-
-const SOLVE_EVERY: f64 = 0.25; // Several times in the shortest running time met; cheap at any size.
+const SOLVE_EVERY: f64 = 0.25; // Several times in the shortest running time met.
 const BEFORE_END: f64 = 0.1; // A held invocation is answered this long before its end: several batches.
 
 impl Node {
     pub fn new(set: Settings, seed: u64) -> Self {
+        const TOLD: f64 = 3.0 * 9.0 / 256.0; // Full messages to each node that a forward takes.
+        const PROBES: f64 = 3.0; // Probes an invocation that asking takes.
         let nodes = set.nodes.max(set.me + 1);
+        // Nodes tell all others what they hold while that costs less than asking executors, else only the one
+        // node that an executor's mark names, which is asked.
+        let told = (nodes as f64 - 1.0) * TOLD * set.peer_price;
+        let counting = match set.peers {
+            false => Counting::Never,
+            true if set.probing && told > PROBES * set.probe_price => Counting::Keepers,
+            true => Counting::All,
+        };
         Node {
             chance: Chance::new(seed),
             classes: vec![Class::default(); set.operations.len()],
@@ -122,7 +92,7 @@
             peer_heard: vec![0.0; nodes],
             util: 0.5,
             memory: 0.5,
-            part: 1.0 / nodes as f64,
+            counting,
             set,
             ..Node::default()
         }
@@ -139,10 +109,9 @@
             Input::Timer(LOOK) => self.review(now, out),
             Input::Timer(_) => out.extend((self.list_lost > 0).then_some(Output::Follow)),
             Input::Probed { tgt, outcome, report } => self.probed(now, tgt, outcome, report, out),
-            Input::Heard { from, whole, held } => self.peer(now, from, whole, held),
+            Input::Heard { from, told, mark, count } => self.peer(now, from, told, mark, count, out),
         }
         self.look(now, out);
-        self.tell(false, out);
     }
 
     fn list(&mut self, now: f64, list: List, out: &mut Vec<Output>) {
@@ -161,8 +130,7 @@
             out.extend(self.set.must_ask.then_some(Output::Follow));
         }
         // Guards against an executor that was removed while this node did not hear: absent means gone.
-        let absent = |t: &&mut Executor| whole && !entries.iter().any(|e| e.tgt == t.entry.tgt);
-        self.tgts.iter_mut().filter(absent).for_each(|t| t.entry.standing = Standing::Gone);
+        self.tgts.iter_mut().filter(|_| whole).for_each(|t| t.entry.standing = Standing::Gone);
         entries.into_iter().for_each(|entry| self.entry(now, entry, out));
         self.solve(now);
     }
@@ -175,12 +143,12 @@
         }
         let t = &mut self.tgts[entry.tgt];
         let drains = t.entry.standing == Standing::Ready && entry.standing == Standing::Draining;
-        out.extend(drains.then(|| Output::Log(format!("executor {:04x} drains", entry.mark))));
+        out.extend(drains.then(|| Output::Log(format!("executor {:06x} drains", entry.mark))));
         if t.entry.started != entry.started {
             // A new start time is a new process: what was known of the old one says nothing of it.
-            let others = vec![0; self.peer_heard.len()];
-            let (held, memory, good) = (t.held, t.memory, GOOD_AT_START);
-            *t = Executor { held, memory, good, others, heard: now, turn: usize::MAX, ..Executor::default() };
+            let (held, memory, asked) = (t.held, t.memory, f64::NEG_INFINITY);
+            let rest = Executor { good: GOOD_AT_START, turn: usize::MAX, ..Executor::default() };
+            *t = Executor { held, memory, asked, heard: now, ..rest };
         }
         t.entry = entry;
     }
@@ -208,15 +176,14 @@
         let tenant = sub.tenant.filter(|&tenant| tenant < self.tenants.len());
         let in_share = tenant.map_or(1.0, |tenant| {
             self.tenants[tenant].arrived += 1.0;
-            let (rate, quota) = (self.tenants[tenant].rate, self.set.quotas[tenant] * self.part);
+            let (rate, quota) = (self.tenants[tenant].rate, self.set.quotas[tenant] / self.set.nodes as f64);
             (quota / rate.max(1e-3)).min(1.0)
         });
         let worth = in_share + (1.0 - in_share) * self.set.over_share_value;
-        let end = now + sub.timeout;
         // A crossing waits for the part of its spare time that it would cost of the value it serves.
         let dear = self.set.cross_zone_price * self.value / self.value(sub.operation, load).max(1e-6);
+        let (op, cross, end) = (sub.operation, now + dear * spare, now + sub.timeout);
         let until = (aim.max(now) + late).min(end - BEFORE_END);
-        let (op, cross) = (sub.operation, now + dear * spare);
         let inv = Inv { op, worth, aim, until, end, hint, load, memory, cross, ..Inv::default() };
         self.invs.insert(sub.id, inv);
         self.queue(now, sub.id);
@@ -276,10 +243,9 @@
         let in_time = inv.forwards.last().is_some_and(|f| turn == Turn::Finished && f.sent <= inv.aim);
         let class = &mut self.classes[inv.op];
         class.timely += TIMELY_NEW * (f64::from(u8::from(in_time)) - class.timely);
-        let still_out =
-            inv.forwards.iter().enumerate().filter(|f| f.1.fate == Fate::Out && self.set.cancelling);
-        out.extend(still_out.map(|(forward, _)| Output::Withdraw { id, forward }));
-        if inv.outs() == 0 {
+        let still_out = inv.still_out().filter(|_| self.set.cancelling);
+        out.extend(still_out.map(|forward| Output::Withdraw { id, forward }));
+        if inv.still_out().count() == 0 {
             self.invs.remove(&id);
         }
     }
@@ -292,7 +258,7 @@
         let proven = matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::Moot);
         fwd.fate = if proven { Fate::NotRun } else { Fate::MayHaveRun };
         let (tgt, op, hint) = (fwd.tgt, inv.op, inv.hint);
-        inv.drawn = None;
+        inv.sample.clear();
         let t = &mut self.tgts[tgt];
         t.held = t.held.saturating_sub(1);
         t.memory = if t.held == 0 { 0.0 } else { (t.memory - inv.memory).max(0.0) };
@@ -305,10 +271,11 @@
             Outcome::Unreachable => t.failed(3.0, out),
             _ => t.failed(1.0, out),
         }
-        let (outs, ran) = (inv.outs(), inv.anchor().is_some());
-        if inv.life == Life::Ended && outs == 0 {
+        let (outs, ran, life) = (inv.still_out().count(), inv.anchor().is_some(), inv.life);
+        if life == Life::Ended && outs == 0 {
             self.invs.remove(&id);
         }
+        self.tell(tgt, out);
         // Full beside reported room: the report speaks of another time than now.
         let late = outcome == Outcome::Full && report.free >= Some(ONE) && report.queue < Some(0.5);
         self.misled += MISLED_NEW * (f64::from(u8::from(late)) - self.misled);
@@ -323,12 +290,13 @@
     /// Only answers that succeeded count as latencies: an executor that fails fast must not look fast.
     fn succeeded(now: f64, t: &mut Executor, class: &mut Class, took: f64, out: &mut Vec<Output>) {
         const SLOW_NEW: f64 = 0.1; // Weight of a latency in its executor's mean: some ten answers.
-        const PACE_NEW: f64 = 0.02; // And in its operation's: some fifty.
+        const PACE_NEW: f64 = 0.02; // And in its operation's: some fifty, the first ones evenly.
         const GOOD_MOST: f64 = 8.0; // The most successes that count, so that failures soon outweigh them.
         let log = took.max(1e-4).ln();
         let pace = class.pace.get_or_insert(log);
         let ratio = (log - *pace).clamp(-3.0, 3.0);
-        *pace += PACE_NEW * (ratio - t.slow);
+        class.answers += 1.0;
+        *pace += PACE_NEW.max(1.0 / class.answers) * (ratio - t.slow);
         t.slow += SLOW_NEW * (ratio - t.slow);
         t.woke(now);
         (t.sampled, t.refusals) = (now, 0);
@@ -383,17 +351,34 @@
         if t.refusals > 0 && now - t.refused < REFUSED_HOLDS * f64::from(1 << (t.refusals - 1).min(5)) {
             return Some(0.0);
         }
-        if self.set.peers && t.slots > 0.0 {
-            return Some(t.slots - t.held as f64 - t.elsewhere());
+        if self.keeper(t) == Some(self.set.me) && t.slots > 0.0 {
+            return Some(t.slots - t.held as f64 - t.elsewhere() - t.promises(now));
         }
-        if self.set.reports == Reports::Answers && self.set.probing && self.misled < MISLED {
+        if self.asks() && self.misled < MISLED {
+            if t.asked > t.reported && now - t.asked <= FULL_HOLDS {
+                return (now - t.asked > PROMPT).then_some(0.0);
+            }
             let room = t.free - t.unseen;
             let holds = if room >= ONE { FREE_HOLDS } else { FULL_HOLDS };
-            return (t.slots > 0.0 && now - t.reported <= holds).then_some(room);
+            return (t.reported > 0.0 && now - t.reported <= holds).then_some(room);
         }
         Some(PASS * self.held + 1.0 - t.held as f64)
     }
 
+    /// The node that counts what all hold there: this one where all do.
+    fn keeper(&self, t: &Executor) -> Option<usize> {
+        match self.counting {
+            Counting::Never => None,
+            Counting::All => Some(self.set.me),
+            Counting::Keepers => Some(t.entry.mark as usize % self.peer_heard.len()),
+        }
+    }
+
+    /// Executors, or who counts for them, are asked for their state before work is sent.
+    fn asks(&self) -> bool {
+        self.set.probing && self.set.reports != Reports::Never && self.counting != Counting::All
+    }
+
     /// A cold executor takes its budget from nodes in turn, by their number, each turn as long as the span
     /// the budget counts. A turn spends half, as any span may touch two of them.
     fn cold_room(&self, now: f64, t: &Executor, load: f64) -> bool {
@@ -401,17 +386,13 @@
         if share >= 1.0 {
             return true;
         }
-        let (turn, slots) = (self.turn(now, t), t.slots.max(1.0));
+        let (turn, slots) = (t.turn(now, cold.fall), t.slots.max(1.0));
         let spent = if t.turn == turn { t.spent } else { 0.0 };
         turn % self.set.nodes.max(1) == self.set.me
             && spent + load <= 0.5 * cold.factor * share * slots * cold.fall
             && (t.held as f64) < (share * slots).max(1.0)
     }
 
-    fn turn(&self, now: f64, t: &Executor) -> usize {
-        ((now - t.entry.started).max(0.0) / self.set.cold.fall.max(1e-3)) as usize
-    }
-
     /// Whether the rules let this invocation go there.
     fn may_go(&self, now: f64, inv: &Inv, t: &Executor) -> bool {
         const WINDOW_MARGIN: f64 = 0.1; // Off the end of the window: several times the way to an executor.
@@ -423,12 +404,7 @@
                 Effect::Idempotent => true,
                 Effect::NonIdempotent => false,
                 Effect::Deduplicated { group, window } => {
-                    let other = &self.tgts[first.tgt].entry;
-                    let same = match group {
-                        Group::All => true,
-                        Group::Zone => other.zone == t.entry.zone,
-                        Group::Cell => other.cell == t.entry.cell,
-                    };
+                    let same = self.tgts[first.tgt].entry.same(group, &t.entry);
                     same && now < first.sent + window - WINDOW_MARGIN
                 }
             })
@@ -441,20 +417,48 @@
         ((!t.doubtful && !t.silent) || (t.trial && again)) && self.may_go(now, inv, t)
     }
 
-    /// Draws by beta, or evenly while all are zero.
+    /// Draws by beta, or evenly while all are zero; in a large fleet from the own zone before `cross`.
     fn draw(&mut self, now: f64, id: InvId) -> Option<Tgt> {
-        const TRIAL: f64 = 0.02; // Of the mean share, for a zero share: one in fifty keeps its figures alive.
-        let point = self.chance.draw();
-        let inv = &self.invs[&id];
-        let able = || self.rank.iter().copied().filter(|&i| self.able(now, inv, &self.tgts[i]));
-        let (many, sum) = able().fold((0, 0.0), |(n, sum), i| (n + 1, sum + self.tgts[i].beta));
-        let least = if sum > 0.0 { TRIAL * sum / f64::from(many) } else { 1.0 };
-        let share = |i: Tgt| self.tgts[i].beta.max(least);
-        let mut left = point * able().map(share).sum::<f64>();
-        able().find(|&i| {
-            left -= share(i);
-            left < 0.0
-        })
+        const TRIES: usize = 8; // Drawn again where one may not go; after that, the first that may is taken.
+        let near = now < self.invs[&id].cross && self.near > 0 && !self.whole();
+        let many = if near { self.near } else { self.rank.len() };
+        let drawn: [usize; TRIES] = std::array::from_fn(|_| self.chance.pick(&self.ends[..many]));
+        let (inv, rank) = (&self.invs[&id], &self.rank[..many]);
+        let open = |i: &Tgt| self.able(now, inv, &self.tgts[*i]);
+        drawn.iter().filter_map(|&at| rank.get(at)).chain(rank).copied().find(open)
+    }
+
+    /// Small enough to be gone through: in a large fleet all nodes would ask and meet at the largest shares.
+    fn whole(&self) -> bool {
+        const WHOLE: usize = 20; // Asking them all takes some ten rounds, more than there is time for.
+        !self.asks() || self.rank.len() <= WHOLE
+    }
+
+    /// Where to look for room now: the drawn one, then down the shares, the own zone first. In a large fleet
+    /// two drawn ones, and two others once neither has room, each time a little later.
+    fn order(&mut self, now: f64, id: InvId) -> Vec<Tgt> {
+        const GAP: f64 = 0.005; // About a round trip at first, doubled each time
+        const GAP_MOST: f64 = 0.16; // up to this: some six times in half a second.
+        let (whole, inv) = (self.whole(), &self.invs[&id]);
+        let open = |i: &Tgt| {
+            let t = &self.tgts[*i];
+            self.able(now, inv, t) && (whole || self.room(now, t).is_none_or(|room| room >= ONE))
+        };
+        let mut sample: Vec<Tgt> = inv.sample.iter().copied().filter(open).collect();
+        let cross = now >= inv.cross || self.near == 0;
+        if sample.is_empty() && (whole || now >= inv.again) {
+            (0..if whole { 1 } else { 2 }).for_each(|_| sample.extend(self.draw(now, id)));
+            sample.dedup();
+            let inv = self.invs.entry(id).or_default();
+            inv.gap = (2.0 * inv.gap).clamp(GAP, GAP_MOST);
+            (inv.again, inv.sample) = (now + inv.gap, sample.clone());
+        }
+        let Some(first) = sample.first().copied().filter(|_| whole) else { return sample };
+        sample.extend(self.rank.iter().copied().filter(|&i| i != first && self.tgts[i].beta > 0.0));
+        let far = |i: &Tgt| self.near > 0 && self.tgts[*i].entry.zone != self.set.zone;
+        sample.retain(|i| cross || !far(i));
+        sample.sort_by_key(far);
+        sample
     }
 
     fn place(&mut self, now: f64, id: InvId, out: &mut Vec<Output>) -> Place {
@@ -464,37 +468,36 @@
         if spent || (inv.anchor().is_some() && !self.tgts.iter().any(|t| self.may_go(now, inv, t))) {
             return Place::Never;
         }
-        let keeps = inv.drawn.filter(|&i| self.able(now, inv, &self.tgts[i]));
-        let drawn = keeps.or_else(|| self.draw(now, id));
-        let Some(first) = drawn else { return Place::Later };
-        self.invs.entry(id).and_modify(|inv| inv.drawn = drawn);
-        let inv = &self.invs[&id];
-        let dear = self.set.cross_zone_price > 0.0;
-        let next = self.rank.iter().filter(|&&i| i != first && self.tgts[i].beta > 0.0);
-        let order = std::iter::once(&first).chain(next);
-        let near = |i: &&Tgt| !dear || self.tgts[**i].entry.zone == self.set.zone;
-        let order = order.clone().filter(near).chain(order.filter(|i| now >= inv.cross && !near(i)));
-        let mut stale = Vec::new();
+        let (order, inv, mut stale) = (self.order(now, id), &self.invs[&id], Vec::new());
         let able = |t: &Executor| self.able(now, inv, t) && self.cold_room(now, t, inv.load);
-        for &i in order.filter(|&&i| able(&self.tgts[i])) {
+        for i in order.into_iter().filter(|&i| able(&self.tgts[i])) {
             let t = &self.tgts[i];
             let fits = t.slots <= 0.0 || t.memory + t.foreign + inv.memory <= t.slots;
             match self.room(now, t) {
                 None => stale.push(i),
-                Some(room) if room >= ONE && fits && stale.is_empty() => return Place::Here(i),
+                Some(room) if room >= ONE && fits && (stale.is_empty() || !self.whole()) => {
+                    return Place::Here(i)
+                }
                 Some(_) => {}
             }
         }
         stale.truncate(ASKED);
-        for i in stale.into_iter().filter(|&i| now - self.tgts[i].asked > ASKED_HOLDS).collect::<Vec<_>>() {
-            self.tgts[i].asked = now;
-            out.push(Output::Probe(i));
-        }
+        stale.retain(|&i| now - self.tgts[i].asked > PROMPT);
+        stale.into_iter().for_each(|i| self.ask(now, i, out));
         Place::Later
     }
 
+    /// Asks who counts for the executor, or itself if that is this node or its last answer never came.
+    fn ask(&mut self, now: f64, tgt: Tgt, out: &mut Vec<Output>) {
+        let t = &self.tgts[tgt];
+        let keeper = self.keeper(t).filter(|&k| k != self.set.me && t.asked <= t.reported);
+        let question = |to| Output::Tell { to: Some(to), told: Told::Asks, mark: t.entry.mark, count: 0 };
+        out.push(keeper.map_or(Output::Probe(tgt), question));
+        self.tgts[tgt].asked = now;
+    }
+
     fn send(&mut self, now: f64, id: InvId, tgt: Tgt, out: &mut Vec<Output>) {
-        let turn = self.turn(now, &self.tgts[tgt]);
+        let turn = self.tgts[tgt].turn(now, self.set.cold.fall);
         let Some(inv) = self.invs.get_mut(&id) else { return };
         inv.forwards.push(Fwd { tgt, sent: now, fate: Fate::Out, started: false });
         let t = &mut self.tgts[tgt];
@@ -504,6 +507,7 @@
         (t.turn, t.held, t.unseen, t.last_sent, t.trial) = (turn, t.held + 1, t.unseen + 1.0, now, false);
         self.waiting.retain(|&other| other != id);
         out.push(Output::Forward { id, tgt });
+        self.tell(tgt, out);
         self.step(now, id, Turn::Sent, out);
     }
 
@@ -512,13 +516,7 @@
         const MISSES: usize = 6; // Looked at without finding a place: CPU is scarce where queues are long.
         const LOOK_EVERY: f64 = 0.025; // A few batches, and short beside any objective.
         let mut at = 0;
-        while at < self.waiting.len().min(MISSES) {
-            let open =
-                |t: &Executor| self.room(now, t).map_or(now - t.asked > ASKED_HOLDS, |room| room >= ONE);
-            if !self.rank.iter().any(|&i| open(&self.tgts[i])) {
-                break;
-            }
-            let id = self.waiting[at];
+        while let Some(&id) = self.waiting.get(at).filter(|_| at < MISSES) {
             match self.place(now, id, out) {
                 Place::Here(tgt) => self.send(now, id, tgt, out),
                 Place::Later => at += 1,
@@ -545,26 +543,29 @@
     }
 
     fn tick(&mut self, now: f64, out: &mut Vec<Output>) {
-        const FORGET: f64 = 0.97; // Of remembered failures, each interval: half after six seconds.
-        const PEER_SILENT: f64 = 3.0; // Three whole counts: a peer not heard for this long holds nothing.
+        const FORGET: f64 = 8.2; // Seconds in which remembered failures fade to a third: half after six.
+        const SOLVE_COST: f64 = 2e-7; // Seconds an executor, tenfold: a tenth of what an invocation may cost.
+        const SOLVE_LATEST: f64 = 5.0; // Before what is known is far out of date.
+        const PROBE_EVERY: f64 = 2.5; // Four times rarer loses hangs, twice as often no gain.
+        const PEER_SILENT: f64 = 6.0; // A peer not heard for longer than from solve to solve holds nothing.
         const TRY_AT: f64 = 0.7; // A doubtful one is tried when the draw is near what trusted ones reach.
-        const PHI_NEW: f64 = 0.12; // Weight of the newest interval in phi: some two seconds.
+        const PHI_MANY: f64 = 4.0; // Arrivals that phi is smoothed over, and two seconds more.
         let passed = (now - self.solved).max(1e-3);
-        (self.solved, self.solves) = (now, self.solves + 1);
-        let new = if self.solves == 1 { 1.0 } else { PHI_NEW };
+        self.solved = now;
+        let new = 1.0 - (-passed / (2.0 + PHI_MANY / self.phi.max(1.0))).exp();
         for class in self.classes.iter_mut().chain(&mut self.tenants) {
             class.rate += new * (std::mem::take(&mut class.arrived) / passed - class.rate);
         }
         self.phi = self.classes.iter().map(|class| class.rate).sum();
         let usual = |(op, c): (usize, &Class)| c.rate * self.value(op, c.pace.map_or(1.0, f64::exp));
         self.value = self.classes.iter().enumerate().map(usual).sum::<f64>() / self.phi.max(1e-6);
-        for from in (0..self.peer_heard.len()).filter(|&from| now - self.peer_heard[from] > PEER_SILENT) {
-            self.tgts.iter_mut().for_each(|t| t.hold(from, 0));
-        }
+        let forget = (-passed / FORGET).exp();
         // Silent: no sign for one and a half intervals, longer where starts are told and none was (queued).
         let limit = if self.set.progress > 0.0 { 1.5 * self.set.progress + 0.2 } else { 5.0 };
         for t in &mut self.tgts {
-            t.bad *= FORGET;
+            let others = t.others.iter_mut().zip(&self.peer_heard);
+            others.filter(|o| now - o.1 > PEER_SILENT).for_each(|(count, _)| *count = 0);
+            t.bad *= forget;
             let (a, b) = (1 + t.good.round() as usize, 1 + t.bad.round().min(12.0) as usize);
             t.trial = (t.doubtful || t.silent) && self.chance.beta(a, b) >= TRY_AT;
             let limit = if self.set.tells_start && t.running == 0 { 2.5 * limit } else { limit };
@@ -574,31 +575,36 @@
             }
             t.judge(out);
         }
-        self.share_out();
         self.solve(now);
-        self.sample(now, out);
-        self.tell(self.solves.is_multiple_of(4), out);
-        out.push(Output::Wake { after: SOLVE_EVERY, timer: SOLVE });
-    }
-
-    /// Tenants' shares are for all nodes: this node counts its part by what it holds of all that is at work.
-    fn share_out(&mut self) {
-        const PART_NEW: f64 = 0.025; // Weight of the newest interval in the part: some ten seconds.
-        let own = |t: &Executor| t.held as f64;
-        let held: f64 = self.tgts.iter().map(own).sum();
-        let all = |t: &Executor| own(t) + if self.set.peers { t.elsewhere() } else { 0.0 };
-        let seen = |t: &Executor| all(t).max(if self.set.peers { 0.0 } else { t.slots - t.free });
-        let all: f64 = self.tgts.iter().map(seen).sum();
-        self.part += PART_NEW * if all >= 1.0 { held / all - self.part } else { 0.0 };
+        // Each second all that it holds, and once more what has changed, as messages may be lost.
+        let probes = self.set.reports == Reports::Probes && self.set.probing;
+        let again = now.floor() > (now - passed).floor();
+        for tgt in 0..if again { self.tgts.len() } else { 0 } {
+            if self.tgts[tgt].told {
+                self.tell(tgt, out);
+                self.tgts[tgt].told = self.tgts[tgt].held > 0;
+            }
+            // Where only probes report, slots are learned from what is free, and hangs from no answer.
+            let t = &self.tgts[tgt];
+            let here = self.keeper(t) == Some(self.set.me) && t.entry.standing == Standing::Ready;
+            if probes && here && now - t.asked > PROBE_EVERY {
+                self.tgts[tgt].asked = now;
+                out.push(Output::Probe(tgt));
+            }
+        }
+        // Where CPU is limited by the invocation, a node with few of them solves a large fleet less often.
+        let cost = SOLVE_COST * self.rank.len() as f64 / (self.phi.max(0.5) * self.set.cpu_limit);
+        let after = cost.clamp(SOLVE_EVERY, SOLVE_LATEST);
+        out.push(Output::Wake { after, timer: SOLVE });
     }
 
     /// Rates from own latencies and reports, then COOP, then the order of the pass.
     fn solve(&mut self, now: f64) {
         const DRIFT: f64 = 0.98; // Of an executor's difference from the mean, each interval without outcomes.
+        const TRIAL: f64 = 0.02; // Of the mean share, for a zero share: one in fifty keeps its figures alive.
         const UNSAMPLED: f64 = 3.0; // Some invocations' time: so long without an own outcome, it drifts.
-        let known = self.tgts.iter().map(|t| t.slots).filter(|slots| *slots > 0.0);
-        let (many, slots) = known.fold((0.0, 0.0), |(n, sum), slots| (n + 1.0, sum + slots));
-        let usual = if many > 0.0 { slots / many } else { 1.0 };
+        let known: Vec<f64> = self.tgts.iter().map(|t| t.slots).filter(|slots| *slots > 0.0).collect();
+        let usual = known.iter().sum::<f64>().max(1.0) / known.len().max(1) as f64;
         for t in &mut self.tgts {
             t.slow *= if now - t.sampled > UNSAMPLED { DRIFT } else { 1.0 };
             let slots = if t.slots > 0.0 { t.slots } else { usual };
@@ -612,62 +618,55 @@
         rank.iter().for_each(|&i| self.tgts[i].mu *= scale);
         // Kinds are solved apart where an operation needs one, each with its part of phi.
         let apart = self.set.operations.iter().any(|op| op.kind.is_some());
-        let mut kinds: Vec<usize> = rank.iter().map(|&i| self.tgts[i].entry.kind).collect();
-        kinds.sort_unstable();
-        kinds.dedup();
-        for kind in kinds.into_iter().take(if apart { usize::MAX } else { 1 }) {
+        let kinds = rank.iter().map(|&i| self.tgts[i].entry.kind + 1).max().filter(|_| apart);
+        for kind in 0..kinds.unwrap_or(1) {
             let one = |i: &Tgt| !apart || self.tgts[*i].entry.kind == kind;
             let members: Vec<Tgt> = rank.iter().copied().filter(one).collect();
             let mu: Vec<f64> = members.iter().map(|&i| self.tgts[i].mu).collect();
             let phi = self.phi * mu.iter().sum::<f64>() / (sum * scale).max(1e-9);
             members.iter().zip(coop(&mu, phi)).for_each(|(&i, beta)| self.tgts[i].beta = beta);
         }
-        rank.sort_by(|&a, &b| self.tgts[b].beta.total_cmp(&self.tgts[a].beta).then(a.cmp(&b)));
+        let near = |i: Tgt| self.set.cross_zone_price > 0.0 && self.tgts[i].entry.zone == self.set.zone;
+        let share = |i: Tgt| self.tgts[i].beta;
+        rank.sort_by(|&a, &b| near(b).cmp(&near(a)).then(share(b).total_cmp(&share(a))).then(a.cmp(&b)));
+        self.near = rank.iter().take_while(|&&i| near(i)).count();
+        let sum: f64 = rank.iter().map(|&i| share(i)).sum();
+        let least = if sum > 0.0 { TRIAL * sum / rank.len() as f64 } else { 1.0 };
+        self.ends = sums(rank.iter().map(|&i| share(i).max(least)));
         self.held = rank.iter().map(|&i| self.tgts[i].held as f64).sum::<f64>() / rank.len().max(1) as f64;
         self.rank = rank;
     }
 
-    /// Where only probes report, a few executors are probed each interval, those asked longest ago first:
-    /// its slots are learned from what is free, and a probe without an answer tells of a hang.
-    fn sample(&mut self, now: f64, out: &mut Vec<Output>) {
-        const PROBE_EVERY: f64 = 3.0; // Each executor: four times rarer loses hangs, twice as often no gain.
-        let part = self.rank.len() as f64 * SOLVE_EVERY / PROBE_EVERY;
-        let many = if self.solves == 1 { usize::MAX } else { part.ceil() as usize };
-        let mut order = self.rank.clone();
-        order.sort_by(|&a, &b| self.tgts[a].asked.total_cmp(&self.tgts[b].asked));
-        let asks = self.set.reports == Reports::Probes && self.set.probing;
-        for i in order.into_iter().take(if asks { many } else { 0 }) {
-            self.tgts[i].asked = now;
-            out.push(Output::Probe(i));
-        }
+    /// Tells who counts for it what this node holds at an executor.
+    fn tell(&mut self, tgt: Tgt, out: &mut Vec<Output>) {
+        self.tgts[tgt].told = true;
+        let t = &self.tgts[tgt];
+        let to = self.keeper(t).filter(|_| self.counting == Counting::Keepers);
+        let (told, mark, count) = (Told::Held, t.entry.mark, t.held.min(255) as u8);
+        let heard = self.counting != Counting::Never && to != Some(self.set.me);
+        out.extend(heard.then_some(Output::Tell { to, told, mark, count }));
     }
 
-    /// Tells the other nodes what this one holds: the counts that changed, or all of them.
-    fn tell(&mut self, whole: bool, out: &mut Vec<Output>) {
-        let mut held = Vec::new();
-        for t in self.tgts.iter_mut().filter(|t| if whole { t.held > 0 } else { t.held != t.told }) {
-            t.told = t.held;
-            held.push((t.entry.mark, t.held.min(255) as u8));
-        }
-        if self.set.peers && (whole || !held.is_empty()) {
-            out.push(Output::Tell { whole, held });
-        }
-    }
-
-    fn peer(&mut self, now: f64, from: usize, whole: bool, held: Vec<(u16, u8)>) {
+    fn peer(&mut self, now: f64, from: usize, told: Told, mark: u32, count: u8, out: &mut Vec<Output>) {
         let Some(heard) = self.peer_heard.get_mut(from) else { return };
         *heard = now;
-        for t in &mut self.tgts {
-            let told = held.iter().find(|told| told.0 == t.entry.mark).map(|told| told.1);
-            if let Some(count) = told.or(whole.then_some(0)) {
-                t.hold(from, count);
+        let Some(i) = self.tgts.iter().position(|t| t.entry.mark == mark) else { return };
+        let room = self.room(now, &self.tgts[i]).unwrap_or(0.0);
+        let t = &mut self.tgts[i];
+        match told {
+            Told::Held => t.hold(from, count),
+            Told::Room => (t.free, t.unseen, t.reported) = (f64::from(count), 0.0, now),
+            Told::Asks => {
+                // The next to ask is not promised the same slot.
+                (t.promised, t.promises) = (now, t.promises(now) + f64::from(u8::from(room >= ONE)));
+                out.push(Output::Tell { to: Some(from), told: Told::Room, mark, count: room.max(0.0) as u8 });
             }
         }
     }
 }
 
 const ONE: f64 = 0.9; // One free slot, allowing for noise in reports.
-const ASKED_HOLDS: f64 = 0.1; // How long a probe's answer is waited for before the next.
+const PROMPT: f64 = 0.06; // A question's way there and back, and some batches: no answer means no room.
 
 #[cfg(test)]
 mod tests;
--- a/src/types.rs
+++ b/src/types.rs
@@ -1,5 +1,8 @@
 //! What goes into and comes out of the decision module, and the records it keeps. Times are seconds; no
 //! decision stands here.
+use std::collections::BTreeMap;
+
+use crate::chance::Chance;
 
 /// An invocation's id, as the protocol gave it.
 pub type InvId = u32;
@@ -69,6 +72,11 @@
     pub goal_whole: f64,
     pub goal_worst_operation: f64,
     pub cross_zone_price: f64,
+    /// CPU seconds an invocation may cost, infinite for no limit.
+    pub cpu_limit: f64,
+    /// Of a probe, and of a full message to one node.
+    pub probe_price: f64,
+    pub peer_price: f64,
     /// The list of executors comes only when asked for.
     pub must_ask: bool,
     pub cold: Cold,
@@ -96,7 +104,7 @@
 pub struct Entry {
     pub tgt: Tgt,
     /// The same at every node, for messages between them.
-    pub mark: u16,
+    pub mark: u32,
     pub zone: usize,
     pub cell: i64,
     pub kind: usize,
@@ -178,29 +186,68 @@
         outcome: Outcome,
         report: Report,
     },
-    /// What another node holds: the counts that changed, by the executor's mark, or all that are not 0.
     Heard {
         from: usize,
-        whole: bool,
-        held: Vec<(u16, u8)>,
+        told: Told,
+        mark: u32,
+        count: u8,
     },
 }
 
+/// What nodes tell each other, one number for the executor of a mark: what the sender holds there, a
+/// question, and its answer, the free slots.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Told {
+    Held,
+    Asks,
+    Room,
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub enum Output {
-    Forward { id: InvId, tgt: Tgt },
-    Withdraw { id: InvId, forward: usize },
-    Throttle { id: InvId, pause: f64 },
-    Error { id: InvId },
-    Wake { after: f64, timer: u64 },
+    Forward {
+        id: InvId,
+        tgt: Tgt,
+    },
+    Withdraw {
+        id: InvId,
+        forward: usize,
+    },
+    Throttle {
+        id: InvId,
+        pause: f64,
+    },
+    Error {
+        id: InvId,
+    },
+    Wake {
+        after: f64,
+        timer: u64,
+    },
     Probe(Tgt),
-    Tell { whole: bool, held: Vec<(u16, u8)> },
+    /// To one node or to all others.
+    Tell {
+        to: Option<usize>,
+        told: Told,
+        mark: u32,
+        count: u8,
+    },
     Follow,
     Log(String),
 }
 
 // What the decisions keep between inputs.
 
+/// Who counts what nodes hold at an executor.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Counting {
+    #[default]
+    Never,
+    All,
+    /// One node for each executor.
+    Keepers,
+}
+
 /// Where an invocation stands. `Suspect`: nothing is out, but an earlier forward may have run.
 /// `Again`: out, and an earlier forward may have run or is out too.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -251,6 +298,7 @@
 /// `worth`: the part of its billed value that counts, as its tenant is over its share. In time if sent before
 /// `aim`, given up while it waits after `until`, client timeout at `end`; it crosses zones from `cross` on.
 /// `load`: how long it keeps an ordinary slot busy. `press`: its place in the queue.
+/// `sample`: executors drawn for it; drawn anew from `again` on, `gap` after the last draw.
 #[derive(Clone, Debug, Default)]
 pub struct Inv {
     pub op: usize,
@@ -265,13 +313,17 @@
     pub memory: f64,
     pub press: f64,
     pub late: bool,
-    pub drawn: Option<Tgt>,
+    pub sample: Vec<Tgt>,
+    pub again: f64,
+    pub gap: f64,
     pub forwards: Vec<Fwd>,
 }
 
 impl Inv {
-    pub fn outs(&self) -> usize {
-        self.forwards.iter().filter(|f| f.fate == Fate::Out).count()
+    /// The forwards that have no outcome yet.
+    pub fn still_out(&self) -> impl Iterator<Item = usize> + '_ {
+        let out = |f: &(usize, &Fwd)| f.1.fate == Fate::Out;
+        self.forwards.iter().enumerate().filter(out).map(|f| f.0)
     }
 
     /// The first forward that may have run: its group and time bind all further ones.
@@ -301,7 +353,9 @@
     pub memory: f64,
     pub foreign: f64,
     pub running: usize,
-    pub told: usize,
+    pub told: bool,
+    pub promised: f64,
+    pub promises: f64,
     pub others: Vec<u8>,
     pub last_sent: f64,
     pub heard: f64,
@@ -320,7 +374,27 @@
         self.others.iter().map(|&n| f64::from(n)).sum()
     }
 
+    /// The part of its capacity that an executor has at least.
+    pub fn warmth(&self, now: f64, cold: &Cold) -> f64 {
+        let age = if self.entry.started > 0.0 { (now - self.entry.started).max(0.0) } else { f64::INFINITY };
+        (cold.start + (1.0 - cold.start) * age / cold.warm).min(1.0)
+    }
+
+    /// Slots that those who asked just now were told of.
+    pub fn promises(&self, now: f64) -> f64 {
+        const HOLD: f64 = 0.06; // By then who asked has sent there, and said so, or has not.
+        self.promises * f64::from(u8::from(now - self.promised < HOLD))
+    }
+
+    /// The number of the turn since its start, each as long as `span`.
+    pub fn turn(&self, now: f64, span: f64) -> usize {
+        ((now - self.entry.started).max(0.0) / span.max(1e-3)) as usize
+    }
+
     pub fn hold(&mut self, from: usize, count: u8) {
+        if self.others.len() <= from && count > 0 {
+            self.others.resize(from + 1, 0);
+        }
         self.others.iter_mut().skip(from).take(1).for_each(|n| *n = count);
     }
 }
@@ -330,6 +404,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Class {
     pub pace: Option<f64>,
+    pub answers: f64,
     pub arrived: f64,
     pub rate: f64,
     pub timely: f64,
@@ -337,6 +412,17 @@
     pub longest: f64,
 }
 
+impl Entry {
+    /// Whether both drop the repeats of the other.
+    pub fn same(&self, group: Group, other: &Entry) -> bool {
+        match group {
+            Group::All => true,
+            Group::Zone => other.zone == self.zone,
+            Group::Cell => other.cell == self.cell,
+        }
+    }
+}
+
 /// Where an invocation can go now. `Never`: no executor may take it, now or later.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Place {
@@ -344,3 +430,33 @@
     Later,
     Never,
 }
+
+/// All that a node keeps.
+#[derive(Default)]
+pub struct Node {
+    pub(crate) set: Settings,
+    pub(crate) chance: Chance,
+    pub(crate) tgts: Vec<Executor>,
+    /// Ready executors, where a crossing has a price those of the own zone (`near` of them) first, then by
+    /// share, the largest first; `ends` adds the shares up. Invocations that wait, the most pressing first.
+    pub(crate) rank: Vec<Tgt>,
+    pub(crate) near: usize,
+    pub(crate) ends: Vec<f64>,
+    pub(crate) waiting: Vec<InvId>,
+    pub(crate) invs: BTreeMap<InvId, Inv>,
+    pub(crate) classes: Vec<Class>,
+    pub(crate) tenants: Vec<Class>,
+    pub(crate) peer_heard: Vec<f64>,
+    pub(crate) counting: Counting,
+    pub(crate) phi: f64,
+    pub(crate) util: f64,
+    pub(crate) misled: f64,
+    /// Mean billed value of an invocation.
+    pub(crate) value: f64,
+    /// Mean own forwards held, at the last solve.
+    pub(crate) held: f64,
+    pub(crate) memory: f64,
+    pub(crate) solved: f64,
+    pub(crate) looking: bool,
+    pub(crate) list_lost: u32,
+}
