--- a/crates/coveroute-drill/src/main.rs
+++ b/crates/coveroute-drill/src/main.rs
@@ -3,7 +3,7 @@
 mod settings;
 mod wire;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write as _;
 use std::io::{self, BufRead, Write as _};
 use std::panic::{self, AssertUnwindSafe};
@@ -20,17 +20,25 @@
     node: Node,
     names: settings::Names,
     executors: Vec<String>,
-    numbers: BTreeMap<String, Tgt>,
+    numbers: HashMap<String, Tgt>,
+    /// By the mark that messages name executors by.
+    marks: HashMap<u32, Tgt>,
 }
 
 impl Instance {
+    fn new(node: Node, names: settings::Names) -> Self {
+        Instance { node, names, executors: Vec::new(), numbers: HashMap::new(), marks: HashMap::new() }
+    }
+
     fn tgt(&mut self, executor: &str) -> Tgt {
         if let Some(&tgt) = self.numbers.get(executor) {
             return tgt;
         }
+        let tgt = self.executors.len();
         self.executors.push(executor.to_owned());
-        self.numbers.insert(executor.to_owned(), self.executors.len() - 1);
-        self.executors.len() - 1
+        self.numbers.insert(executor.to_owned(), tgt);
+        self.marks.insert(mark(executor), tgt);
+        tgt
     }
 
     fn entry(&mut self, record: &Record) -> Result<Entry, Fault> {
@@ -87,7 +95,8 @@
                 // What does not read as ours names no executor: it is heard, and changes nothing.
                 let unread = (Told::Held, u32::MAX, 0);
                 let (told, mark, count) = message(line.contents.as_deref().unwrap_or("")).unwrap_or(unread);
-                Input::Heard { from, told, mark, count }
+                let tgt = self.marks.get(&mark).copied().unwrap_or(Tgt::MAX);
+                Input::Heard { from, told, tgt, count }
             }
             Event::Members => {
                 let scope = line.scope.as_deref().ok_or("no scope")?;
@@ -131,7 +140,8 @@
                 let executor = &self.executors[*tgt];
                 writeln!(reply, r#"{{"what":"SAMPLE","nodeId":{me},"executor":"{executor}"}}"#)
             }
-            Output::Tell { to, told, mark, count } => {
+            Output::Tell { to, told, tgt, count } => {
+                let mark = mark(&self.executors[*tgt]);
                 let to = to.map_or("null".to_owned(), |to| to.to_string());
                 let sense = match told {
                     Told::Held => 'h',
@@ -234,8 +244,7 @@
                 let info = line.info.take().ok_or("no info")?;
                 let (settings, names) = settings::decode(info)?;
                 let node = Node::new(settings, line.rng_seed.unwrap_or(0.0) as u64);
-                let instance = Instance { node, names, executors: Vec::new(), numbers: BTreeMap::new() };
-                self.instances.insert(line.node_id.ok_or("no nodeId")?, instance);
+                self.instances.insert(line.node_id.ok_or("no nodeId")?, Instance::new(node, names));
             }
             event => self.event(&line, event, reply)?,
         }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,15 +1,12 @@
-//! Every decision of a coveroute node.
-//!
-//! How it is called: `Node::new(settings, seed)` once, then `handle(now, input, &mut outputs)` for each thing
-//! that happens, in order; the caller carries out the outputs in order. Nothing here waits or reads a clock.
-//! Its interface (inputs, outputs, settings) is `types.rs`; docs/design.md tells why it decides as it does.
+//! Every decision of a coveroute node. `Node::new(settings, seed)` once, then `handle(now, input, &mut out)` for
+//! each thing that happens, in order; the caller carries out what is put out, in order. Nothing here waits or
+//! reads a clock. Its interface is `types.rs`; docs/design.md tells why it decides as it does.
 use crate::chance::{sums, Chance};
 use crate::types::*;
 
-/// Timers: the solve, another look at what waits, asking again for the list.
-const SOLVE: u64 = 0;
-const LOOK: u64 = 1;
-const ASK: u64 = 2;
+const SOLVE: u64 = 0; // Timers: the solve,
+const LOOK: u64 = 1; // another look at what waits,
+const ASK: u64 = 2; // asking again for the list.
 
 /// State, input, next state, effect. What is not listed changes nothing: late, double or unknown events.
 const TABLE: [(Life, Turn, Life, Act); 14] = [
@@ -34,10 +31,9 @@
         const DOUBT: [f64; 2] = [0.65, 0.75]; // Doubtful below this mean, until above that: against wavering.
         let mean = (1.0 + self.good) / (2.0 + self.good + self.bad);
         let doubtful = mean < DOUBT[usize::from(self.doubtful)];
-        if doubtful != std::mem::replace(&mut self.doubtful, doubtful) {
-            let words = if doubtful { "is doubtful" } else { "is trusted again" };
-            out.push(Output::Log(format!("executor {:06x} {words}", self.entry.mark)));
-        }
+        let words = if doubtful { "is doubtful" } else { "is trusted again" };
+        let news = doubtful != std::mem::replace(&mut self.doubtful, doubtful);
+        out.extend(news.then(|| Output::Log(format!("executor {:06x} {words}", self.entry.mark))));
     }
 
     /// A sign of life: what it was blamed for while silent is forgiven, as it works off what it holds.
@@ -109,7 +105,7 @@
             Input::Timer(LOOK) => self.review(now, out),
             Input::Timer(_) => out.extend((self.list_lost > 0).then_some(Output::Follow)),
             Input::Probed { tgt, outcome, report } => self.probed(now, tgt, outcome, report, out),
-            Input::Heard { from, told, mark, count } => self.peer(now, from, told, mark, count, out),
+            Input::Heard { from, told, tgt, count } => self.peer(now, from, told, tgt, count, out),
         }
         self.look(now, out);
     }
@@ -132,6 +128,7 @@
         // Guards against an executor that was removed while this node did not hear: absent means gone.
         self.tgts.iter_mut().filter(|_| whole).for_each(|t| t.entry.standing = Standing::Gone);
         entries.into_iter().for_each(|entry| self.entry(now, entry, out));
+        (0..self.tgts.len()).for_each(|tgt| self.check(now, tgt, out));
         self.solve(now);
     }
 
@@ -153,6 +150,18 @@
         t.entry = entry;
     }
 
+    /// Where only probes report, who counts learns slots from what is free, and hangs from no answer.
+    fn check(&mut self, now: f64, tgt: Tgt, out: &mut Vec<Output>) {
+        const PROBE_EVERY: f64 = 2.5; // Four times rarer loses hangs, twice as often no gain.
+        let t = &self.tgts[tgt];
+        let probes = self.set.reports == Reports::Probes && self.set.probing;
+        let here = self.keeper(t) == Some(self.set.me) && t.entry.standing == Standing::Ready;
+        if probes && here && now - t.asked > if t.slots > 0.0 { PROBE_EVERY } else { SOLVE_EVERY } {
+            self.tgts[tgt].asked = now;
+            out.push(Output::Probe(tgt));
+        }
+    }
+
     fn submitted(&mut self, now: f64, sub: Submission, out: &mut Vec<Output>) {
         const MEMORY_NEW: f64 = 0.02; // Weight of an invocation in the mean memory: some fifty.
         const WAIT: f64 = 0.5; // Of what could be spared on the mean: running times vary as much again.
@@ -224,7 +233,8 @@
         let (effect, end) = (self.set.operations[inv.op].effect, inv.end);
         // Throttled clients are spread over the upper half of what they honour, not to return as one.
         let pause = self.set.max_pause * (0.5 + 0.5 * self.chance.draw());
-        match (row.3, effect) {
+        let harmless = matches!(effect, Effect::Idempotent | Effect::Deduplicated { group: Group::All, .. });
+        match (row.3, harmless) {
             (Act::Keep, _) => return,
             (Act::Queue, _) => {
                 self.queue(now, id);
@@ -233,11 +243,8 @@
                 return self.step(now, id, turn, out);
             }
             (Act::Close, _) => {}
-            (Act::Throttle, _)
-            | (Act::Answer, Effect::Idempotent | Effect::Deduplicated { group: Group::All, .. }) => {
-                out.push(Output::Throttle { id, pause })
-            }
-            (Act::Answer, _) => out.push(Output::Error { id }),
+            (Act::Answer, false) => out.push(Output::Error { id }),
+            (Act::Throttle | Act::Answer, _) => out.push(Output::Throttle { id, pause }),
         }
         self.waiting.retain(|&other| other != id);
         let in_time = inv.forwards.last().is_some_and(|f| turn == Turn::Finished && f.sent <= inv.aim);
@@ -410,8 +417,7 @@
             })
     }
 
-    /// May go there, and is trusted to be answered. Doubtful or silent ones: only on the posterior's draw,
-    /// and not with what could not be sent again.
+    /// May go there, and it is trusted; if not, on the posterior's draw, with what could be sent again.
     fn able(&self, now: f64, inv: &Inv, t: &Executor) -> bool {
         let again = self.set.operations[inv.op].effect != Effect::NonIdempotent;
         ((!t.doubtful && !t.silent) || (t.trial && again)) && self.may_go(now, inv, t)
@@ -438,25 +444,26 @@
     /// two drawn ones, and two others once neither has room, each time a little later.
     fn order(&mut self, now: f64, id: InvId) -> Vec<Tgt> {
         const GAP: f64 = 0.005; // About a round trip at first, doubled each time
-        const GAP_MOST: f64 = 0.16; // up to this: some six times in half a second.
+        const GAP_MOST: f64 = 0.16; // up to this: some six times in half a second,
+        const LATE: f64 = 16.0; // and so much rarer for what is late, to leave room to what is not.
         let (whole, inv) = (self.whole(), &self.invs[&id]);
         let open = |i: &Tgt| {
             let t = &self.tgts[*i];
             self.able(now, inv, t) && (whole || self.room(now, t).is_none_or(|room| room >= ONE))
         };
         let mut sample: Vec<Tgt> = inv.sample.iter().copied().filter(open).collect();
-        let cross = now >= inv.cross || self.near == 0;
         if sample.is_empty() && (whole || now >= inv.again) {
             (0..if whole { 1 } else { 2 }).for_each(|_| sample.extend(self.draw(now, id)));
             sample.dedup();
             let inv = self.invs.entry(id).or_default();
             inv.gap = (2.0 * inv.gap).clamp(GAP, GAP_MOST);
-            (inv.again, inv.sample) = (now + inv.gap, sample.clone());
+            let gap = inv.gap * if now > inv.aim { LATE } else { 1.0 };
+            (inv.again, inv.sample) = (now + gap, sample.clone());
         }
         let Some(first) = sample.first().copied().filter(|_| whole) else { return sample };
         sample.extend(self.rank.iter().copied().filter(|&i| i != first && self.tgts[i].beta > 0.0));
         let far = |i: &Tgt| self.near > 0 && self.tgts[*i].entry.zone != self.set.zone;
-        sample.retain(|i| cross || !far(i));
+        sample.retain(|i| now >= self.invs[&id].cross || !far(i));
         sample.sort_by_key(far);
         sample
     }
@@ -491,7 +498,7 @@
     fn ask(&mut self, now: f64, tgt: Tgt, out: &mut Vec<Output>) {
         let t = &self.tgts[tgt];
         let keeper = self.keeper(t).filter(|&k| k != self.set.me && t.asked <= t.reported);
-        let question = |to| Output::Tell { to: Some(to), told: Told::Asks, mark: t.entry.mark, count: 0 };
+        let question = |to| Output::Tell { to: Some(to), told: Told::Asks, tgt, count: 0 };
         out.push(keeper.map_or(Output::Probe(tgt), question));
         self.tgts[tgt].asked = now;
     }
@@ -545,8 +552,8 @@
     fn tick(&mut self, now: f64, out: &mut Vec<Output>) {
         const FORGET: f64 = 8.2; // Seconds in which remembered failures fade to a third: half after six.
         const SOLVE_COST: f64 = 2e-7; // Seconds an executor, tenfold: a tenth of what an invocation may cost.
+        const CPU_USUAL: f64 = 4e-5; // Seconds an invocation, where no tighter limit is set.
         const SOLVE_LATEST: f64 = 5.0; // Before what is known is far out of date.
-        const PROBE_EVERY: f64 = 2.5; // Four times rarer loses hangs, twice as often no gain.
         const PEER_SILENT: f64 = 6.0; // A peer not heard for longer than from solve to solve holds nothing.
         const TRY_AT: f64 = 0.7; // A doubtful one is tried when the draw is near what trusted ones reach.
         const PHI_MANY: f64 = 4.0; // Arrivals that phi is smoothed over, and two seconds more.
@@ -577,24 +584,17 @@
         }
         self.solve(now);
         // Each second all that it holds, and once more what has changed, as messages may be lost.
-        let probes = self.set.reports == Reports::Probes && self.set.probing;
         let again = now.floor() > (now - passed).floor();
         for tgt in 0..if again { self.tgts.len() } else { 0 } {
             if self.tgts[tgt].told {
                 self.tell(tgt, out);
                 self.tgts[tgt].told = self.tgts[tgt].held > 0;
             }
-            // Where only probes report, slots are learned from what is free, and hangs from no answer.
-            let t = &self.tgts[tgt];
-            let here = self.keeper(t) == Some(self.set.me) && t.entry.standing == Standing::Ready;
-            if probes && here && now - t.asked > PROBE_EVERY {
-                self.tgts[tgt].asked = now;
-                out.push(Output::Probe(tgt));
-            }
+            self.check(now, tgt, out);
         }
-        // Where CPU is limited by the invocation, a node with few of them solves a large fleet less often.
-        let cost = SOLVE_COST * self.rank.len() as f64 / (self.phi.max(0.5) * self.set.cpu_limit);
-        let after = cost.clamp(SOLVE_EVERY, SOLVE_LATEST);
+        // A node with few invocations solves a large fleet less often: CPU counts by the invocation.
+        let cost = SOLVE_COST * self.rank.len() as f64 / self.set.cpu_limit.min(CPU_USUAL);
+        let after = (cost / self.phi.max(0.5)).clamp(SOLVE_EVERY, SOLVE_LATEST);
         out.push(Output::Wake { after, timer: SOLVE });
     }
 
@@ -642,24 +642,25 @@
         self.tgts[tgt].told = true;
         let t = &self.tgts[tgt];
         let to = self.keeper(t).filter(|_| self.counting == Counting::Keepers);
-        let (told, mark, count) = (Told::Held, t.entry.mark, t.held.min(255) as u8);
+        let (told, count) = (Told::Held, t.held.min(255) as u8);
         let heard = self.counting != Counting::Never && to != Some(self.set.me);
-        out.extend(heard.then_some(Output::Tell { to, told, mark, count }));
+        out.extend(heard.then_some(Output::Tell { to, told, tgt, count }));
     }
 
-    fn peer(&mut self, now: f64, from: usize, told: Told, mark: u32, count: u8, out: &mut Vec<Output>) {
+    fn peer(&mut self, now: f64, from: usize, told: Told, tgt: Tgt, count: u8, out: &mut Vec<Output>) {
         let Some(heard) = self.peer_heard.get_mut(from) else { return };
         *heard = now;
-        let Some(i) = self.tgts.iter().position(|t| t.entry.mark == mark) else { return };
-        let room = self.room(now, &self.tgts[i]).unwrap_or(0.0);
-        let t = &mut self.tgts[i];
+        let room = self.tgts.get(tgt).and_then(|t| self.room(now, t));
+        let Some(t) = self.tgts.get_mut(tgt) else { return };
         match told {
             Told::Held => t.hold(from, count),
             Told::Room => (t.free, t.unseen, t.reported) = (f64::from(count), 0.0, now),
             Told::Asks => {
                 // The next to ask is not promised the same slot.
-                (t.promised, t.promises) = (now, t.promises(now) + f64::from(u8::from(room >= ONE)));
-                out.push(Output::Tell { to: Some(from), told: Told::Room, mark, count: room.max(0.0) as u8 });
+                (t.promised, t.promises) = (now, t.promises(now) + f64::from(u8::from(room >= Some(ONE))));
+                let answer = |n: f64| Output::Tell { to: Some(from), told: Told::Room, tgt, count: n as u8 };
+                out.extend(room.map(answer));
+                self.check(now, tgt, out);
             }
         }
     }
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -343,10 +343,9 @@
 #[test]
 fn peers_counts_are_kept_and_wrong_ones_ignored() {
     let (mut node, mut out) = (node(Effect::Idempotent, 2), Vec::new());
-    node.tgts[1].entry.mark = 9;
-    node.peer(1.0, 2, Told::Held, 9, 4, &mut out);
+    node.peer(1.0, 2, Told::Held, 1, 4, &mut out);
     node.peer(1.0, 2, Told::Held, 77, 1, &mut out);
-    node.peer(1.0, 99, Told::Held, 9, 8, &mut out);
+    node.peer(1.0, 99, Told::Held, 1, 8, &mut out);
     assert_eq!((node.tgts[0].elsewhere(), node.tgts[1].elsewhere()), (0.0, 4.0));
     node.tick(9.0, &mut out);
     assert_eq!(node.tgts[1].elsewhere(), 0.0, "a node not heard for long holds nothing");
@@ -371,7 +370,10 @@
 fn keeper(many: usize) -> Node {
     let mut node = node(Effect::Idempotent, many);
     (node.counting, node.set.probing, node.set.reports) = (Counting::Keepers, true, Reports::Probes);
-    node.tgts.iter_mut().enumerate().for_each(|(i, t)| (t.entry.mark, t.slots) = (i as u32, 2.0));
+    node.tgts
+        .iter_mut()
+        .enumerate()
+        .for_each(|(i, t)| (t.entry.mark, t.slots, t.asked, t.reported) = (i as u32, 2.0, 0.9, 0.9));
     node
 }
 
@@ -382,11 +384,31 @@
     for from in [1, 2] {
         node.peer(1.0, from, Told::Asks, 4, 0, &mut out);
     }
-    let answer = |to, count| Output::Tell { to: Some(to), told: Told::Room, mark: 4, count };
+    let answer = |to, count| Output::Tell { to: Some(to), told: Told::Room, tgt: 4, count };
     assert_eq!(out, [answer(1, 1), answer(2, 0)]);
     assert_eq!(node.room(1.2, &node.tgts[4]), Some(1.0), "nobody came");
 }
 
+#[test]
+fn an_executor_of_unknown_slots_is_probed_and_nothing_is_answered_for_it() {
+    let (mut node, mut out) = (keeper(5), Vec::new());
+    (node.tgts[4].slots, node.tgts[4].reported) = (0.0, 0.0);
+    node.peer(2.0, 1, Told::Asks, 4, 0, &mut out);
+    assert_eq!(out, [Output::Probe(4)]);
+}
+
+#[test]
+fn what_is_late_looks_for_room_more_rarely() {
+    let (mut node, mut out) = (node(Effect::Idempotent, 30), Vec::new());
+    (node.set.probing, node.set.reports) = (true, Reports::Answers);
+    let mut gap = |now| {
+        add(&mut node, Life::Waiting, &[]);
+        node.place(now, ID, &mut out);
+        node.invs[&ID].again - now
+    };
+    assert!(gap(6.0) > 10.0 * gap(2.0));
+}
+
 #[test]
 fn who_counts_is_asked_and_if_silent_the_executor() {
     let (mut node, mut out) = (keeper(2), Vec::new());
@@ -395,7 +417,7 @@
     assert_eq!(node.room(1.1, &node.tgts[1]), Some(0.0), "for so long");
     node.ask(2.0, 1, &mut out);
     node.ask(2.0, 0, &mut out);
-    let question = Output::Tell { to: Some(1), told: Told::Asks, mark: 1, count: 0 };
+    let question = Output::Tell { to: Some(1), told: Told::Asks, tgt: 1, count: 0 };
     assert_eq!(out, [question, Output::Probe(1), Output::Probe(0)]);
 }
 
@@ -419,10 +441,11 @@
     );
 }
 
-#[test_case(f64::INFINITY, SOLVE_EVERY; "no limit")]
-#[test_case(1e-5, 1.2; "by the invocation, few of them")]
-fn solves_are_rarer_where_cpu_is_limited(cpu_limit: f64, expected: f64) {
-    let (mut node, mut out) = (node(Effect::Idempotent, 30), Vec::new());
+#[test_case(10, f64::INFINITY, SOLVE_EVERY; "a small fleet")]
+#[test_case(300, f64::INFINITY, 3.0; "a large one, with few invocations")]
+#[test_case(30, 1e-5, 1.2; "a tighter limit")]
+fn solves_of_large_fleets_are_rarer(many: usize, cpu_limit: f64, expected: f64) {
+    let (mut node, mut out) = (node(Effect::Idempotent, many), Vec::new());
     node.set.cpu_limit = cpu_limit;
     node.tick(1.0, &mut out);
     assert!(
--- a/src/types.rs
+++ b/src/types.rs
@@ -103,7 +103,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Entry {
     pub tgt: Tgt,
-    /// The same at every node, for messages between them.
+    /// The same at every node: it tells which node counts for the executor.
     pub mark: u32,
     pub zone: usize,
     pub cell: i64,
@@ -189,12 +189,12 @@
     Heard {
         from: usize,
         told: Told,
-        mark: u32,
+        tgt: Tgt,
         count: u8,
     },
 }
 
-/// What nodes tell each other, one number for the executor of a mark: what the sender holds there, a
+/// What nodes tell each other, one number for one executor: what the sender holds there, a
 /// question, and its answer, the free slots.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Told {
@@ -229,7 +229,7 @@
     Tell {
         to: Option<usize>,
         told: Told,
-        mark: u32,
+        tgt: Tgt,
         count: u8,
     },
     Follow,
