--- a/src/policy.rs
+++ b/src/policy.rs
@@ -166,6 +166,7 @@
         const MEMORY_NEW: f64 = 0.02; // Weight of an invocation in the mean memory: some fifty.
         const WAIT: f64 = 0.5; // Of what could be spared on the mean: running times vary as much again.
 
+        let whole = self.whole();
         // An operation that the settings don't name may run nobody knows how; a client's last milliseconds (a
         // late retry) end before anything could be answered. Neither is sent.
         let op = self.set.operations.get(sub.operation).filter(|_| sub.timeout > BEFORE_END);
@@ -181,7 +182,8 @@
         // A client that comes back has less time left than one that comes first: its objective has run since.
         class.longest = class.longest.max(sub.timeout);
         let aim = now + spare - (class.longest - sub.timeout);
-        let late = if op.late_value > 0.0 { op.objective + op.stretch * load } else { 0.0 };
+        // Late work waits behind what is in time only where this node orders most of what waits.
+        let late = if op.late_value > 0.0 && whole { op.objective + op.stretch * load } else { 0.0 };
         let tenant = sub.tenant.filter(|&tenant| tenant < self.tenants.len());
         let in_share = tenant.map_or(1.0, |tenant| {
             self.tenants[tenant].arrived += 1.0;
@@ -444,8 +446,7 @@
     /// two drawn ones, and two others once neither has room, each time a little later.
     fn order(&mut self, now: f64, id: InvId) -> Vec<Tgt> {
         const GAP: f64 = 0.005; // About a round trip at first, doubled each time
-        const GAP_MOST: f64 = 0.16; // up to this: some six times in half a second,
-        const LATE: f64 = 16.0; // and so much rarer for what is late, to leave room to what is not.
+        const GAP_MOST: f64 = 0.16; // up to this: some six times in half a second.
         let (whole, inv) = (self.whole(), &self.invs[&id]);
         let open = |i: &Tgt| {
             let t = &self.tgts[*i];
@@ -457,8 +458,7 @@
             sample.dedup();
             let inv = self.invs.entry(id).or_default();
             inv.gap = (2.0 * inv.gap).clamp(GAP, GAP_MOST);
-            let gap = inv.gap * if now > inv.aim { LATE } else { 1.0 };
-            (inv.again, inv.sample) = (now + gap, sample.clone());
+            (inv.again, inv.sample) = (now + inv.gap, sample.clone());
         }
         let Some(first) = sample.first().copied().filter(|_| whole) else { return sample };
         sample.extend(self.rank.iter().copied().filter(|&i| i != first && self.tgts[i].beta > 0.0));
