--- a/crates/coveroute-drill/src/main.rs
+++ b/crates/coveroute-drill/src/main.rs
@@ -140,6 +140,10 @@
                 let executor = &self.executors[*tgt];
                 writeln!(reply, r#"{{"what":"SAMPLE","nodeId":{me},"executor":"{executor}"}}"#)
             }
+            Output::Release(tgt) => {
+                let executor = &self.executors[*tgt];
+                writeln!(reply, r#"{{"what":"RELEASE","nodeId":{me},"executor":"{executor}"}}"#)
+            }
             Output::Tell { to, told, tgt, count } => {
                 let mark = mark(&self.executors[*tgt]);
                 let to = to.map_or("null".to_owned(), |to| to.to_string());
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -285,6 +285,8 @@
             self.invs.remove(&id);
         }
         self.tell(tgt, out);
+        // Guards against connect failures: hundreds of nodes' idle connections would fill an executor's table.
+        out.extend((self.tgts[tgt].held == 0 && !self.whole()).then_some(Output::Release(tgt)));
         // Full beside reported room: the report speaks of another time than now.
         let late = outcome == Outcome::Full && report.free >= Some(ONE) && report.queue < Some(0.5);
         self.misled += MISLED_NEW * (f64::from(u8::from(late)) - self.misled);
@@ -383,7 +385,6 @@
         }
     }
 
-    /// Executors, or who counts for them, are asked for their state before work is sent.
     fn asks(&self) -> bool {
         self.set.probing && self.set.reports != Reports::Never && self.counting != Counting::All
     }
@@ -402,7 +403,6 @@
             && (t.held as f64) < (share * slots).max(1.0)
     }
 
-    /// Whether the rules let this invocation go there.
     fn may_go(&self, now: f64, inv: &Inv, t: &Executor) -> bool {
         const WINDOW_MARGIN: f64 = 0.1; // Off the end of the window: several times the way to an executor.
         let op = &self.set.operations[inv.op];
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -407,6 +407,16 @@
     assert_eq!(node.invs[&ID].until > node.invs[&ID].aim, waits);
 }
 
+#[test_case(30, true; "in a large fleet")]
+#[test_case(10, false; "kept in a small one")]
+fn idle_connections_are_closed(many: usize, closed: bool) {
+    let mut node = node(Effect::Idempotent, many);
+    (node.set.probing, node.set.reports) = (true, Reports::Answers);
+    add(&mut node, Life::Out, &[Fate::Out]);
+    node.tgts[0].held = 1;
+    assert_eq!(settle(&mut node, 2.0, Outcome::Succeeded).contains(&Output::Release(0)), closed);
+}
+
 #[test]
 fn who_counts_is_asked_and_if_silent_the_executor() {
     let (mut node, mut out) = (keeper(2), Vec::new());
--- a/src/types.rs
+++ b/src/types.rs
@@ -225,6 +225,8 @@
         timer: u64,
     },
     Probe(Tgt),
+    /// Close idle connections.
+    Release(Tgt),
     /// To one node or to all others.
     Tell {
         to: Option<usize>,
