--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -417,6 +417,19 @@
     assert_eq!(settle(&mut node, 2.0, Outcome::Succeeded).contains(&Output::Release(0)), closed);
 }
 
+#[test_case(0, 0.0; "an empty list")]
+#[test_case(300, 0.0; "three hundred at once")]
+#[test_case(30, 0.5; "all cold at once, and no report for long")]
+fn odd_fleets_get_an_answer_within_the_rules(many: usize, started: f64) {
+    let (mut node, mut out) = (node(Effect::NonIdempotent, 0), Vec::new());
+    (node.set.probing, node.set.reports) = (true, Reports::Answers);
+    let list = (0..many).map(|tgt| entry(tgt, Standing::Ready, started)).collect();
+    node.handle(1.0, Input::List(List::Whole(list)), &mut out);
+    node.handle(1.0, Input::Submitted(submit(3.0, 0)), &mut out);
+    (0..40).for_each(|i| node.handle(1.0 + 0.1 * f64::from(i), Input::Timer(LOOK), &mut out));
+    assert!(out.contains(&Output::Throttle { id: ID, pause: 0.0 }) && node.invs.is_empty(), "{out:?}");
+}
+
 #[test]
 fn who_counts_is_asked_and_if_silent_the_executor() {
     let (mut node, mut out) = (keeper(2), Vec::new());
