--- a/crates/coveroute-drill/src/main.rs
+++ b/crates/coveroute-drill/src/main.rs
@@ -1,46 +1,26 @@
 //! The simulator's wire before coveroute's decisions: reads batches, hosts instances that share nothing,
 //! and writes one reply a batch. Words, units and ids are translated here; nothing is decided.
-mod settings;
 mod wire;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::io::{self, BufRead, Write as _};
 use std::panic::{self, AssertUnwindSafe};
 
-use coveroute::types::{
-    Entry, Input, List, Node, Outcome, Output, Report, Settled, Standing, Submission, Tgt, Told,
-};
-use wire::{Event, Gauge, Line, Record};
+use coveroute::types::{Entry, Input, List, Node, Outcome, Output, Settled, Standing, Submission, Tgt, Told};
+use coveroute_shared::{decode, mark, position, Listed, Names, Roster};
+use wire::{Event, Line, Record};
 
 type Fault = String;
 
 /// One instance: its decisions, and its own numbering of what the wire names.
 struct Instance {
     node: Node,
-    names: settings::Names,
-    executors: Vec<String>,
-    numbers: HashMap<String, Tgt>,
-    /// By the mark that messages name executors by.
-    marks: HashMap<u32, Tgt>,
+    names: Names,
+    roster: Roster,
 }
 
 impl Instance {
-    fn new(node: Node, names: settings::Names) -> Self {
-        Instance { node, names, executors: Vec::new(), numbers: HashMap::new(), marks: HashMap::new() }
-    }
-
-    fn tgt(&mut self, executor: &str) -> Tgt {
-        if let Some(&tgt) = self.numbers.get(executor) {
-            return tgt;
-        }
-        let tgt = self.executors.len();
-        self.executors.push(executor.to_owned());
-        self.numbers.insert(executor.to_owned(), tgt);
-        self.marks.insert(mark(executor), tgt);
-        tgt
-    }
-
     fn entry(&mut self, record: &Record) -> Result<Entry, Fault> {
         let standing = match record.availability.as_deref() {
             Some("U") | None => Standing::Ready,
@@ -48,15 +28,15 @@
             Some("D") => Standing::Gone,
             Some(other) => return Err(format!("unknown availability {other}")),
         };
-        Ok(Entry {
-            tgt: self.tgt(&record.executor),
-            mark: mark(&record.executor),
-            zone: position(&mut self.names.zones, record.area.as_deref().unwrap_or("")),
+        let listed = Listed {
+            id: &record.executor,
+            zone: record.area.as_deref().unwrap_or(""),
+            kind: record.hw.as_deref().unwrap_or(""),
             cell: record.block.unwrap_or(0),
-            kind: position(&mut self.names.kinds, record.hw.as_deref().unwrap_or("")),
             started: record.started_at.unwrap_or(0.0) / 1e3,
             standing,
-        })
+        };
+        Ok(self.roster.entry(&mut self.names, &listed))
     }
 
     fn input(&mut self, line: &Line, event: Event, pages: &[Vec<Record>]) -> Result<Input, Fault> {
@@ -80,22 +60,22 @@
                 outcome: outcome(line.verdict.as_deref())?,
                 took: line.time_taken.unwrap_or(0.0) / 1e3,
                 ended: line.terminal,
-                report: report(line.gauge),
+                report: line.gauge.unwrap_or_default().into(),
             }),
             Event::StatusNote | Event::First => Input::Alive { id: id()?, forward: line.copy.unwrap_or(0) },
             Event::Expired => Input::Expired(id()?),
             Event::Timer => Input::Timer(line.cookie.unwrap_or(0)),
             Event::Health => Input::Probed {
-                tgt: self.tgt(line.executor.as_deref().ok_or("no executor")?),
+                tgt: self.roster.number(line.executor.as_deref().ok_or("no executor")?),
                 outcome: outcome(line.verdict.as_deref())?,
-                report: report(line.gauge),
+                report: line.gauge.unwrap_or_default().into(),
             },
             Event::Heard => {
                 let from = line.by.ok_or("no by")?;
                 // What does not read as ours names no executor: it is heard, and changes nothing.
                 let unread = (Told::Held, u32::MAX, 0);
                 let (told, mark, count) = message(line.contents.as_deref().unwrap_or("")).unwrap_or(unread);
-                let tgt = self.marks.get(&mark).copied().unwrap_or(Tgt::MAX);
+                let tgt = self.roster.marked(mark).unwrap_or(Tgt::MAX);
                 Input::Heard { from, told, tgt, count }
             }
             Event::Members => {
@@ -121,7 +101,7 @@
     fn write(&self, me: i64, output: &Output, reply: &mut String) {
         let _ = match output {
             Output::Forward { id, tgt } => {
-                let executor = &self.executors[*tgt];
+                let executor = self.roster.id(*tgt);
                 writeln!(reply, r#"{{"what":"TRY","nodeId":{me},"job":{id},"executor":"{executor}"}}"#)
             }
             Output::Withdraw { id, forward } => {
@@ -137,15 +117,15 @@
                 writeln!(reply, r#"{{"what":"WAKE_ME","nodeId":{me},"after":{after:.3},"cookie":{timer}}}"#)
             }
             Output::Probe(tgt) => {
-                let executor = &self.executors[*tgt];
+                let executor = self.roster.id(*tgt);
                 writeln!(reply, r#"{{"what":"SAMPLE","nodeId":{me},"executor":"{executor}"}}"#)
             }
             Output::Release(tgt) => {
-                let executor = &self.executors[*tgt];
+                let executor = self.roster.id(*tgt);
                 writeln!(reply, r#"{{"what":"RELEASE","nodeId":{me},"executor":"{executor}"}}"#)
             }
             Output::Tell { to, told, tgt, count } => {
-                let mark = mark(&self.executors[*tgt]);
+                let mark = mark(self.roster.id(*tgt));
                 let to = to.map_or("null".to_owned(), |to| to.to_string());
                 let sense = match told {
                     Told::Held => 'h',
@@ -164,21 +144,6 @@
     }
 }
 
-/// The index of a name, which is added when it is new.
-fn position(names: &mut Vec<String>, name: &str) -> usize {
-    names.iter().position(|known| known == name).unwrap_or_else(|| {
-        names.push(name.to_owned());
-        names.len() - 1
-    })
-}
-
-/// A short name for an executor that every node works out alike (FNV-1a, folded to 24 bits: with 300
-/// executors two share one once in 370 fleets).
-fn mark(executor: &str) -> u32 {
-    let hash = executor.bytes().fold(0x811c_9dc5_u32, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193));
-    (hash ^ (hash >> 24)) & 0xff_ffff
-}
-
 /// Reads a message between nodes: a letter for its sense, six hex digits of an executor's mark, two of a count.
 fn message(text: &str) -> Option<(Told, u32, u8)> {
     let told = match text.as_bytes().first()? {
@@ -205,19 +170,6 @@
     })
 }
 
-fn report(gauge: Option<Gauge>) -> Report {
-    let gauge = gauge.unwrap_or_default();
-    let sane = |value: Option<f64>| value.filter(|v| v.is_finite() && *v >= 0.0);
-    let (free, queue) = (sane(gauge.x0), sane(gauge.depth));
-    Report {
-        free,
-        queue,
-        inflight: sane(gauge.concurrent),
-        util: sane(gauge.load_share),
-        memory: sane(gauge.x1),
-    }
-}
-
 /// All instances of this process, and the lists that their events refer to.
 #[derive(Default)]
 struct Host {
@@ -246,9 +198,10 @@
             }
             Event::Init => {
                 let info = line.info.take().ok_or("no info")?;
-                let (settings, names) = settings::decode(info)?;
+                let (settings, names) = decode(info)?;
                 let node = Node::new(settings, line.rng_seed.unwrap_or(0.0) as u64);
-                self.instances.insert(line.node_id.ok_or("no nodeId")?, Instance::new(node, names));
+                let instance = Instance { node, names, roster: Roster::default() };
+                self.instances.insert(line.node_id.ok_or("no nodeId")?, instance);
             }
             event => self.event(&line, event, reply)?,
         }
--- a/crates/coveroute-drill/src/wire.rs
+++ b/crates/coveroute-drill/src/wire.rs
@@ -1,6 +1,7 @@
 //! The lines of the wire as they stand; unknown keys are skipped.
 use std::borrow::Cow;
 
+use coveroute_shared::Gauge;
 use serde::{Deserialize, Deserializer};
 use serde_json::value::RawValue;
 
@@ -78,15 +79,6 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, Default, Deserialize)]
-pub struct Gauge {
-    pub x0: Option<f64>,
-    pub x1: Option<f64>,
-    pub depth: Option<f64>,
-    pub concurrent: Option<f64>,
-    pub load_share: Option<f64>,
-}
-
 #[derive(Debug, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Record {
--- /dev/null
+++ b/crates/coveroute-node/src/book.rs
@@ -0,0 +1,101 @@
+//! Book: the record of each invocation that is owed an answer or has a forward out, found by its index or by the
+//! id that it came with. A record ends with the last of both.
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+
+use actix_rt::task::JoinHandle;
+use coveroute::types::{InvId, Tgt};
+use tokio::sync::oneshot;
+
+use crate::relay::Answer;
+use crate::take_in::Job;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Stage {
+    /// Its executor has not answered for it yet.
+    Sending,
+    /// The executor has it.
+    Taken,
+    Ended,
+}
+
+#[derive(Debug)]
+pub struct Forward {
+    pub tgt: Tgt,
+    pub sent: f64,
+    pub stage: Stage,
+    /// The task that sends it; stopped when it is given up before an answer, which closes the connection.
+    pub task: Option<JoinHandle<()>>,
+}
+
+#[derive(Debug)]
+pub struct Record {
+    pub job: Rc<Job>,
+    pub answer: Option<oneshot::Sender<Answer>>,
+    pub end: f64,
+    pub forwards: Vec<Forward>,
+}
+
+impl Record {
+    pub fn out(&self) -> Vec<usize> {
+        let out = |&at: &usize| self.forwards[at].stage != Stage::Ended;
+        (0..self.forwards.len()).filter(out).collect()
+    }
+}
+
+#[derive(Debug, Default)]
+pub struct Book {
+    records: BTreeMap<InvId, Record>,
+    calls: HashMap<Rc<str>, InvId>,
+}
+
+impl Book {
+    pub fn open(&mut self, id: InvId, record: Record) {
+        self.calls.insert(record.job.call.clone(), id);
+        self.records.insert(id, record);
+    }
+
+    pub fn holds(&self, call: &str) -> bool {
+        self.calls.contains_key(call)
+    }
+
+    pub fn get(&mut self, id: InvId) -> Option<&mut Record> {
+        self.records.get_mut(&id)
+    }
+
+    /// Gives the final answer, once; tells whether it was still owed.
+    pub fn answer(&mut self, id: InvId, answer: Answer) -> bool {
+        let owed = self.records.get_mut(&id).and_then(|record| record.answer.take());
+        owed.map(|owed| owed.send(answer)).is_some()
+    }
+
+    /// Ends a forward; the one that ended, unless it had before.
+    pub fn end(&mut self, id: InvId, forward: usize) -> Option<&mut Forward> {
+        let forward = self.records.get_mut(&id)?.forwards.get_mut(forward)?;
+        let stage = std::mem::replace(&mut forward.stage, Stage::Ended);
+        (stage != Stage::Ended).then_some(forward)
+    }
+
+    /// The forward that an executor's word of an invocation speaks of: its last one there. A word of a former
+    /// process's invocation finds none.
+    pub fn find(&self, call: &str, tgt: Tgt) -> Option<(InvId, usize)> {
+        let id = *self.calls.get(call)?;
+        let forwards = &self.records.get(&id)?.forwards;
+        Some((id, forwards.iter().rposition(|forward| forward.tgt == tgt)?))
+    }
+
+    /// Drops the record if nothing is owed and nothing is out any more.
+    pub fn tidy(&mut self, id: InvId) {
+        let done = |record: &Record| record.answer.is_none() && record.out().is_empty();
+        if self.records.get(&id).is_some_and(done) {
+            if let Some(record) = self.records.remove(&id) {
+                self.calls.remove(&record.job.call);
+            }
+        }
+    }
+
+    /// Invocations whose client still waits.
+    pub fn owed(&self) -> usize {
+        self.records.values().filter(|record| record.answer.is_some()).count()
+    }
+}
--- /dev/null
+++ b/crates/coveroute-node/src/clock.rs
@@ -0,0 +1,60 @@
+//! The node's clock and its timers.
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Seconds since 1970, as the list of executors counts them: read once, then moved on by the steady clock, so
+/// that a step of the system's clock moves no deadline.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+    at_start: f64,
+}
+
+impl Clock {
+    pub fn new() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+        Clock { start: Instant::now(), at_start: unix.as_secs_f64() }
+    }
+
+    pub fn now(&self) -> f64 {
+        self.at_start + self.start.elapsed().as_secs_f64()
+    }
+
+    /// The moment on the system's steady clock.
+    pub fn instant(&self, at: f64) -> Instant {
+        self.start + seconds(at - self.at_start)
+    }
+}
+
+/// A duration of so many seconds; none for what is negative or no number.
+pub fn seconds(span: f64) -> Duration {
+    const LONGEST: f64 = 1e8; // Three years: any sum with it still fits a clock.
+    Duration::try_from_secs_f64(span.clamp(0.0, LONGEST)).unwrap_or(Duration::ZERO)
+}
+
+/// What is due when; of the same moment, in the order in which it was set.
+#[derive(Debug)]
+pub struct Timers<T> {
+    due: BTreeMap<(Instant, u64), T>,
+    set: u64,
+}
+
+impl<T> Timers<T> {
+    pub fn new() -> Self {
+        Timers { due: BTreeMap::new(), set: 0 }
+    }
+
+    pub fn set(&mut self, at: Instant, what: T) {
+        self.set += 1;
+        self.due.insert((at, self.set), what);
+    }
+
+    pub fn next(&self) -> Option<Instant> {
+        self.due.keys().next().map(|key| key.0)
+    }
+
+    pub fn pop(&mut self, now: Instant) -> Option<T> {
+        let first = self.due.first_entry().filter(|entry| entry.key().0 <= now)?;
+        Some(first.remove())
+    }
+}
--- /dev/null
+++ b/crates/coveroute-node/src/config.rs
@@ -0,0 +1,104 @@
+//! What the node is told at its start: the platform's variables and the configuration file.
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use coveroute::types::Settings;
+use coveroute_shared::{decode, Names};
+use serde::Deserialize;
+use serde_json::value::RawValue;
+
+use crate::clock::seconds;
+use crate::discovery::Hosts;
+
+pub const PATH: &str = "BALANCER_CONFIG";
+const LISTEN: &str = "BALANCER_LISTEN";
+const DISCOVERY: &str = "BALANCER_DISCOVERY";
+
+#[derive(Deserialize)]
+struct File {
+    listen: Option<String>,
+    discovery: Option<String>,
+    #[serde(default)]
+    seed: String,
+    #[serde(default)]
+    limits: Limits,
+    known: Option<Hosts>,
+    settings: Box<RawValue>,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { sockets: 1024 }
+    }
+}
+
+/// What only a node on sockets reads of the settings, in milliseconds.
+#[derive(Deserialize)]
+struct Sockets {
+    limits: SocketLimits,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct SocketLimits {
+    conn_idle: f64,
+    dial_timeout: f64,
+}
+
+#[derive(Debug)]
+pub struct Config {
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub sockets: usize,
+    pub known: Option<Hosts>,
+    pub settings: Settings,
+    pub names: Names,
+    /// Executors close a connection that has stood idle for so long.
+    pub idle: Duration,
+    /// A connection that takes longer to come up counts as failed.
+    pub dial: Duration,
+}
+
+impl Config {
+    /// Reads the file that is named, else the one that the environment names.
+    pub fn read(path: Option<PathBuf>) -> Result<Self, String> {
+        let path = path.or_else(|| std::env::var_os(PATH).map(PathBuf::from));
+        let path = path.ok_or(format!("no configuration: name a file or set {PATH}"))?;
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+        let told = |name| std::env::var(name).ok();
+        Self::parse(&text, told(LISTEN), told(DISCOVERY)).map_err(|e| format!("{}: {e}", path.display()))
+    }
+
+    fn parse(text: &str, listen: Option<String>, discovery: Option<String>) -> Result<Self, String> {
+        let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
+        let (mut settings, names) = decode(&file.settings)?;
+        let sockets: Sockets =
+            serde_json::from_str(file.settings.get()).map_err(|e| format!("settings: {e}"))?;
+        // On sockets the list has to be watched everywhere, and no address of another node is told.
+        (settings.must_ask, settings.peers) = (true, false);
+        let seed = if file.seed.is_empty() { "0" } else { &file.seed };
+        Ok(Config {
+            listen: address("listen", listen.or(file.listen))?,
+            discovery: address("discovery", discovery.or(file.discovery))?,
+            seed: u64::from_str_radix(seed, 16).map_err(|_| format!("seed {seed} is not hexadecimal"))?,
+            sockets: file.limits.sockets,
+            known: file.known,
+            settings,
+            names,
+            idle: seconds(sockets.limits.conn_idle / 1e3),
+            dial: seconds(sockets.limits.dial_timeout / 1e3),
+        })
+    }
+}
+
+fn address(what: &str, told: Option<String>) -> Result<SocketAddr, String> {
+    let told = told.ok_or(format!("no address for {what}"))?;
+    told.parse().map_err(|_| format!("{what}: {told} is not an address and a port"))
+}
--- /dev/null
+++ b/crates/coveroute-node/src/discovery.rs
@@ -0,0 +1,172 @@
+//! Discovery: follows the list of executors, line by line.
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_rt::task::JoinHandle;
+use actix_rt::time::timeout;
+use awc::{Client, Connector};
+use bytes::BytesMut;
+use coveroute::types::{Entry, List, Standing};
+use coveroute_shared::{Listed, Names, Roster};
+use futures_util::StreamExt;
+use log::{debug, warn};
+use serde::Deserialize;
+use serde_json::value::RawValue;
+
+use crate::driver::{Event, Events};
+use crate::wire;
+
+/// Calls wait in turn there; one that is not begun by then is as good as failed.
+const ANSWER_WITHIN: Duration = Duration::from_secs(5);
+/// A line is due each two seconds: two missing ones are silence.
+const LINE_WITHIN: Duration = Duration::from_secs(5);
+/// The longest line: a whole list of some thousands of executors.
+const LINE_MOST: usize = 2 * 1024 * 1024;
+
+/// A list of executors as discovery words it.
+#[derive(Debug, Default, Deserialize)]
+pub struct Hosts {
+    pub version: u64,
+    #[serde(default)]
+    pub full: bool,
+    servers: Vec<Box<RawValue>>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Host<'a> {
+    #[serde(borrow)]
+    id: std::borrow::Cow<'a, str>,
+    addr: SocketAddr,
+    #[serde(borrow, default)]
+    zone: std::borrow::Cow<'a, str>,
+    #[serde(borrow, default)]
+    kind: std::borrow::Cow<'a, str>,
+    #[serde(default)]
+    cell: i64,
+    state: State,
+    #[serde(default)]
+    started_ms: f64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum State {
+    Up,
+    Draining,
+    Removed,
+}
+
+impl Hosts {
+    /// The entries, numbered, each with the executor's address. One that can't be read is left out and logged:
+    /// it must not cost the others.
+    pub fn entries(&self, roster: &mut Roster, names: &mut Names) -> Vec<(Entry, SocketAddr)> {
+        let mut read = |raw: &RawValue| match serde_json::from_str::<Host>(raw.get()) {
+            Ok(host) => Some((roster.entry(names, &host.listed()), host.addr)),
+            Err(e) => {
+                warn!("entry left out: {e}: {}", raw.get());
+                None
+            }
+        };
+        self.servers.iter().filter_map(|raw| read(raw)).collect()
+    }
+
+    pub fn list(&self, entries: Vec<Entry>) -> List {
+        if self.full {
+            List::Whole(entries)
+        } else {
+            List::Changes(entries)
+        }
+    }
+}
+
+impl Host<'_> {
+    fn listed(&self) -> Listed<'_> {
+        let standing = match self.state {
+            State::Up => Standing::Ready,
+            State::Draining => Standing::Draining,
+            State::Removed => Standing::Gone,
+        };
+        let started = self.started_ms / 1e3;
+        Listed { id: &self.id, zone: &self.zone, kind: &self.kind, cell: self.cell, started, standing }
+    }
+}
+
+/// The watch on changes; one runs at a time.
+pub struct Discovery {
+    client: Client,
+    addr: SocketAddr,
+    events: Events,
+    watch: Option<JoinHandle<()>>,
+}
+
+impl Discovery {
+    pub fn new(addr: SocketAddr, events: Events) -> Self {
+        let connector = Connector::new().timeout(ANSWER_WITHIN);
+        let builder = Client::builder().connector(connector).disable_redirects().disable_timeout();
+        Discovery { client: builder.no_default_headers().finish(), addr, events, watch: None }
+    }
+
+    /// Starts a watch from after `version`; one that still ran is dropped.
+    pub fn follow(&mut self, version: u64) {
+        let (client, events) = (self.client.clone(), self.events.clone());
+        let uri = format!("http://{}{}?stream=1&index={version}", self.addr, wire::HOSTS);
+        let watch = actix_rt::spawn(async move {
+            let ended = watch(&client, &uri, &events).await;
+            debug!("watch ended: {ended}");
+            let _ = events.send(Event::ListLost);
+        });
+        if let Some(old) = self.watch.replace(watch) {
+            old.abort();
+        }
+    }
+}
+
+/// Passes lists on until the watch ends; answers why.
+async fn watch(client: &Client, uri: &str, events: &Events) -> String {
+    let mut answer = match timeout(ANSWER_WITHIN, client.get(uri).send()).await {
+        Err(_) => return "no answer in time".into(),
+        Ok(Err(e)) => return e.to_string(),
+        Ok(Ok(answer)) if answer.status() != 200 => return format!("answered {}", answer.status()),
+        Ok(Ok(answer)) => answer,
+    };
+    let mut lines = Lines::default();
+    loop {
+        match timeout(LINE_WITHIN, answer.next()).await {
+            Err(_) => return "silent".into(),
+            Ok(None) => return "closed".into(),
+            Ok(Some(Err(e))) => return e.to_string(),
+            Ok(Some(Ok(chunk))) => lines.buffer.extend_from_slice(&chunk),
+        }
+        loop {
+            match lines.next() {
+                Ok(None) => break,
+                Ok(Some(hosts)) => drop(events.send(Event::Listed(hosts))),
+                // What it held is unknown: asking anew brings it again.
+                Err(e) => return e,
+            }
+        }
+    }
+}
+
+/// Lines out of chunks that may end anywhere.
+#[derive(Default)]
+struct Lines {
+    buffer: BytesMut,
+}
+
+impl Lines {
+    /// The next list that has come whole; empty lines only show that the watch lives.
+    fn next(&mut self) -> Result<Option<Hosts>, String> {
+        while let Some(end) = self.buffer.iter().position(|&b| b == b'\n') {
+            let line = self.buffer.split_to(end + 1);
+            if line.trim_ascii().is_empty() {
+                continue;
+            }
+            return serde_json::from_slice(&line).map(Some).map_err(|e| format!("a line can't be read: {e}"));
+        }
+        if self.buffer.len() > LINE_MOST {
+            return Err("a line is too long".into());
+        }
+        Ok(None)
+    }
+}
--- /dev/null
+++ b/crates/coveroute-node/src/driver.rs
@@ -0,0 +1,319 @@
+//! The driver: owns the decisions, the clock, the timers and all records. Everything that happens comes to it as
+//! an event; what is decided it carries out in order.
+use std::rc::Rc;
+use std::time::Instant;
+
+use actix_http::StatusCode;
+use coveroute::types::{Input, InvId, List, Outcome, Output, Report, Settled, Standing, Tgt};
+use coveroute_shared::{Names, Roster};
+use log::{debug, error, info};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::admit::admit;
+use crate::book::{Book, Forward, Record, Stage};
+use crate::callbacks::{News, Word};
+use crate::clock::{Clock, Timers};
+use crate::config::Config;
+use crate::discovery::{Discovery, Hosts};
+use crate::executors::{give_up, probe, Links};
+use crate::phase::{Life, Phase, Step};
+use crate::relay::Answer;
+use crate::route::Route;
+use crate::send::{self, Reply};
+use crate::take_in::Job;
+
+pub type Events = mpsc::UnboundedSender<Event>;
+
+pub enum Event {
+    Taken(InvId, Box<Job>, oneshot::Sender<Answer>),
+    /// The client has closed its connection.
+    Left(InvId),
+    Replied(InvId, usize, Reply),
+    News(News),
+    Probed(Tgt, Outcome, Report),
+    Listed(Hosts),
+    ListLost,
+    /// The platform asks the node to stop.
+    Stop,
+}
+
+enum Timer {
+    Decisions(u64),
+    /// An invocation's time is over.
+    End(InvId),
+    Life(Step),
+}
+
+/// From the stop on: until the front has noticed, until all must be answered.
+const QUIET_AFTER: f64 = 0.6;
+const LATE_AFTER: f64 = 3.4;
+
+pub struct Driver {
+    clock: Clock,
+    timers: Timers<Timer>,
+    life: Rc<Life>,
+    route: Route,
+    names: Names,
+    roster: Roster,
+    links: Links,
+    book: Book,
+    discovery: Discovery,
+    /// Of the list of executors that is held.
+    version: u64,
+    reports: bool,
+    events: Events,
+}
+
+impl Driver {
+    pub fn new(config: Config, clock: Clock, life: Rc<Life>, links: Links, events: Events) -> Self {
+        let reports = config.settings.reports != coveroute::types::Reports::Never;
+        let mut driver = Driver {
+            clock,
+            timers: Timers::new(),
+            life,
+            route: Route::new(config.settings, config.seed),
+            names: config.names,
+            roster: Roster::default(),
+            links,
+            book: Book::default(),
+            discovery: Discovery::new(config.discovery, events.clone()),
+            version: 0,
+            reports,
+            events,
+        };
+        driver.listed(config.known.unwrap_or_default(), |_, entries| List::Kept(entries));
+        driver.carry_on();
+        driver
+    }
+
+    /// Runs until the node's life has ended.
+    pub async fn run(mut self, mut events: mpsc::UnboundedReceiver<Event>) {
+        while self.life.phase() != Phase::Ended {
+            let next = self.timers.next().unwrap_or_else(|| Instant::now() + crate::clock::seconds(1.0));
+            tokio::select! {
+                event = events.recv() => event.into_iter().for_each(|event| self.happened(event)),
+                () = tokio::time::sleep_until(next.into()) => {}
+            }
+            while let Some(timer) = self.timers.pop(Instant::now()) {
+                self.due(timer);
+                self.carry_on();
+            }
+            if self.book.owed() == 0 {
+                self.life.step(Step::Idle);
+            }
+        }
+    }
+
+    fn happened(&mut self, event: Event) {
+        match event {
+            Event::Taken(id, job, answer) => self.taken(id, *job, answer),
+            Event::Left(id) => self.left(id),
+            Event::Replied(id, forward, reply) => self.replied(id, forward, reply),
+            Event::News(news) => self.news(news),
+            Event::Probed(tgt, outcome, report) => self.route.push(Input::Probed { tgt, outcome, report }),
+            Event::Listed(hosts) => self.listed(hosts, Hosts::list),
+            Event::ListLost => self.route.push(Input::List(List::Lost)),
+            Event::Stop => self.stop(),
+        }
+        self.carry_on();
+    }
+
+    fn due(&mut self, timer: Timer) {
+        match timer {
+            Timer::Decisions(timer) => self.route.push(Input::Timer(timer)),
+            Timer::End(id) => self.over(id),
+            Timer::Life(step) => drop(self.life.step(step)),
+        }
+    }
+
+    /// Decides and carries out until nothing is left to decide on.
+    fn carry_on(&mut self) {
+        while let Some(out) = self.route.next(self.clock.now()) {
+            out.into_iter().for_each(|output| self.carry_out(output));
+        }
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        match output {
+            Output::Forward { id, tgt } => self.forward(id, tgt),
+            Output::Withdraw { id, forward } => self.withdraw(id, forward),
+            Output::Throttle { id, pause } => self.answer(id, Answer::Throttled { pause }),
+            Output::Error { id } => self.answer(id, Answer::Errored),
+            Output::Wake { after, timer } => {
+                let at = self.clock.instant(self.clock.now() + after);
+                self.timers.set(at, Timer::Decisions(timer));
+            }
+            Output::Probe(tgt) => self.probe(tgt),
+            Output::Release(tgt) => self.links.release(tgt),
+            // No node is told another's address.
+            Output::Tell { .. } => {}
+            Output::Follow => self.discovery.follow(self.version),
+            Output::Log(words) => info!("{words}"),
+        }
+    }
+
+    fn taken(&mut self, id: InvId, job: Job, answer: oneshot::Sender<Answer>) {
+        if self.book.holds(&job.call) {
+            drop(answer.send(Answer::Unfit(StatusCode::CONFLICT, "this call is already being served")));
+            return;
+        }
+        let now = self.clock.now();
+        let submission = match admit(id, &job, &self.names, now) {
+            Ok(submission) => submission,
+            Err(unfit) => return drop(answer.send(unfit)),
+        };
+        let end = now + submission.timeout;
+        self.timers.set(self.clock.instant(end), Timer::End(id));
+        let record = Record { job: Rc::new(job), answer: Some(answer), end, forwards: Vec::new() };
+        self.book.open(id, record);
+        self.route.push(Input::Submitted(submission));
+    }
+
+    fn answer(&mut self, id: InvId, answer: Answer) {
+        self.book.answer(id, answer);
+        self.book.tidy(id);
+    }
+
+    fn left(&mut self, id: InvId) {
+        if self.book.answer(id, Answer::Errored) {
+            self.route.push(Input::Expired(id));
+        }
+        self.book.tidy(id);
+    }
+
+    /// The client's time is over: what is still out ends as timed out, and the decisions answer.
+    fn over(&mut self, id: InvId) {
+        let Some(record) = self.book.get(id) else { return };
+        for forward in record.out() {
+            self.drop_forward(id, forward);
+            self.settled(id, forward, Outcome::TimedOut, Report::default());
+        }
+        self.carry_on();
+        // Nobody may be left without an answer, even if the decisions forgot.
+        if self.book.answer(id, Answer::Errored) {
+            error!("invocation {id} was left without an answer");
+            self.route.push(Input::Expired(id));
+        }
+        self.book.tidy(id);
+    }
+
+    fn forward(&mut self, id: InvId, tgt: Tgt) {
+        let sent = self.clock.now();
+        let Some(record) = self.book.get(id) else { return };
+        let at = record.forwards.len();
+        record.forwards.push(Forward { tgt, sent, stage: Stage::Sending, task: None });
+        let (job, left) = (record.job.clone(), record.end - sent);
+        let Some(lease) = self.links.lease(tgt) else {
+            return self.settled(id, at, Outcome::Unreachable, Report::default());
+        };
+        let events = self.events.clone();
+        let task = actix_rt::spawn(async move {
+            let tell = |reply| drop(events.send(Event::Replied(id, at, reply)));
+            send::forward(lease, &job, left, tell).await;
+        });
+        if let Some(record) = self.book.get(id) {
+            record.forwards[at].task = Some(task);
+        }
+    }
+
+    fn replied(&mut self, id: InvId, forward: usize, reply: Reply) {
+        match reply {
+            Reply::Ended(outcome, report) => self.settled(id, forward, outcome, report),
+            Reply::Taken => {
+                let forward = self.book.get(id).and_then(|record| record.forwards.get_mut(forward));
+                // It may have ended already: executors may tell of the end first.
+                if let Some(forward) = forward.filter(|forward| forward.stage == Stage::Sending) {
+                    forward.stage = Stage::Taken;
+                }
+            }
+        }
+    }
+
+    /// Books the end of a forward, once, and tells the decisions.
+    fn settled(&mut self, id: InvId, forward: usize, outcome: Outcome, report: Report) {
+        let Some(ended) = self.book.end(id, forward) else { return };
+        let took = self.clock.now() - ended.sent;
+        let ended = self.book.get(id).is_none_or(|record| record.answer.is_none());
+        self.route.push(Input::Settled(Settled { id, forward, outcome, took, ended, report }));
+        self.book.tidy(id);
+    }
+
+    fn news(&mut self, news: News) {
+        let tgt = self.roster.known(&news.from);
+        let Some((id, forward)) = tgt.and_then(|tgt| self.book.find(&news.call, tgt)) else {
+            return debug!("news of {} from {} is of nothing held", news.call, news.from);
+        };
+        match news.word {
+            Word::Alive => self.route.push(Input::Alive { id, forward }),
+            Word::Ended(outcome) => self.settled(id, forward, outcome, news.report),
+            Word::Succeeded(result) => {
+                let owed = self.book.answer(id, Answer::Succeeded(result));
+                let out =
+                    self.book.get(id).is_some_and(|record| record.forwards[forward].stage != Stage::Ended);
+                if out {
+                    self.settled(id, forward, Outcome::Succeeded, news.report);
+                } else if owed {
+                    // A forward that was given up for lost did it after all.
+                    self.route.push(Input::Expired(id));
+                }
+                self.book.tidy(id);
+            }
+        }
+    }
+
+    /// Stops waiting for a forward: by closing its connection, or by telling the executor that has it.
+    fn drop_forward(&mut self, id: InvId, at: usize) {
+        let Some(record) = self.book.get(id) else { return };
+        let (call, forward) = (record.job.call.clone(), &mut record.forwards[at]);
+        match forward.stage {
+            Stage::Sending => forward.task.take().into_iter().for_each(|task| task.abort()),
+            Stage::Taken => {
+                let patience = self.links.patience();
+                let tgt = forward.tgt;
+                let lease = self.links.lease(tgt);
+                lease.map(|lease| actix_rt::spawn(give_up(lease, call, patience)));
+            }
+            Stage::Ended => {}
+        }
+    }
+
+    fn withdraw(&mut self, id: InvId, forward: usize) {
+        self.drop_forward(id, forward);
+        self.settled(id, forward, Outcome::Cancelled, Report::default());
+    }
+
+    fn probe(&mut self, tgt: Tgt) {
+        let Some(lease) = self.links.lease(tgt) else {
+            let (outcome, report) = (Outcome::Unreachable, Report::default());
+            return self.route.push(Input::Probed { tgt, outcome, report });
+        };
+        let (events, reports, patience) = (self.events.clone(), self.reports, self.links.patience());
+        actix_rt::spawn(async move {
+            let (outcome, report) = probe(lease, reports, patience).await;
+            let _ = events.send(Event::Probed(tgt, outcome, report));
+        });
+    }
+
+    fn listed(&mut self, hosts: Hosts, list: impl FnOnce(&Hosts, Vec<coveroute::types::Entry>) -> List) {
+        self.version = self.version.max(hosts.version);
+        let entries = hosts.entries(&mut self.roster, &mut self.names);
+        for (entry, addr) in &entries {
+            match entry.standing {
+                Standing::Gone => self.links.gone(entry.tgt),
+                Standing::Ready | Standing::Draining => self.links.listed(entry.tgt, *addr),
+            }
+        }
+        if !entries.is_empty() {
+            self.life.step(Step::Ready);
+        }
+        self.route.push(Input::List(list(&hosts, entries.into_iter().map(|entry| entry.0).collect())));
+    }
+
+    fn stop(&mut self) {
+        if self.life.step(Step::Told) {
+            let now = self.clock.now();
+            self.timers.set(self.clock.instant(now + QUIET_AFTER), Timer::Life(Step::Quiet));
+            self.timers.set(self.clock.instant(now + LATE_AFTER), Timer::Life(Step::Late));
+        }
+    }
+}
--- /dev/null
+++ b/crates/coveroute-node/src/executors.rs
@@ -0,0 +1,157 @@
+//! Connections to executors: one awc client each, so that those of one can be closed without the others', and a
+//! bound on all together. awc itself neither resends nor queues here: it is given no limit of its own.
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_rt::time::timeout;
+use awc::{Client, Connector};
+use coveroute::types::{Outcome, Report, Tgt};
+use log::debug;
+
+use crate::send;
+use crate::wire;
+
+/// The longest that a connection is kept: executors may live for months.
+const LIFETIME: Duration = Duration::from_secs(100_000_000);
+/// Of the idle time after which executors close: the rest covers the way there, so that nothing is written to a
+/// connection that is being closed.
+const IDLE_SHARE: f64 = 0.8;
+
+struct Link {
+    addr: SocketAddr,
+    client: Client,
+    lent: Rc<Cell<usize>>,
+    /// The most ever lent at once: awc keeps no more open.
+    peak: usize,
+}
+
+/// The right to use one connection to an executor.
+pub struct Lease {
+    client: Client,
+    addr: SocketAddr,
+    lent: Rc<Cell<usize>>,
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        self.lent.set(self.lent.get() - 1);
+    }
+}
+
+impl Lease {
+    pub fn client(&self) -> &Client {
+        &self.client
+    }
+
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+}
+
+pub struct Links {
+    links: Vec<Option<Link>>,
+    most: usize,
+    dial: Duration,
+    idle: Duration,
+}
+
+impl Links {
+    pub fn new(most: usize, dial: Duration, idle: Duration) -> Self {
+        Links { links: Vec::new(), most, dial, idle: idle.mul_f64(IDLE_SHARE) }
+    }
+
+    fn client(&self) -> Client {
+        let connector = Connector::new().limit(0).timeout(self.dial);
+        let connector = connector.conn_keep_alive(self.idle).conn_lifetime(LIFETIME);
+        let builder = Client::builder().connector(connector).disable_redirects().disable_timeout();
+        builder.no_default_headers().finish()
+    }
+
+    /// Where the executor listens; at a new address nothing of the old connections is kept.
+    pub fn listed(&mut self, tgt: Tgt, addr: SocketAddr) {
+        if self.links.len() <= tgt {
+            self.links.resize_with(tgt + 1, || None);
+        }
+        if self.links[tgt].as_ref().is_none_or(|link| link.addr != addr) {
+            let link = Link { addr, client: self.client(), lent: Rc::default(), peak: 0 };
+            self.links[tgt] = Some(link);
+        }
+    }
+
+    pub fn gone(&mut self, tgt: Tgt) {
+        self.links.iter_mut().skip(tgt).take(1).for_each(|link| *link = None);
+    }
+
+    /// A connection to the executor, if it has an address and the bound allows one.
+    pub fn lease(&mut self, tgt: Tgt) -> Option<Lease> {
+        let link = self.links.get(tgt)?.as_ref()?;
+        if link.lent.get() >= link.peak {
+            if !self.has_room(tgt) {
+                debug!("no descriptor left for executor {tgt}");
+                return None;
+            }
+            self.links[tgt].as_mut()?.peak += 1;
+        }
+        let link = self.links[tgt].as_ref()?;
+        link.lent.set(link.lent.get() + 1);
+        Some(Lease { client: link.client.clone(), addr: link.addr, lent: link.lent.clone() })
+    }
+
+    /// Makes room for one more connection, by closing the idle ones of another executor where it must.
+    fn has_room(&mut self, tgt: Tgt) -> bool {
+        let open = |links: &Vec<Option<Link>>| links.iter().flatten().map(|link| link.peak).sum::<usize>();
+        if open(&self.links) >= self.most {
+            let idle = |link: &Link| link.lent.get() == 0 && link.peak > 0;
+            let spare =
+                (0..self.links.len()).filter(|&i| i != tgt && self.links[i].as_ref().is_some_and(idle));
+            if let Some(spare) = spare.max_by_key(|&i| self.links[i].as_ref().map(|link| link.peak)) {
+                self.release(spare);
+            }
+        }
+        open(&self.links) < self.most
+    }
+
+    /// Closes the idle connections to the executor.
+    pub fn release(&mut self, tgt: Tgt) {
+        let client = self.client();
+        let link = self.links.get_mut(tgt).and_then(Option::as_mut).filter(|link| link.lent.get() == 0);
+        if let Some(link) = link {
+            (link.client, link.peak) = (client, 0);
+        }
+    }
+
+    /// How long a probe, or telling an executor to give up, may take: as long as a connection.
+    pub fn patience(&self) -> Duration {
+        2 * self.dial
+    }
+}
+
+/// Asks an executor whether it serves, and for its load where it reports that.
+pub async fn probe(lease: Lease, reports: bool, patience: Duration) -> (Outcome, Report) {
+    let path = if reports { wire::LOAD } else { wire::ALIVE };
+    let ask = async {
+        let mut answer = lease.client().get(format!("http://{}{path}", lease.addr())).send().await?;
+        let body = answer.body().limit(wire::BODY_MOST).await.unwrap_or_default();
+        Ok((answer.status().as_u16(), body))
+    };
+    match timeout(patience, ask).await {
+        Err(_) => (Outcome::TimedOut, Report::default()),
+        Ok(Err(e)) => (send::broken(&e), Report::default()),
+        Ok(Ok((200, body))) => (Outcome::Succeeded, send::report(&body)),
+        Ok(Ok((503, body))) => (Outcome::Full, send::report(&body)),
+        Ok(Ok(_)) => (Outcome::Errored, Report::default()),
+    }
+}
+
+/// Tells an executor to give up a job that it has taken; whatever it answers, the forward has ended for us.
+pub async fn give_up(lease: Lease, call: Rc<str>, patience: Duration) {
+    let uri = format!("http://{}{}/{call}", lease.addr(), wire::JOBS);
+    let tell = async {
+        if let Ok(mut answer) = lease.client().delete(uri).send().await {
+            let _ = answer.body().limit(wire::BODY_MOST).await;
+        }
+    };
+    let _ = timeout(patience, tell).await;
+}
--- /dev/null
+++ b/crates/coveroute-node/src/main.rs
@@ -0,0 +1,144 @@
+//! coveroute, the node on sockets: takes invocations from clients and pushes them to executors. The decisions
+//! stand in the library `coveroute`; this program carries them out.
+mod admit;
+mod book;
+mod callbacks;
+mod clock;
+mod config;
+mod discovery;
+mod driver;
+mod executors;
+mod logger;
+mod phase;
+mod relay;
+mod route;
+mod send;
+mod server;
+mod take_in;
+mod wire;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use actix_rt::net::TcpListener;
+use log::{error, info, LevelFilter};
+use pico_args::Arguments;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::mpsc;
+
+use clock::Clock;
+use config::Config;
+use driver::{Driver, Event, Events};
+use executors::Links;
+use phase::Life;
+use server::Door;
+
+const USAGE: &str = "\
+coveroute: takes invocations from clients and pushes them to executors
+
+usage: coveroute serve [--config FILE] [--log LEVEL]   run a node until it is asked to stop
+       coveroute check [--config FILE]                 read the configuration, say whether it is fit
+       coveroute version
+       coveroute help
+
+--config FILE   default: what BALANCER_CONFIG names; BALANCER_LISTEN and BALANCER_DISCOVERY go before the file
+--log LEVEL     off, error, warn, info (default), debug or trace";
+
+enum Command {
+    Serve(Option<PathBuf>, LevelFilter),
+    Check(Option<PathBuf>),
+    Version,
+    Help,
+}
+
+fn command(mut arguments: Arguments) -> Result<Command, String> {
+    let told = |e: pico_args::Error| e.to_string();
+    let name = arguments.subcommand().map_err(told)?;
+    let help = arguments.contains(["-h", "--help"]);
+    let command = match name.as_deref() {
+        _ if help => Command::Help,
+        Some("serve") => {
+            let level = arguments.opt_value_from_str("--log").map_err(told)?;
+            let config = arguments.opt_value_from_str("--config").map_err(told)?;
+            Command::Serve(config, level.unwrap_or(LevelFilter::Info))
+        }
+        Some("check") => Command::Check(arguments.opt_value_from_str("--config").map_err(told)?),
+        Some("version") => Command::Version,
+        Some("help") => Command::Help,
+        Some(other) => return Err(format!("no command {other}; see coveroute help")),
+        None => return Err("no command; see coveroute help".into()),
+    };
+    let rest = arguments.finish();
+    match rest.first().filter(|_| !help) {
+        Some(rest) => Err(format!("{} is not understood; see coveroute help", rest.to_string_lossy())),
+        None => Ok(command),
+    }
+}
+
+fn run(command: Command) -> Result<(), String> {
+    match command {
+        Command::Help => println!("{USAGE}"),
+        Command::Version => println!("coveroute {}", env!("CARGO_PKG_VERSION")),
+        Command::Check(path) => {
+            let config = Config::read(path)?;
+            let (operations, nodes) = (config.settings.operations.len(), config.settings.nodes);
+            println!("fit: {operations} operations, {nodes} nodes, listens on {}", config.listen);
+        }
+        Command::Serve(path, level) => {
+            logger::start(level);
+            let config = Config::read(path)?;
+            actix_rt::System::new().block_on(serve(config))?;
+        }
+    }
+    Ok(())
+}
+
+/// Parts of the descriptors that the node may hold: to executors and, for the rest, from clients. What is left
+/// covers the list of executors, what is being closed, and the process's own.
+fn budget(sockets: usize) -> (usize, usize) {
+    let own = 24;
+    let rest = sockets.saturating_sub(own);
+    (rest / 4, rest * 5 / 8)
+}
+
+async fn serve(config: Config) -> Result<(), String> {
+    let clock = Clock::new();
+    let listener = TcpListener::bind(config.listen).await.map_err(|e| format!("{}: {e}", config.listen))?;
+    info!("listens on {}", config.listen);
+    let (life, (events, happens)) = (Rc::new(Life::new()), mpsc::unbounded_channel());
+    let (executors, clients) = budget(config.sockets);
+    let links = Links::new(executors, config.dial, config.idle);
+    let door = Rc::new(Door::new(clock, life.clone(), events.clone(), clients));
+    let driver = Driver::new(config, clock, life, links, events.clone());
+    let stop = stop(events)?;
+    actix_rt::spawn(stop);
+    actix_rt::spawn(server::accept(listener, door.clone()));
+    actix_rt::spawn(server::sweep(door));
+    driver.run(happens).await;
+    info!("stopped");
+    Ok(())
+}
+
+/// Passes the platform's wish to stop on.
+fn stop(events: Events) -> Result<impl std::future::Future<Output = ()>, String> {
+    let mut term = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
+    let mut int = signal(SignalKind::interrupt()).map_err(|e| e.to_string())?;
+    Ok(async move {
+        loop {
+            tokio::select! { _ = term.recv() => {}, _ = int.recv() => {} }
+            let _ = events.send(Event::Stop);
+        }
+    })
+}
+
+fn main() -> ExitCode {
+    match command(Arguments::from_env()).and_then(run) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(words) => {
+            error!("{words}");
+            eprintln!("coveroute: {words}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/coveroute-node/src/phase.rs
@@ -0,0 +1,69 @@
+//! The node's life from start to exit.
+use std::cell::Cell;
+
+use log::info;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Phase {
+    /// Not yet able to serve.
+    Starting,
+    Serving,
+    /// Told to stop: takes what still comes, and closes each connection with its answer.
+    Leaving,
+    /// No more is expected: closes connections that stand idle, finishes the rest.
+    Closing,
+    Ended,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Step {
+    /// Executors are known.
+    Ready,
+    /// Asked to stop.
+    Told,
+    /// The front has had time to notice.
+    Quiet,
+    /// Nothing is owed any more.
+    Idle,
+    /// The time for stopping is over.
+    Late,
+}
+
+const TABLE: [(Phase, Step, Phase); 7] = [
+    (Phase::Starting, Step::Ready, Phase::Serving),
+    (Phase::Starting, Step::Told, Phase::Leaving),
+    (Phase::Serving, Step::Told, Phase::Leaving),
+    (Phase::Leaving, Step::Quiet, Phase::Closing),
+    (Phase::Leaving, Step::Late, Phase::Ended),
+    (Phase::Closing, Step::Idle, Phase::Ended),
+    (Phase::Closing, Step::Late, Phase::Ended),
+];
+
+/// The one object that knows where the node stands; all units read it, the driver moves it on.
+#[derive(Debug)]
+pub struct Life(Cell<Phase>);
+
+impl Life {
+    pub fn new() -> Self {
+        Life(Cell::new(Phase::Starting))
+    }
+
+    pub fn phase(&self) -> Phase {
+        self.0.get()
+    }
+
+    /// Takes the step where the table knows it from here; tells whether it did.
+    pub fn step(&self, step: Step) -> bool {
+        let row = TABLE.iter().find(|row| row.0 == self.phase() && row.1 == step);
+        if let Some(row) = row {
+            info!("{:?} -> {:?}", row.0, row.2);
+            self.0.set(row.2);
+        }
+        row.is_some()
+    }
+
+    /// Whether a connection may be used again after the answer.
+    pub fn keeps_connections(&self) -> bool {
+        matches!(self.phase(), Phase::Starting | Phase::Serving)
+    }
+}
--- /dev/null
+++ b/crates/coveroute-node/src/relay.rs
@@ -0,0 +1,35 @@
+//! Relay: an invocation's final answer, as the client gets it.
+use actix_http::body::BoxBody;
+use actix_http::header::{HeaderValue, RETRY_AFTER};
+use actix_http::{Response, StatusCode};
+use bytes::Bytes;
+
+#[derive(Debug, PartialEq)]
+pub enum Answer {
+    /// What an executor made, as it came.
+    Succeeded(Bytes),
+    /// Trying again is harmless, best after `pause` seconds.
+    Throttled { pause: f64 },
+    /// It may have run.
+    Errored,
+    /// Never taken, and wrong in itself.
+    Unfit(StatusCode, &'static str),
+}
+
+impl Answer {
+    pub fn response(self, keep: bool) -> Response<BoxBody> {
+        let (status, body, pause) = match self {
+            Answer::Succeeded(result) => (StatusCode::OK, result, 0.0),
+            Answer::Throttled { pause } => (StatusCode::SERVICE_UNAVAILABLE, "try again\n".into(), pause),
+            Answer::Errored => (StatusCode::INTERNAL_SERVER_ERROR, "failed\n".into(), 0.0),
+            Answer::Unfit(status, words) => (status, format!("{words}\n").into(), 0.0),
+        };
+        let mut response = Response::with_body(status, body).map_into_boxed_body();
+        let after = HeaderValue::from_str(&format!("{pause:.3}")).ok().filter(|_| pause > 0.0);
+        after.map(|after| response.headers_mut().insert(RETRY_AFTER, after));
+        if !keep {
+            response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/coveroute-node/src/send.rs
@@ -0,0 +1,100 @@
+//! Send: one forward of an invocation to an executor, and what its connection tells of it.
+use std::time::Duration;
+
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
+use actix_http::{header, Uri};
+use actix_rt::time::timeout;
+use awc::error::{ConnectError, SendRequestError};
+use coveroute::types::{Outcome, Report};
+use coveroute_shared::Gauge;
+use log::{debug, warn};
+
+use crate::executors::Lease;
+use crate::take_in::Job;
+use crate::wire;
+
+/// The rest of an answer whose head has told all; a connection that takes longer is not worth keeping.
+const REST_WITHIN: Duration = Duration::from_secs(1);
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Reply {
+    /// The executor has the job, and will tell what becomes of it.
+    Taken,
+    Ended(Outcome, Report),
+}
+
+/// Sends the job as it came; `left` is how long the node will wait. Tells the reply as soon as it is known.
+pub async fn forward(lease: Lease, job: &Job, left: f64, tell: impl FnOnce(Reply)) {
+    let uri = Uri::builder().scheme("http").authority(lease.addr().to_string());
+    let Ok(uri) = uri.path_and_query(job.target.clone()).build() else {
+        // Can't be: both parts were read as such before.
+        return tell(Reply::Ended(Outcome::Unreachable, Report::default()));
+    };
+    let mut request = lease.client().request(job.method.clone(), uri);
+    *request.headers_mut() = headers(&job.headers, left);
+    match request.send_body(job.body.clone()).await {
+        Err(e) => {
+            debug!("{}: {e}", lease.addr());
+            tell(Reply::Ended(broken(&e), Report::default()));
+        }
+        Ok(mut answer) => {
+            tell(reply(answer.status().as_u16(), answer.headers()));
+            let _ = timeout(REST_WITHIN, answer.body().limit(wire::BODY_MOST)).await;
+        }
+    }
+}
+
+/// All that the client sent, but for what holds for its own connection only and for the time left.
+fn headers(came: &HeaderMap, left: f64) -> HeaderMap {
+    const OWN: [HeaderName; 10] = [
+        header::CONNECTION,
+        header::CONTENT_LENGTH,
+        header::EXPECT,
+        header::HOST,
+        header::PROXY_AUTHENTICATE,
+        header::PROXY_AUTHORIZATION,
+        header::TE,
+        header::TRAILER,
+        header::TRANSFER_ENCODING,
+        header::UPGRADE,
+    ];
+    let mut headers = HeaderMap::with_capacity(came.len());
+    let kept = came.iter().filter(|(name, _)| !OWN.contains(name) && name.as_str() != "keep-alive");
+    kept.for_each(|(name, value)| headers.append(name.clone(), value.clone()));
+    let left = HeaderValue::from((left.max(0.0) * 1e3) as u64);
+    headers.insert(HeaderName::from_static(wire::BUDGET_MS), left);
+    headers
+}
+
+fn reply(status: u16, headers: &HeaderMap) -> Reply {
+    let rejected = headers.get(wire::REJECTED).is_some_and(|value| value == "1");
+    let outcome = match (status, rejected) {
+        (202, _) => return Reply::Taken,
+        // Only its own word proves that it never ran.
+        (503 | 504, true) => Outcome::Full,
+        (500, _) => Outcome::Errored,
+        _ => {
+            warn!("an executor answered {status} to a job");
+            Outcome::Errored
+        }
+    };
+    let load = headers.get(wire::LOAD_REPORT).map_or(&b""[..], |value| value.as_bytes());
+    Reply::Ended(outcome, report(load))
+}
+
+/// A load report; none where it can't be read.
+pub fn report(text: &[u8]) -> Report {
+    serde_json::from_slice::<Gauge>(text).unwrap_or_default().into()
+}
+
+/// What a broken exchange proves. awc tells a connection that ended without an answer in the same words as one
+/// that never came up, but for `Disconnected`; an error in writing means that the last byte never left.
+pub fn broken(error: &SendRequestError) -> Outcome {
+    match error {
+        SendRequestError::Connect(ConnectError::Disconnected) => Outcome::Reset,
+        SendRequestError::Connect(_) | SendRequestError::Send(_) | SendRequestError::Url(_) => {
+            Outcome::Unreachable
+        }
+        _ => Outcome::Reset,
+    }
+}
--- /dev/null
+++ b/crates/coveroute-node/src/take_in.rs
@@ -0,0 +1,99 @@
+//! Take in: a client's request becomes a job, its bytes kept as they came and only what decisions need decoded.
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::header::HeaderMap;
+use actix_http::uri::PathAndQuery;
+use actix_http::{HttpMessage, Method, Payload, Request, StatusCode};
+use actix_rt::time::timeout;
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+
+use crate::relay::Answer;
+use crate::wire;
+
+/// The most that the headers of a request may hold: they are kept as long as the job is.
+const HEADERS_MOST: usize = 16 * 1024;
+/// The rest of a request, once its head has come.
+const BODY_WITHIN: Duration = Duration::from_secs(10);
+
+#[derive(Debug)]
+pub struct Job {
+    pub call: Rc<str>,
+    pub class: String,
+    pub caller: Option<String>,
+    /// How long the client will wait, in seconds, counted from `came`.
+    pub budget: f64,
+    pub hint: Option<f64>,
+    pub memory: Option<f64>,
+    pub came: f64,
+    pub method: Method,
+    pub target: PathAndQuery,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+/// Reads the whole request; `came` is when its head had come.
+pub async fn job(mut request: Request, came: f64) -> Result<Job, Answer> {
+    let unfit = |words| Answer::Unfit(StatusCode::BAD_REQUEST, words);
+    if request.method() != Method::POST {
+        return Err(Answer::Unfit(StatusCode::METHOD_NOT_ALLOWED, "jobs come by POST"));
+    }
+    let size: usize = request.headers().iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
+    if size > HEADERS_MOST {
+        return Err(Answer::Unfit(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "too many headers"));
+    }
+    let payload = request.take_payload();
+    let body = body(payload).await?;
+    let (head, _) = request.into_parts();
+    let headers = head.headers.clone();
+    let text = |name| headers.get(name).and_then(|value| value.to_str().ok()).map(str::trim);
+    let number = |name| text(name).and_then(|value| value.parse::<f64>().ok());
+    let call = text(wire::CALL_ID).filter(|call| is_id(call)).ok_or(unfit("no fit X-Call-Id"))?;
+    let budget = number(wire::BUDGET_MS).filter(|ms| ms.is_finite() && *ms > 0.0);
+    let target = head.uri.path_and_query().cloned().unwrap_or(PathAndQuery::from_static("/"));
+    let class = text(wire::CALL_CLASS).unwrap_or(target.path().split('/').nth(1).unwrap_or_default());
+    Ok(Job {
+        call: call.into(),
+        class: class.to_owned(),
+        caller: text(wire::CALLER).map(str::to_owned),
+        budget: budget.ok_or(unfit("no fit X-Budget-Ms"))? / 1e3,
+        hint: number(wire::CALL_COST).map(|us| us / 1e6),
+        memory: text(wire::CALL_INFO).and_then(|info| figure(info, "memory")),
+        came,
+        method: head.method.clone(),
+        target,
+        body,
+        headers,
+    })
+}
+
+/// Reads a body up to the most that one may hold.
+pub async fn body(mut payload: Payload) -> Result<Bytes, Answer> {
+    let read = async {
+        let mut body = BytesMut::new();
+        while let Some(chunk) = payload.next().await {
+            let chunk = chunk.map_err(|_| Answer::Unfit(StatusCode::BAD_REQUEST, "the body broke off"))?;
+            if body.len() + chunk.len() > wire::BODY_MOST {
+                return Err(Answer::Unfit(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(body.freeze())
+    };
+    let late = Answer::Unfit(StatusCode::REQUEST_TIMEOUT, "the body did not come in time");
+    timeout(BODY_WITHIN, read).await.unwrap_or(Err(late))
+}
+
+/// An id that can stand in a path as it is: it does, where a forward is given up.
+fn is_id(call: &str) -> bool {
+    const MOST: usize = 128;
+    let plain = |b: u8| b.is_ascii_alphanumeric() || b"-._~".contains(&b);
+    (1..=MOST).contains(&call.len()) && call.bytes().all(plain) && !call.bytes().all(|b| b == b'.')
+}
+
+/// One of the figures in `name=value,name=value`.
+fn figure(info: &str, name: &str) -> Option<f64> {
+    let pairs = info.split(',').filter_map(|pair| pair.split_once('='));
+    pairs.into_iter().find(|pair| pair.0.trim() == name)?.1.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/coveroute-node/src/wire.rs
@@ -0,0 +1,19 @@
+//! The words of this protocol: paths and header names.
+pub const UP: &str = "/up";
+pub const NEWS: &str = "/_jobs/news";
+pub const ALIVE: &str = "/alive";
+pub const LOAD: &str = "/metrics/load";
+pub const JOBS: &str = "/jobs";
+pub const HOSTS: &str = "/discovery/hosts";
+
+pub const CALL_ID: &str = "x-call-id";
+pub const CALL_CLASS: &str = "x-call-class";
+pub const CALLER: &str = "x-caller";
+pub const BUDGET_MS: &str = "x-budget-ms";
+pub const CALL_COST: &str = "x-call-cost";
+pub const CALL_INFO: &str = "x-call-info";
+pub const LOAD_REPORT: &str = "x-load-report";
+pub const REJECTED: &str = "x-rejected";
+
+/// The most that a body may hold, either way.
+pub const BODY_MOST: usize = 64 * 1024;
--- a/crates/coveroute-drill/src/settings.rs
+++ b/crates/coveroute-shared/src/settings.rs
@@ -1,9 +1,12 @@
-//! Reads `info` once at an instance's start: the wire's words and milliseconds become ours and seconds.
+//! Reads the settings object once at an instance's start: its words and milliseconds become ours and seconds.
 use coveroute::types::{Cold, Effect, Group, Operation, Reports, Settings};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
+use crate::position;
+
 /// The names that the settings number; one that turns up later gets the next number.
+#[derive(Debug)]
 pub struct Names {
     pub operations: Vec<String>,
     pub tenants: Vec<String>,
@@ -145,10 +148,10 @@
 }
 
 pub fn decode(info: &RawValue) -> Result<(Settings, Names), String> {
-    let mut info: Info = serde_json::from_str(info.get()).map_err(|e| format!("info: {e}"))?;
+    let mut info: Info = serde_json::from_str(info.get()).map_err(|e| format!("settings: {e}"))?;
     let numbered = info.categories.iter().enumerate();
     let operations = numbered.map(|(at, c)| operation(at, c, &info.family_info)).collect::<Result<_, _>>()?;
-    let zone = crate::position(&mut info.zones, &info.zone);
+    let zone = position(&mut info.zones, &info.zone);
     let settings = Settings {
         me: info.me,
         nodes: info.replicas_of_me,
