A stop gives back what it can't finish; crowding is answered; silent takers are given up

Seen: at SIGTERM what was still out after the platform's wait would have been lost, as jobs run for up to 25 s and the kill comes 3.7 s after the signal. The module is now told when the node leaves: what usually takes longer and was never sent is given back at once, the rest is answered in time. No answer is cut: the node ends when no request is in hand.

--- a/crates/coveroute-drill/src/main.rs
+++ b/crates/coveroute-drill/src/main.rs
@@ -144,7 +144,8 @@
     }
 }
 
-/// Reads a message between nodes: a letter for its sense, six hex digits of an executor's mark, two of a count.
+/// Reads a message between nodes: a letter for its sense, six hex digits of an executor's mark, two of a
+/// count.
 fn message(text: &str) -> Option<(Told, u32, u8)> {
     let told = match text.as_bytes().first()? {
         b'h' => Told::Held,
--- a/crates/coveroute-node/src/book.rs
+++ b/crates/coveroute-node/src/book.rs
@@ -1,5 +1,5 @@
-//! Book: the record of each invocation that is owed an answer or has a forward out, found by its index or by the
-//! id that it came with. A record ends with the last of both.
+//! Book: the record of each invocation that is owed an answer or has a forward out, found by its index or by
+//! the id that it came with. A record ends with the last of both.
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
@@ -94,8 +94,9 @@
         }
     }
 
-    /// Invocations whose client still waits.
-    pub fn owed(&self) -> usize {
-        self.records.values().filter(|record| record.answer.is_some()).count()
+    /// Brings the end of all that would end later forward; answers which they are.
+    pub fn cut(&mut self, end: f64) -> Vec<(InvId, f64)> {
+        let later = self.records.iter_mut().filter(|record| record.1.end > end);
+        later.map(|(id, record)| (*id, std::mem::replace(&mut record.end, end).min(end))).collect()
     }
 }
--- a/crates/coveroute-node/src/config.rs
+++ b/crates/coveroute-node/src/config.rs
@@ -42,6 +42,12 @@
 #[derive(Deserialize)]
 struct Sockets {
     limits: SocketLimits,
+    categories: Vec<Category>,
+}
+
+#[derive(Deserialize)]
+struct Category {
+    deadline: f64,
 }
 
 #[derive(Deserialize)]
@@ -64,6 +70,8 @@
     pub idle: Duration,
     /// A connection that takes longer to come up counts as failed.
     pub dial: Duration,
+    /// The longest client timeout of any operation.
+    pub longest: f64,
 }
 
 impl Config {
@@ -94,6 +102,7 @@
             names,
             idle: seconds(sockets.limits.conn_idle / 1e3),
             dial: seconds(sockets.limits.dial_timeout / 1e3),
+            longest: sockets.categories.iter().map(|c| c.deadline / 1e3).fold(0.0, f64::max),
         })
     }
 }
--- a/crates/coveroute-node/src/discovery.rs
+++ b/crates/coveroute-node/src/discovery.rs
@@ -57,8 +57,8 @@
 }
 
 impl Hosts {
-    /// The entries, numbered, each with the executor's address. One that can't be read is left out and logged:
-    /// it must not cost the others.
+    /// The entries, numbered, each with the executor's address. One that can't be read is left out and
+    /// logged: it must not cost the others.
     pub fn entries(&self, roster: &mut Roster, names: &mut Names) -> Vec<(Entry, SocketAddr)> {
         let mut read = |raw: &RawValue| match serde_json::from_str::<Host>(raw.get()) {
             Ok(host) => Some((roster.entry(names, &host.listed()), host.addr)),
@@ -129,7 +129,7 @@
         Ok(Ok(answer)) if answer.status() != 200 => return format!("answered {}", answer.status()),
         Ok(Ok(answer)) => answer,
     };
-    let mut lines = Lines::default();
+    let (mut lines, mut begun) = (Lines::default(), false);
     loop {
         match timeout(LINE_WITHIN, answer.next()).await {
             Err(_) => return "silent".into(),
@@ -137,6 +137,9 @@
             Ok(Some(Err(e))) => return e.to_string(),
             Ok(Some(Ok(chunk))) => lines.buffer.extend_from_slice(&chunk),
         }
+        if !std::mem::replace(&mut begun, true) {
+            let _ = events.send(Event::Watched);
+        }
         loop {
             match lines.next() {
                 Ok(None) => break,
--- a/crates/coveroute-node/src/driver.rs
+++ b/crates/coveroute-node/src/driver.rs
@@ -1,5 +1,5 @@
-//! The driver: owns the decisions, the clock, the timers and all records. Everything that happens comes to it as
-//! an event; what is decided it carries out in order.
+//! The driver: owns the decisions, the clock, the timers and all records. Everything that happens comes to it
+//! as an event; what is decided it carries out in order.
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -12,7 +12,7 @@
 use crate::admit::admit;
 use crate::book::{Book, Forward, Record, Stage};
 use crate::callbacks::{News, Word};
-use crate::clock::{Clock, Timers};
+use crate::clock::{seconds, Clock, Timers};
 use crate::config::Config;
 use crate::discovery::{Discovery, Hosts};
 use crate::executors::{give_up, probe, Links};
@@ -31,6 +31,8 @@
     Replied(InvId, usize, Reply),
     News(News),
     Probed(Tgt, Outcome, Report),
+    /// The list of executors is followed again, whether or not it has changed.
+    Watched,
     Listed(Hosts),
     ListLost,
     /// The platform asks the node to stop.
@@ -44,9 +46,15 @@
     Life(Step),
 }
 
-/// From the stop on: until the front has noticed, until all must be answered.
+/// From the stop on: new connections come for 0.4 s at most, and some way more.
 const QUIET_AFTER: f64 = 0.6;
-const LATE_AFTER: f64 = 3.4;
+/// The platform waits for the longest client timeout, but no longer than this, and 0.7 s more; then it kills.
+const WAITS_MOST: f64 = 3.0;
+/// Of those 0.7 s: the last answers are given, and then the node ends whatever is left.
+const ANSWERED_AFTER: f64 = 0.2;
+const LATE_AFTER: f64 = 0.45;
+/// How often a node that closes looks whether it may end.
+const LOOK_EVERY: f64 = 0.02;
 
 pub struct Driver {
     clock: Clock,
@@ -60,6 +68,10 @@
     discovery: Discovery,
     /// Of the list of executors that is held.
     version: u64,
+    /// The longest client timeout of any operation.
+    longest: f64,
+    /// By when all must be answered, once the node is to stop.
+    leave_by: f64,
     reports: bool,
     events: Events,
 }
@@ -78,6 +90,8 @@
             book: Book::default(),
             discovery: Discovery::new(config.discovery, events.clone()),
             version: 0,
+            longest: config.longest,
+            leave_by: f64::INFINITY,
             reports,
             events,
         };
@@ -89,16 +103,19 @@
     /// Runs until the node's life has ended.
     pub async fn run(mut self, mut events: mpsc::UnboundedReceiver<Event>) {
         while self.life.phase() != Phase::Ended {
-            let next = self.timers.next().unwrap_or_else(|| Instant::now() + crate::clock::seconds(1.0));
+            let look = Instant::now() + seconds(LOOK_EVERY);
+            let closing = (self.life.phase() == Phase::Closing).then_some(look);
+            let next = self.timers.next().into_iter().chain(closing).min();
             tokio::select! {
                 event = events.recv() => event.into_iter().for_each(|event| self.happened(event)),
-                () = tokio::time::sleep_until(next.into()) => {}
+                () = tokio::time::sleep_until(next.unwrap_or(look).into()) => {}
             }
             while let Some(timer) = self.timers.pop(Instant::now()) {
                 self.due(timer);
                 self.carry_on();
             }
-            if self.book.owed() == 0 {
+            // An answer has left once its request is no longer in hand.
+            if self.life.phase() == Phase::Closing && self.life.idle() {
                 self.life.step(Step::Idle);
             }
         }
@@ -112,6 +129,7 @@
             Event::News(news) => self.news(news),
             Event::Probed(tgt, outcome, report) => self.route.push(Input::Probed { tgt, outcome, report }),
             Event::Listed(hosts) => self.listed(hosts, Hosts::list),
+            Event::Watched => self.route.push(Input::List(List::Changes(Vec::new()))),
             Event::ListLost => self.route.push(Input::List(List::Lost)),
             Event::Stop => self.stop(),
         }
@@ -158,10 +176,11 @@
             return;
         }
         let now = self.clock.now();
-        let submission = match admit(id, &job, &self.names, now) {
+        let mut submission = match admit(id, &job, &self.names, now) {
             Ok(submission) => submission,
             Err(unfit) => return drop(answer.send(unfit)),
         };
+        submission.timeout = submission.timeout.min(self.leave_by - now);
         let end = now + submission.timeout;
         self.timers.set(self.clock.instant(end), Timer::End(id));
         let record = Record { job: Rc::new(job), answer: Some(answer), end, forwards: Vec::new() };
@@ -206,10 +225,10 @@
         let Some(lease) = self.links.lease(tgt) else {
             return self.settled(id, at, Outcome::Unreachable, Report::default());
         };
-        let events = self.events.clone();
+        let (events, within) = (self.events.clone(), self.links.taken_within());
         let task = actix_rt::spawn(async move {
             let tell = |reply| drop(events.send(Event::Replied(id, at, reply)));
-            send::forward(lease, &job, left, tell).await;
+            send::forward(lease, &job, left, within, tell).await;
         });
         if let Some(record) = self.book.get(id) {
             record.forwards[at].task = Some(task);
@@ -223,6 +242,7 @@
                 let forward = self.book.get(id).and_then(|record| record.forwards.get_mut(forward));
                 // It may have ended already: executors may tell of the end first.
                 if let Some(forward) = forward.filter(|forward| forward.stage == Stage::Sending) {
+                    debug!("taken after {:.4}", self.clock.now() - forward.sent);
                     forward.stage = Stage::Taken;
                 }
             }
@@ -233,6 +253,7 @@
     fn settled(&mut self, id: InvId, forward: usize, outcome: Outcome, report: Report) {
         let Some(ended) = self.book.end(id, forward) else { return };
         let took = self.clock.now() - ended.sent;
+        debug!("ended {id} {forward} at {} {outcome:?} {took:.3} {:?} {report:?}", ended.tgt, ended.stage);
         let ended = self.book.get(id).is_none_or(|record| record.answer.is_none());
         self.route.push(Input::Settled(Settled { id, forward, outcome, took, ended, report }));
         self.book.tidy(id);
@@ -310,10 +331,17 @@
     }
 
     fn stop(&mut self) {
-        if self.life.step(Step::Told) {
-            let now = self.clock.now();
-            self.timers.set(self.clock.instant(now + QUIET_AFTER), Timer::Life(Step::Quiet));
-            self.timers.set(self.clock.instant(now + LATE_AFTER), Timer::Life(Step::Late));
+        if !self.life.step(Step::Told) {
+            return;
+        }
+        let now = self.clock.now();
+        let waits = now + self.longest.min(WAITS_MOST);
+        self.leave_by = waits + ANSWERED_AFTER;
+        self.timers.set(self.clock.instant(now + QUIET_AFTER), Timer::Life(Step::Quiet));
+        self.timers.set(self.clock.instant(waits + LATE_AFTER), Timer::Life(Step::Late));
+        for (id, end) in self.book.cut(self.leave_by) {
+            self.timers.set(self.clock.instant(end), Timer::End(id));
         }
+        self.route.push(Input::Leaving(self.leave_by));
     }
 }
--- a/crates/coveroute-node/src/executors.rs
+++ b/crates/coveroute-node/src/executors.rs
@@ -1,5 +1,5 @@
-//! Connections to executors: one awc client each, so that those of one can be closed without the others', and a
-//! bound on all together. awc itself neither resends nor queues here: it is given no limit of its own.
+//! Connections to executors: one awc client each, so that those of one can be closed without the others', and
+//! a bound on all together. awc itself neither resends nor queues here: it is given no limit of its own.
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -15,8 +15,8 @@
 
 /// The longest that a connection is kept: executors may live for months.
 const LIFETIME: Duration = Duration::from_secs(100_000_000);
-/// Of the idle time after which executors close: the rest covers the way there, so that nothing is written to a
-/// connection that is being closed.
+/// Of the idle time after which executors close: the rest covers the way there, so that nothing is written to
+/// a connection that is being closed.
 const IDLE_SHARE: f64 = 0.8;
 
 struct Link {
@@ -122,10 +122,16 @@
         }
     }
 
-    /// How long a probe, or telling an executor to give up, may take: as long as a connection.
+    /// How long a probe, or telling an executor to give up, may take: as long as two connections.
     pub fn patience(&self) -> Duration {
         2 * self.dial
     }
+
+    /// How long an executor may take to say that it has a job. Guards against machines that vanish: they say
+    /// nothing. Ten connections' time: healthy ones, with work waiting, need a fiftieth of that.
+    pub fn taken_within(&self) -> Duration {
+        10 * self.dial
+    }
 }
 
 /// Asks an executor whether it serves, and for its load where it reports that.
--- a/crates/coveroute-node/src/main.rs
+++ b/crates/coveroute-node/src/main.rs
@@ -94,12 +94,10 @@
     Ok(())
 }
 
-/// Parts of the descriptors that the node may hold: to executors and, for the rest, from clients. What is left
-/// covers the list of executors, what is being closed, and the process's own.
-fn budget(sockets: usize) -> (usize, usize) {
-    let own = 24;
-    let rest = sockets.saturating_sub(own);
-    (rest / 4, rest * 5 / 8)
+/// Parts of the descriptors that the node may hold: to executors, from clients, and from clients beyond
+/// those, who are only told to come back. An eighth is left for what is being closed and the process's own.
+fn budget(sockets: usize) -> (usize, (usize, usize)) {
+    (sockets / 4, (sockets / 2, sockets / 8))
 }
 
 async fn serve(config: Config) -> Result<(), String> {
--- a/crates/coveroute-node/src/phase.rs
+++ b/crates/coveroute-node/src/phase.rs
@@ -1,5 +1,6 @@
 //! The node's life from start to exit.
 use std::cell::Cell;
+use std::rc::Rc;
 
 use log::info;
 
@@ -41,15 +42,37 @@
 
 /// The one object that knows where the node stands; all units read it, the driver moves it on.
 #[derive(Debug)]
-pub struct Life(Cell<Phase>);
+pub struct Life {
+    phase: Cell<Phase>,
+    held: Cell<usize>,
+}
+
+/// A request in hand, from its head to its answer.
+pub struct Held(Rc<Life>);
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.0.held.set(self.0.held.get() - 1);
+    }
+}
 
 impl Life {
     pub fn new() -> Self {
-        Life(Cell::new(Phase::Starting))
+        Life { phase: Cell::new(Phase::Starting), held: Cell::new(0) }
     }
 
     pub fn phase(&self) -> Phase {
-        self.0.get()
+        self.phase.get()
+    }
+
+    pub fn hold(self: &Rc<Self>) -> Held {
+        self.held.set(self.held.get() + 1);
+        Held(self.clone())
+    }
+
+    /// Whether no request is in hand.
+    pub fn idle(&self) -> bool {
+        self.held.get() == 0
     }
 
     /// Takes the step where the table knows it from here; tells whether it did.
@@ -57,7 +80,7 @@
         let row = TABLE.iter().find(|row| row.0 == self.phase() && row.1 == step);
         if let Some(row) = row {
             info!("{:?} -> {:?}", row.0, row.2);
-            self.0.set(row.2);
+            self.phase.set(row.2);
         }
         row.is_some()
     }
--- a/crates/coveroute-node/src/send.rs
+++ b/crates/coveroute-node/src/send.rs
@@ -24,7 +24,9 @@
 }
 
 /// Sends the job as it came; `left` is how long the node will wait. Tells the reply as soon as it is known.
-pub async fn forward(lease: Lease, job: &Job, left: f64, tell: impl FnOnce(Reply)) {
+/// An executor that does not say `within` that time that it has the job is given up, by closing the
+/// connection.
+pub async fn forward(lease: Lease, job: &Job, left: f64, within: Duration, tell: impl FnOnce(Reply)) {
     let uri = Uri::builder().scheme("http").authority(lease.addr().to_string());
     let Ok(uri) = uri.path_and_query(job.target.clone()).build() else {
         // Can't be: both parts were read as such before.
@@ -32,12 +34,13 @@
     };
     let mut request = lease.client().request(job.method.clone(), uri);
     *request.headers_mut() = headers(&job.headers, left);
-    match request.send_body(job.body.clone()).await {
-        Err(e) => {
+    match timeout(within, request.send_body(job.body.clone())).await {
+        Err(_) => tell(Reply::Ended(Outcome::TimedOut, Report::default())),
+        Ok(Err(e)) => {
             debug!("{}: {e}", lease.addr());
             tell(Reply::Ended(broken(&e), Report::default()));
         }
-        Ok(mut answer) => {
+        Ok(Ok(mut answer)) => {
             tell(reply(answer.status().as_u16(), answer.headers()));
             let _ = timeout(REST_WITHIN, answer.body().limit(wire::BODY_MOST)).await;
         }
@@ -87,8 +90,8 @@
     serde_json::from_slice::<Gauge>(text).unwrap_or_default().into()
 }
 
-/// What a broken exchange proves. awc tells a connection that ended without an answer in the same words as one
-/// that never came up, but for `Disconnected`; an error in writing means that the last byte never left.
+/// What a broken exchange proves. awc tells a connection that ended without an answer in the same words as
+/// one that never came up, but for `Disconnected`; an error in writing means that the last byte never left.
 pub fn broken(error: &SendRequestError) -> Outcome {
     match error {
         SendRequestError::Connect(ConnectError::Disconnected) => Outcome::Reset,
--- a/crates/coveroute-node/src/server.rs
+++ b/crates/coveroute-node/src/server.rs
@@ -8,7 +8,7 @@
 use actix_http::body::BoxBody;
 use actix_http::{HttpService, KeepAlive, Method, Request, Response, StatusCode};
 use actix_rt::net::{TcpListener, TcpStream};
-use actix_rt::time::sleep;
+use actix_rt::time::{sleep, timeout};
 use actix_service::{fn_service, Service, ServiceFactory};
 use coveroute::types::InvId;
 use log::{debug, warn};
@@ -25,8 +25,12 @@
 /// Where it is closed whether or not others want its place.
 const IDLE_MOST: Duration = Duration::from_secs(120);
 
-/// One accepted connection.
+/// What a client is told that came on a connection beyond the bound.
+const CROWDED: Answer = Answer::Throttled { pause: 1.0 };
+
+/// One accepted connection; `crowded` if it came beyond the bound, and is closed with its first answer.
 struct Guest {
+    crowded: bool,
     busy: Cell<bool>,
     since: Cell<Instant>,
     close: Notify,
@@ -39,15 +43,17 @@
     events: Events,
     next: Cell<InvId>,
     guests: RefCell<BTreeMap<SocketAddr, Rc<Guest>>>,
+    /// Connections that are served, and that come beyond and are only answered.
     most: usize,
+    beyond: usize,
     /// Told when a connection has ended.
     left: Notify,
 }
 
 impl Door {
-    pub fn new(clock: Clock, life: Rc<Life>, events: Events, most: usize) -> Self {
+    pub fn new(clock: Clock, life: Rc<Life>, events: Events, (most, beyond): (usize, usize)) -> Self {
         let guests = RefCell::default();
-        Door { clock, life, events, next: Cell::new(0), guests, most, left: Notify::new() }
+        Door { clock, life, events, next: Cell::new(0), guests, most, beyond, left: Notify::new() }
     }
 
     /// Closes connections that have stood idle for `least`, the longest first, `most` of them.
@@ -59,23 +65,33 @@
         idle.into_iter().take(most).for_each(|guest| guest.close.notify_one());
     }
 
-    /// Waits for a place for one more connection.
+    /// Waits for a place for one more connection. Guards against clients that are connected and never heard:
+    /// the kernel has accepted them, so that what they sent counts as taken.
     async fn place(&self) {
-        while self.guests.borrow().len() >= self.most {
+        let open = || self.guests.borrow().len();
+        if open() >= self.most {
+            self.close_idle(IDLE_AT_LEAST, 1);
+        }
+        while open() >= self.most + self.beyond {
             self.close_idle(IDLE_AT_LEAST, 1);
-            let _ = actix_rt::time::timeout(Duration::from_millis(10), self.left.notified()).await;
+            let _ = timeout(Duration::from_millis(10), self.left.notified()).await;
         }
     }
 
     async fn serve(self: Rc<Self>, request: Request) -> Response<BoxBody> {
         let guest = request.peer_addr().and_then(|peer| self.guests.borrow().get(&peer).cloned());
+        let crowded = guest.as_ref().is_some_and(|guest| guest.crowded);
+        let _held = self.life.hold();
         guest.iter().for_each(|guest| guest.busy.set(true));
-        let answer = self.clone().answer(request).await;
-        guest.iter().for_each(|guest| (guest.since.set(Instant::now()), guest.busy.set(false)).0);
-        answer.response(self.life.keeps_connections())
+        let answer = self.answer(request, crowded).await;
+        guest.iter().for_each(|guest| {
+            guest.since.set(Instant::now());
+            guest.busy.set(false);
+        });
+        answer.response(self.life.keeps_connections() && !crowded)
     }
 
-    async fn answer(self: Rc<Self>, mut request: Request) -> Answer {
+    async fn answer(&self, mut request: Request, crowded: bool) -> Answer {
         let came = self.clock.now();
         match (request.path(), request.method()) {
             (wire::UP, &Method::GET | &Method::HEAD) if self.life.phase() == Phase::Serving => {
@@ -88,6 +104,7 @@
             },
             (wire::NEWS, _) => Answer::Unfit(StatusCode::METHOD_NOT_ALLOWED, "news come by POST"),
             _ => match take_in::job(request, came).await {
+                Ok(_) if crowded => CROWDED,
                 Ok(job) => self.job(job).await,
                 Err(unfit) => unfit,
             },
@@ -173,8 +190,8 @@
     S: Service<(TcpStream, Option<SocketAddr>), Response = ()> + 'static,
     S::Error: std::fmt::Debug,
 {
-    let guest = Guest { busy: Cell::new(false), since: Cell::new(Instant::now()), close: Notify::new() };
-    let guest = Rc::new(guest);
+    let (crowded, since) = (door.guests.borrow().len() >= door.most, Cell::new(Instant::now()));
+    let guest = Rc::new(Guest { crowded, busy: Cell::new(false), since, close: Notify::new() });
     door.guests.borrow_mut().insert(peer, guest.clone());
     let (door, serving) = (door.clone(), service.call((socket, Some(peer))));
     actix_rt::spawn(async move {
--- a/crates/coveroute-node/src/take_in.rs
+++ b/crates/coveroute-node/src/take_in.rs
@@ -1,4 +1,5 @@
-//! Take in: a client's request becomes a job, its bytes kept as they came and only what decisions need decoded.
+//! Take in: a client's request becomes a job, its bytes kept as they came and only what decisions need
+//! decoded.
 use std::rc::Rc;
 use std::time::Duration;
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,6 +1,6 @@
-//! Every decision of a coveroute node. `Node::new(settings, seed)` once, then `handle(now, input, &mut out)` for
-//! each thing that happens, in order; the caller carries out what is put out, in order. Nothing here waits or
-//! reads a clock. Its interface is `types.rs`; docs/design.md tells why it decides as it does.
+//! Every decision of a coveroute node. `Node::new(settings, seed)` once, then `handle(now, input, &mut out)`
+//! for each thing that happens, in order; the caller carries out what is put out, in order. Nothing here
+//! waits or reads a clock. Its interface is `types.rs`; docs/design.md tells why it decides as it does.
 use crate::chance::{sums, Chance};
 use crate::types::*;
 
@@ -50,8 +50,7 @@
     }
 }
 
-/// COOP (paper, section 3): the Nash-bargaining split of phi over executors of rates mu, the slowest left out
-/// while their rate is below the common spare rate c.
+/// COOP (paper, section 3): splits phi over rates mu; the slowest is left out while below the spare rate c.
 pub fn coop(mu: &[f64], phi: f64) -> Vec<f64> {
     let mut order: Vec<usize> = (0..mu.len()).collect();
     order.sort_by(|&a, &b| mu[b].total_cmp(&mu[a]).then(a.cmp(&b)));
@@ -73,8 +72,7 @@
         const TOLD: f64 = 3.0 * 9.0 / 256.0; // Full messages to each node that a forward takes.
         const PROBES: f64 = 3.0; // Probes an invocation that asking takes.
         let nodes = set.nodes.max(set.me + 1);
-        // Nodes tell all others what they hold while that costs less than asking executors, else only the one
-        // node that an executor's mark names, which is asked.
+        // Nodes tell all others what they hold while that costs less than asking, else one node an executor.
         let told = (nodes as f64 - 1.0) * TOLD * set.peer_price;
         let counting = match set.peers {
             false => Counting::Never,
@@ -101,6 +99,7 @@
             Input::Settled(settled) => self.settled(now, settled, out),
             Input::Alive { id, forward } => return self.alive(now, id, forward),
             Input::Expired(id) => self.step(now, id, Turn::Finished, out),
+            Input::Leaving(end) => self.leave(end),
             Input::Timer(SOLVE) => self.tick(now, out),
             Input::Timer(LOOK) => self.review(now, out),
             Input::Timer(_) => out.extend((self.list_lost > 0).then_some(Output::Follow)),
@@ -167,8 +166,7 @@
         const WAIT: f64 = 0.5; // Of what could be spared on the mean: running times vary as much again.
 
         let whole = self.whole();
-        // An operation that the settings don't name may run nobody knows how; a client's last milliseconds (a
-        // late retry) end before anything could be answered. Neither is sent.
+        // Not sent: an operation of unknown effect, and what comes in a client's last milliseconds.
         let op = self.set.operations.get(sub.operation).filter(|_| sub.timeout > BEFORE_END);
         let Some(op) = op else { return out.push(Output::Throttle { id: sub.id, pause: 0.0 }) };
         let class = &mut self.classes[sub.operation];
@@ -200,8 +198,7 @@
         self.queue(now, sub.id);
     }
 
-    /// What serving it now adds to the operators' goal per second of a slot: its part of all billed value,
-    /// and, while its operation is the worst served, that part of the goal too.
+    /// What it adds to the operators' goal per second of a slot: to the whole, and to a worst operation.
     fn press(&self, now: f64, inv: &Inv) -> f64 {
         const BEHIND: f64 = 0.25; // So far behind the best served an operation counts fully as the worst.
         let best = self.classes.iter().map(|c| c.timely).fold(0.0, f64::max);
@@ -276,8 +273,7 @@
             Outcome::Succeeded => Self::succeeded(now, t, &mut self.classes[op], took / hint, out),
             Outcome::Full => (t.refused, t.refusals) = (now, t.refusals + 1),
             Outcome::Cancelled | Outcome::Moot => {}
-            // Nothing listens there: the next would lose the time of a connect as well.
-            Outcome::Unreachable => t.failed(3.0, out),
+            Outcome::Unreachable => t.failed(3.0, out), // The next would lose the time of a connect as well.
             _ => t.failed(1.0, out),
         }
         let (outs, ran, life) = (inv.still_out().count(), inv.anchor().is_some(), inv.life);
@@ -285,7 +281,7 @@
             self.invs.remove(&id);
         }
         self.tell(tgt, out);
-        // Guards against connect failures: hundreds of nodes' idle connections would fill an executor's table.
+        // Guards against connect failures: hundreds of nodes' idle connections fill an executor's table.
         out.extend((self.tgts[tgt].held == 0 && !self.whole()).then_some(Output::Release(tgt)));
         // Full beside reported room: the report speaks of another time than now.
         let late = outcome == Outcome::Full && report.free >= Some(ONE) && report.queue < Some(0.5);
@@ -328,8 +324,7 @@
         match outcome {
             Outcome::Succeeded => return self.report(now, tgt, report),
             Outcome::Full => {}
-            // Half of a failure: a probe waits beside the work and may be late for small reasons.
-            _ => t.failed(0.5, out),
+            _ => t.failed(0.5, out), // Half: a probe waits beside the work and may be late for small reasons.
         }
         (t.refused, t.refusals) = (now, t.refusals.max(1));
     }
@@ -389,8 +384,7 @@
         self.set.probing && self.set.reports != Reports::Never && self.counting != Counting::All
     }
 
-    /// A cold executor takes its budget from nodes in turn, by their number, each turn as long as the span
-    /// the budget counts. A turn spends half, as any span may touch two of them.
+    /// A cold executor takes its budget from nodes in turn. A turn spends half: a span may touch two.
     fn cold_room(&self, now: f64, t: &Executor, load: f64) -> bool {
         let (cold, share) = (&self.set.cold, t.warmth(now, &self.set.cold));
         if share >= 1.0 {
@@ -442,8 +436,7 @@
         !self.asks() || self.rank.len() <= WHOLE
     }
 
-    /// Where to look for room now: the drawn one, then down the shares, the own zone first. In a large fleet
-    /// two drawn ones, and two others once neither has room, each time a little later.
+    /// Where to look: the drawn one, then down the shares, own zone first; in a large fleet two drawn ones.
     fn order(&mut self, now: f64, id: InvId) -> Vec<Tgt> {
         const GAP: f64 = 0.005; // About a round trip at first, doubled each time
         const GAP_MOST: f64 = 0.16; // up to this: some six times in half a second.
@@ -471,7 +464,7 @@
     fn place(&mut self, now: f64, id: InvId, out: &mut Vec<Output>) -> Place {
         const ASKED: usize = 2; // Executors asked for their state at a time.
         let inv = &self.invs[&id];
-        let spent = inv.forwards.len() >= self.set.max_forwards;
+        let spent = inv.forwards.len() >= self.set.max_forwards || self.leaving && now + inv.load > inv.end;
         if spent || (inv.anchor().is_some() && !self.tgts.iter().any(|t| self.may_go(now, inv, t))) {
             return Place::Never;
         }
@@ -536,12 +529,19 @@
         }
     }
 
+    /// Guards against answers cut off at a stop: all is answered by `end`, and what is not sent yet and
+    /// usually takes longer is given back (see `place`), for clients to try elsewhere at once.
+    fn leave(&mut self, end: f64) {
+        (self.leaving, self.set.max_pause) = (true, 0.0);
+        self.invs.values_mut().for_each(|inv| inv.end = inv.end.min(end));
+    }
+
     /// Puts back what is late now, and gives up what has waited for as long as that can pay.
     fn review(&mut self, now: f64, out: &mut Vec<Output>) {
         self.looking = false;
         for id in std::mem::take(&mut self.waiting) {
             let inv = &self.invs[&id];
-            match (now >= inv.until, now > inv.aim && !inv.late) {
+            match (now >= inv.until.min(inv.end - BEFORE_END), now > inv.aim && !inv.late) {
                 (true, _) => self.step(now, id, Turn::GaveUp, out),
                 (false, true) => self.queue(now, id),
                 (false, false) => self.waiting.push(id),
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -486,3 +486,34 @@
     };
     assert!(play() == play() && !play().is_empty());
 }
+
+#[test_case(Effect::Idempotent, Life::Waiting, 1.0, None; "what fits is still sent")]
+#[test_case(Effect::Idempotent, Life::Waiting, 9.0, Some(true); "what does not is given back")]
+#[test_case(Effect::NonIdempotent, Life::Waiting, 9.0, Some(true); "it never ran, so it may be tried again")]
+#[test_case(Effect::NonIdempotent, Life::Suspect, 9.0, Some(false); "what may have run is not")]
+fn a_stop_gives_back_what_does_not_fit(effect: Effect, life: Life, load: f64, throttled: Option<bool>) {
+    let mut node = node(effect, 4);
+    let fates: &[Fate] = if life == Life::Suspect { &[Fate::MayHaveRun] } else { &[] };
+    add(&mut node, life, fates);
+    node.set.max_pause = 2.0;
+    node.invs.entry(ID).and_modify(|inv| inv.load = load);
+    let mut out = Vec::new();
+    node.handle(2.0, Input::Leaving(5.0), &mut out);
+    let told = out.iter().find_map(|o| match o {
+        Output::Throttle { pause, .. } => Some(*pause == 0.0),
+        Output::Error { .. } => Some(false),
+        _ => None,
+    });
+    assert_eq!(told, throttled, "{out:?}");
+    assert_eq!(out.iter().any(|o| matches!(o, Output::Forward { .. })), throttled.is_none(), "{out:?}");
+}
+
+#[test]
+fn what_still_waits_when_a_stop_ends_is_answered() {
+    let mut node = node(Effect::NonIdempotent, 0);
+    add(&mut node, Life::Waiting, &[]);
+    node.leave(4.0);
+    let mut out = Vec::new();
+    node.review(4.0 - BEFORE_END, &mut out);
+    assert_eq!(out, [Output::Throttle { id: ID, pause: 0.0 }]);
+}
--- a/src/types.rs
+++ b/src/types.rs
@@ -180,6 +180,8 @@
         forward: usize,
     },
     Expired(InvId),
+    /// The node is asked to stop, and has until then.
+    Leaving(f64),
     Timer(u64),
     Probed {
         tgt: Tgt,
@@ -460,5 +462,6 @@
     pub(crate) memory: f64,
     pub(crate) solved: f64,
     pub(crate) looking: bool,
+    pub(crate) leaving: bool,
     pub(crate) list_lost: u32,
 }
