--- a/crates/coveroute-node/src/driver.rs
+++ b/crates/coveroute-node/src/driver.rs
@@ -176,12 +176,11 @@
             return;
         }
         let now = self.clock.now();
-        let mut submission = match admit(id, &job, &self.names, now) {
+        let submission = match admit(id, &job, &self.names, now) {
             Ok(submission) => submission,
             Err(unfit) => return drop(answer.send(unfit)),
         };
-        submission.timeout = submission.timeout.min(self.leave_by - now);
-        let end = now + submission.timeout;
+        let end = (now + submission.timeout).min(self.leave_by);
         self.timers.set(self.clock.instant(end), Timer::End(id));
         let record = Record { job: Rc::new(job), answer: Some(answer), end, forwards: Vec::new() };
         self.book.open(id, record);
@@ -242,7 +241,6 @@
                 let forward = self.book.get(id).and_then(|record| record.forwards.get_mut(forward));
                 // It may have ended already: executors may tell of the end first.
                 if let Some(forward) = forward.filter(|forward| forward.stage == Stage::Sending) {
-                    debug!("taken after {:.4}", self.clock.now() - forward.sent);
                     forward.stage = Stage::Taken;
                 }
             }
@@ -253,7 +251,7 @@
     fn settled(&mut self, id: InvId, forward: usize, outcome: Outcome, report: Report) {
         let Some(ended) = self.book.end(id, forward) else { return };
         let took = self.clock.now() - ended.sent;
-        debug!("ended {id} {forward} at {} {outcome:?} {took:.3} {:?} {report:?}", ended.tgt, ended.stage);
+        debug!("forward {forward} of {id} at {}: {outcome:?} after {took:.3}, {report:?}", ended.tgt);
         let ended = self.book.get(id).is_none_or(|record| record.answer.is_none());
         self.route.push(Input::Settled(Settled { id, forward, outcome, took, ended, report }));
         self.book.tidy(id);
--- a/crates/coveroute-node/src/logger.rs
+++ b/crates/coveroute-node/src/logger.rs
@@ -8,7 +8,9 @@
 
 impl Log for Stderr {
     fn enabled(&self, metadata: &Metadata) -> bool {
-        metadata.level() <= log::max_level()
+        // The libraries call each client's mistake an error: their lines are for those who look for them.
+        let own = metadata.target().starts_with(env!("CARGO_BIN_NAME"));
+        metadata.level() <= log::max_level() && (own || log::max_level() >= LevelFilter::Debug)
     }
 
     fn log(&self, record: &Record) {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -133,10 +133,9 @@
 
     fn entry(&mut self, now: f64, entry: Entry, out: &mut Vec<Output>) {
         const GOOD_AT_START: f64 = 4.0; // Of an unknown executor: two failures in a row make it doubtful.
-        while self.tgts.len() <= entry.tgt {
-            let entry = Entry { tgt: self.tgts.len(), started: f64::NAN, ..Entry::default() };
-            self.tgts.push(Executor { entry, ..Executor::default() });
-        }
+        let blank = |tgt| Entry { tgt, started: f64::NAN, ..Entry::default() };
+        let unheard = |tgt| Executor { entry: blank(tgt), ..Executor::default() };
+        self.tgts.extend((self.tgts.len()..=entry.tgt).map(unheard));
         let t = &mut self.tgts[entry.tgt];
         let drains = t.entry.standing == Standing::Ready && entry.standing == Standing::Draining;
         out.extend(drains.then(|| Output::Log(format!("executor {:06x} drains", entry.mark))));
@@ -191,7 +190,8 @@
         let worth = in_share + (1.0 - in_share) * self.set.over_share_value;
         // A crossing waits for the part of its spare time that it would cost of the value it serves.
         let dear = self.set.cross_zone_price * self.value / self.value(sub.operation, load).max(1e-6);
-        let (op, cross, end) = (sub.operation, now + dear * spare, now + sub.timeout);
+        let (op, cross, end) = (sub.operation, now + dear * spare, self.leaving.unwrap_or(f64::INFINITY));
+        let end = end.min(now + sub.timeout);
         let until = (aim.max(now) + late).min(end - BEFORE_END);
         let inv = Inv { op, worth, aim, until, end, hint, load, memory, cross, ..Inv::default() };
         self.invs.insert(sub.id, inv);
@@ -464,7 +464,8 @@
     fn place(&mut self, now: f64, id: InvId, out: &mut Vec<Output>) -> Place {
         const ASKED: usize = 2; // Executors asked for their state at a time.
         let inv = &self.invs[&id];
-        let spent = inv.forwards.len() >= self.set.max_forwards || self.leaving && now + inv.load > inv.end;
+        let spent =
+            inv.forwards.len() >= self.set.max_forwards || self.leaving.is_some() && now + inv.load > inv.end;
         if spent || (inv.anchor().is_some() && !self.tgts.iter().any(|t| self.may_go(now, inv, t))) {
             return Place::Never;
         }
@@ -532,7 +533,7 @@
     /// Guards against answers cut off at a stop: all is answered by `end`, and what is not sent yet and
     /// usually takes longer is given back (see `place`), for clients to try elsewhere at once.
     fn leave(&mut self, end: f64) {
-        (self.leaving, self.set.max_pause) = (true, 0.0);
+        (self.leaving, self.set.max_pause) = (Some(end), 0.0);
         self.invs.values_mut().for_each(|inv| inv.end = inv.end.min(end));
     }
 
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -508,6 +508,18 @@
     assert_eq!(out.iter().any(|o| matches!(o, Output::Forward { .. })), throttled.is_none(), "{out:?}");
 }
 
+#[test_case(1.0, true; "what fits before the stop is sent")]
+#[test_case(9.0, false; "what does not is not, but given back")]
+fn what_comes_during_a_stop_is_no_late_retry(load: f64, sent: bool) {
+    let mut node = node(Effect::Idempotent, 4);
+    node.classes[0] = Class { pace: Some(load.ln()), longest: 30.0, ..Class::default() };
+    node.leave(5.0);
+    let mut out = Vec::new();
+    node.handle(2.0, Input::Submitted(submit(30.0, 0)), &mut out);
+    assert_eq!(out.iter().any(|o| matches!(o, Output::Forward { .. })), sent, "{out:?}");
+    assert!(node.invs.values().all(|inv| inv.end == 5.0 && inv.aim > 2.0), "{:?}", node.invs);
+}
+
 #[test]
 fn what_still_waits_when_a_stop_ends_is_answered() {
     let mut node = node(Effect::NonIdempotent, 0);
--- a/src/types.rs
+++ b/src/types.rs
@@ -462,6 +462,7 @@
     pub(crate) memory: f64,
     pub(crate) solved: f64,
     pub(crate) looking: bool,
-    pub(crate) leaving: bool,
+    /// By when all must be answered, once the node is to stop.
+    pub(crate) leaving: Option<f64>,
     pub(crate) list_lost: u32,
 }
