--- a/crates/coveroute-node/src/driver.rs
+++ b/crates/coveroute-node/src/driver.rs
@@ -48,6 +48,8 @@
 
 /// From the stop on: new connections come for 0.4 s at most, and some way more.
 const QUIET_AFTER: f64 = 0.6;
+/// By then idle connections are closed, and who was about to use one has come again.
+const END_FROM: f64 = 0.8;
 /// The platform waits for the longest client timeout, but no longer than this, and 0.7 s more; then it kills.
 const WAITS_MOST: f64 = 3.0;
 /// Of those 0.7 s: the last answers are given, and then the node ends whatever is left.
@@ -72,6 +74,8 @@
     longest: f64,
     /// By when all must be answered, once the node is to stop.
     leave_by: f64,
+    /// From when on it may end, once it is idle.
+    end_from: f64,
     reports: bool,
     cancelling: bool,
     events: Events,
@@ -93,6 +97,7 @@
             version: 0,
             longest: config.longest,
             leave_by: f64::INFINITY,
+            end_from: f64::INFINITY,
             reports,
             cancelling,
             events,
@@ -118,7 +123,7 @@
                 self.carry_on();
             }
             // An answer has left once its request is no longer in hand.
-            if self.life.phase() == Phase::Closing && self.life.idle() {
+            if self.clock.now() >= self.end_from && self.life.idle() {
                 self.life.step(Step::Idle);
             }
         }
@@ -346,7 +351,7 @@
         }
         let now = self.clock.now();
         let waits = now + self.longest.min(WAITS_MOST);
-        self.leave_by = waits + ANSWERED_AFTER;
+        (self.leave_by, self.end_from) = (waits + ANSWERED_AFTER, now + END_FROM);
         self.timers.set(self.clock.instant(now + QUIET_AFTER), Timer::Life(Step::Quiet));
         self.timers.set(self.clock.instant(waits + LATE_AFTER), Timer::Life(Step::Late));
         for (id, end) in self.book.cut(self.leave_by) {
--- a/crates/coveroute-node/src/driver/tests.rs
+++ b/crates/coveroute-node/src/driver/tests.rs
@@ -43,17 +43,22 @@
 const SENDING: (Tgt, Stage) = (0, Stage::Sending);
 const TAKEN: (Tgt, Stage) = (0, Stage::Taken);
 
-// What executors tell: each word, and whether the client is answered then and what stays out.
+const ENDED: (Tgt, Stage) = (0, Stage::Ended);
+const RETURNED: (Tgt, Stage) = (0, Stage::Returned);
+const FULL: Word = Word::Ended(Outcome::Full);
+const FAILED: Word = Word::Ended(Outcome::Errored);
+
+// What executors tell: each word, whether the client is answered then, and how the forwards stand.
 #[test_case(&[TAKEN], 0, done(), true, None; "done")]
 #[test_case(&[SENDING], 0, done(), true, None; "done before it was said to be taken")]
-#[test_case(&[(0, Stage::Ended), (1, Stage::Taken)], 0, done(), true, Some(&[Stage::Ended, Stage::Taken]); "done by one given up for lost")]
-#[test_case(&[TAKEN], 1, done(), false, Some(&[Stage::Taken]); "done by one that never had it")]
-#[test_case(&[TAKEN], 9, done(), false, Some(&[Stage::Taken]); "done by one that nobody knows")]
-#[test_case(&[TAKEN], 0, Word::Alive, false, Some(&[Stage::Taken]); "progress")]
-#[test_case(&[TAKEN], 0, Word::Ended(Outcome::Errored), false, Some(&[Stage::Ended]); "failed")]
-#[test_case(&[TAKEN], 0, Word::Ended(Outcome::Full), false, Some(&[Stage::Returned]); "given back")]
-#[test_case(&[(0, Stage::Returned), TAKEN], 0, Word::Ended(Outcome::Full), false, Some(&[Stage::Returned, Stage::Taken]); "given back, told again once it was sent there again")]
-#[test_case(&[(0, Stage::Ended), TAKEN], 0, Word::Ended(Outcome::Full), false, Some(&[Stage::Ended, Stage::Returned]); "given back, after it was turned away there")]
+#[test_case(&[ENDED, (1, Stage::Taken)], 0, done(), true, Some(&[ENDED.1, TAKEN.1]); "done by a lost one")]
+#[test_case(&[TAKEN], 1, done(), false, Some(&[TAKEN.1]); "done by one that never had it")]
+#[test_case(&[TAKEN], 9, done(), false, Some(&[TAKEN.1]); "done by one that nobody knows")]
+#[test_case(&[TAKEN], 0, Word::Alive, false, Some(&[TAKEN.1]); "progress")]
+#[test_case(&[TAKEN], 0, FAILED, false, Some(&[ENDED.1]); "failed")]
+#[test_case(&[TAKEN], 0, FULL, false, Some(&[RETURNED.1]); "given back")]
+#[test_case(&[RETURNED, TAKEN], 0, FULL, false, Some(&[RETURNED.1, TAKEN.1]); "given back, told again later")]
+#[test_case(&[ENDED, TAKEN], 0, FULL, false, Some(&[ENDED.1, RETURNED.1]); "given back, turned away before")]
 fn news_are_booked_once(
     forwards: &[(Tgt, Stage)],
     from: Tgt,
@@ -130,7 +135,7 @@
 const TAKES: &str = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
 
 // The whole chain with an executor that says no more: the answer is final, in time, and by the operation.
-#[test_case(&[PROBED, TAKES], "look", 0.6, 0.0, Answer::Throttled { pause: 0.0 }; "idempotent may be tried again")]
+#[test_case(&[PROBED, TAKES], "look", 0.6, 0.0, Answer::Throttled { pause: 0.0 }; "idempotent is refused")]
 #[test_case(&[PROBED, TAKES], "pay", 0.6, 0.0, Answer::Errored; "what may have run is not refused")]
 #[test_case(&[PROBED, TAKES], "pay", 0.9, 0.3, Answer::Errored; "time spent before comes off")]
 #[test_case(&[PROBED, ""], "pay", 5.0, 0.0, Answer::Errored; "a reset fails at once")]
--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -175,7 +175,7 @@
     assert!(links.lease(0).is_none() && links.lease(7).is_none(), "no address, no connection");
 }
 
-#[test_case("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n{\"x0\":2}", Outcome::Succeeded, Some(2.0); "healthy")]
+#[test_case("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n{\"x0\":2}", Outcome::Succeeded, Some(2.0); "fit")]
 #[test_case("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", Outcome::Full, None; "not now")]
 #[test_case("HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n", Outcome::Errored, None; "not here")]
 #[test_case("HTTP/1.1 200 OK\r\nContent-Length: 80\r\n\r\n{\"x0\"", Outcome::TimedOut, None; "stuck midway")]
@@ -283,9 +283,9 @@
 }
 
 #[test_case(r#"{"id":"c","from":"s","state":"running","share":0.4}"#, Some(Word::Alive); "progress")]
-#[test_case(r#"{"id":"c","from":"s","state":"done","result":"a\n\u00e9"}"#, Some(Word::Succeeded("a\né".into())); "done")]
+#[test_case(r#"{"id":"c","from":"s","state":"done","result":"\u00e9"}"#, Some(Word::Succeeded("é".into())); "done")]
 #[test_case(r#"{"id":"c","from":"s","state":"returned"}"#, Some(Word::Ended(Outcome::Full)); "given back")]
-#[test_case(r#"{"id":"c","from":"s","state":"lost","odd":[]}"#, Some(Word::Ended(Outcome::Reset)); "lost, with more")]
+#[test_case(r#"{"id":"c","from":"s","state":"lost","x":1}"#, Some(Word::Ended(Outcome::Reset)); "lost")]
 #[test_case(r#"{"id":"c","from":"s","state":"failed"}"#, Some(Word::Ended(Outcome::Errored)); "failed")]
 #[test_case(r#"{"id":"c","from":"s","state":"done"}"#, None; "no result was made")]
 #[test_case(r#"{"id":"c","state":"done","result":""}"#, None; "from nobody")]
@@ -344,7 +344,7 @@
 #[test_case(&[Step::Idle], Phase::Starting; "nothing to end yet")]
 #[test_case(&[Step::Ready, Step::Idle, Step::Quiet], Phase::Serving; "idle is no reason to stop")]
 #[test_case(&[Step::Told], Phase::Leaving; "stopped before it began")]
-#[test_case(&[Step::Ready, Step::Told, Step::Idle, Step::Told], Phase::Leaving; "the front has to notice first")]
+#[test_case(&[Step::Ready, Step::Told, Step::Idle, Step::Told], Phase::Leaving; "the front comes first")]
 #[test_case(&[Step::Ready, Step::Told, Step::Quiet, Step::Idle], Phase::Ended; "finished")]
 #[test_case(&[Step::Told, Step::Quiet, Step::Ready, Step::Late], Phase::Ended; "out of time")]
 fn life_goes_by_its_steps(steps: &[Step], phase: Phase) {
--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -1,4 +1,4 @@
-//! A toy world for one node, on this machine's loopback: discovery, and executors that run each job for a moment.
+//! A toy world for one node, on loopback: discovery, and executors that run each job for a moment.
 //!
 //!     cargo run --release --example toy
 //!
