Clients that only connect, or never finish a request, lose their place to others

Lines at fault: a connection was marked crowded when it was accepted. Bounds follow the memory limit too.

--- a/crates/coveroute-node/src/config.rs
+++ b/crates/coveroute-node/src/config.rs
@@ -28,13 +28,15 @@
 }
 
 #[derive(Deserialize)]
+#[serde(default)]
 struct Limits {
     sockets: usize,
+    memory_mb: usize,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: 1024 }
+        Limits { sockets: 1024, memory_mb: 192 }
     }
 }
 
@@ -63,6 +65,7 @@
     pub discovery: SocketAddr,
     pub seed: u64,
     pub sockets: usize,
+    pub memory_mb: usize,
     pub known: Option<Hosts>,
     pub settings: Settings,
     pub names: Names,
@@ -97,6 +100,7 @@
             discovery: address("discovery", discovery.or(file.discovery))?,
             seed: u64::from_str_radix(seed, 16).map_err(|_| format!("seed {seed} is not hexadecimal"))?,
             sockets: file.limits.sockets,
+            memory_mb: file.limits.memory_mb,
             known: file.known,
             settings,
             names,
--- a/crates/coveroute-node/src/main.rs
+++ b/crates/coveroute-node/src/main.rs
@@ -98,8 +98,11 @@
 
 /// Parts of the descriptors that the node may hold: to executors, from clients, and from clients beyond
 /// those, who are only told to come back. An eighth is left for what is being closed and the process's own.
-fn budget(sockets: usize) -> (usize, (usize, usize)) {
-    (sockets / 4, (sockets / 2, sockets / 8))
+fn budget(sockets: usize, memory_mb: usize) -> (usize, (usize, usize)) {
+    // A client's connection may hold 128 KiB of a head that is being read, and 64 KiB of a body.
+    const KIB_EACH: usize = 192;
+    let fit = memory_mb * 1024 / KIB_EACH;
+    (sockets / 4, ((sockets / 2).min(fit / 2), (sockets / 8).min(fit / 8)))
 }
 
 async fn serve(config: Config) -> Result<(), String> {
@@ -107,7 +110,7 @@
     let listener = TcpListener::bind(config.listen).await.map_err(|e| format!("{}: {e}", config.listen))?;
     info!("listens on {}", config.listen);
     let (life, (events, happens)) = (Rc::new(Life::new()), mpsc::unbounded_channel());
-    let (executors, clients) = budget(config.sockets);
+    let (executors, clients) = budget(config.sockets, config.memory_mb);
     let links = Links::new(executors, config.dial, config.idle);
     let door = Rc::new(Door::new(clock, life.clone(), events.clone(), clients));
     let driver = Driver::new(config, clock, life, links, events.clone());
--- a/crates/coveroute-node/src/server.rs
+++ b/crates/coveroute-node/src/server.rs
@@ -20,22 +20,29 @@
 use crate::relay::Answer;
 use crate::{callbacks, take_in, wire};
 
-/// A connection that has stood idle for so long may be closed; its last answer has long left by then.
-const IDLE_AT_LEAST: Duration = Duration::from_secs(1);
+/// A connection that has stood idle for so long may be closed for another: its last answer has long left by
+/// then, and a client that has only just connected has had time to say what it wants.
+const IDLE_AT_LEAST: Duration = Duration::from_millis(250);
 /// Where it is closed whether or not others want its place.
 const IDLE_MOST: Duration = Duration::from_secs(120);
 
-/// What a client is told that came on a connection beyond the bound.
+/// What a client is told when connections beyond the bound are busy; it is closed with that.
 const CROWDED: Answer = Answer::Throttled { pause: 1.0 };
 
-/// One accepted connection; `crowded` if it came beyond the bound, and is closed with its first answer.
+/// One accepted connection; `busy` from the last byte of a request to its answer.
 struct Guest {
-    crowded: bool,
     busy: Cell<bool>,
     since: Cell<Instant>,
     close: Notify,
 }
 
+impl Guest {
+    fn rest(&self) {
+        self.since.set(Instant::now());
+        self.busy.set(false);
+    }
+}
+
 /// What the requests of all connections share.
 pub struct Door {
     clock: Clock,
@@ -43,7 +50,7 @@
     events: Events,
     next: Cell<InvId>,
     guests: RefCell<BTreeMap<SocketAddr, Rc<Guest>>>,
-    /// Connections that are served, and that come beyond and are only answered.
+    /// Busy connections that are served, and connections beyond those, idle or only answered.
     most: usize,
     beyond: usize,
     /// Told when a connection has ended.
@@ -68,30 +75,26 @@
     /// Waits for a place for one more connection. Guards against clients that are connected and never heard:
     /// the kernel has accepted them, so that what they sent counts as taken.
     async fn place(&self) {
+        const AT_ONCE: usize = 16; // Idle ones closed for each that comes: clients that only connect lose.
         let open = || self.guests.borrow().len();
         if open() >= self.most {
-            self.close_idle(IDLE_AT_LEAST, 1);
+            self.close_idle(IDLE_AT_LEAST, AT_ONCE);
         }
         while open() >= self.most + self.beyond {
-            self.close_idle(IDLE_AT_LEAST, 1);
+            self.close_idle(IDLE_AT_LEAST, AT_ONCE);
             let _ = timeout(Duration::from_millis(10), self.left.notified()).await;
         }
     }
 
     async fn serve(self: Rc<Self>, request: Request) -> Response<BoxBody> {
         let guest = request.peer_addr().and_then(|peer| self.guests.borrow().get(&peer).cloned());
-        let crowded = guest.as_ref().is_some_and(|guest| guest.crowded);
-        let _held = self.life.hold();
-        guest.iter().for_each(|guest| guest.busy.set(true));
-        let answer = self.answer(request, crowded).await;
-        guest.iter().for_each(|guest| {
-            guest.since.set(Instant::now());
-            guest.busy.set(false);
-        });
-        answer.response(self.life.keeps_connections() && !crowded)
+        let answer = self.answer(request, guest.as_deref()).await;
+        let keep = self.life.keeps_connections() && answer != CROWDED;
+        guest.iter().for_each(|guest| guest.rest());
+        answer.response(keep)
     }
 
-    async fn answer(&self, mut request: Request, crowded: bool) -> Answer {
+    async fn answer(&self, mut request: Request, guest: Option<&Guest>) -> Answer {
         let came = self.clock.now();
         match (request.path(), request.method()) {
             (wire::UP, &Method::GET | &Method::HEAD) if self.life.phase() == Phase::Serving => {
@@ -104,8 +107,10 @@
             },
             (wire::NEWS, _) => Answer::Unfit(StatusCode::METHOD_NOT_ALLOWED, "news come by POST"),
             _ => match take_in::job(request, came).await {
-                Ok(_) if crowded => CROWDED,
-                Ok(job) => self.job(job).await,
+                Ok(job) => {
+                    guest.iter().for_each(|guest| guest.busy.set(true));
+                    self.job(job).await
+                }
                 Err(unfit) => unfit,
             },
         }
@@ -125,6 +130,10 @@
     }
 
     async fn job(&self, job: take_in::Job) -> Answer {
+        let _held = self.life.hold();
+        if self.guests.borrow().values().filter(|guest| guest.busy.get()).count() > self.most {
+            return CROWDED;
+        }
         let id = self.next.get();
         self.next.set(id.wrapping_add(1));
         let (answer, answered) = oneshot::channel();
@@ -190,8 +199,8 @@
     S: Service<(TcpStream, Option<SocketAddr>), Response = ()> + 'static,
     S::Error: std::fmt::Debug,
 {
-    let (crowded, since) = (door.guests.borrow().len() >= door.most, Cell::new(Instant::now()));
-    let guest = Rc::new(Guest { crowded, busy: Cell::new(false), since, close: Notify::new() });
+    let guest = Guest { busy: Cell::new(false), since: Cell::new(Instant::now()), close: Notify::new() };
+    let guest = Rc::new(guest);
     door.guests.borrow_mut().insert(peer, guest.clone());
     let (door, serving) = (door.clone(), service.call((socket, Some(peer))));
     actix_rt::spawn(async move {
--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -24,6 +24,7 @@
 use crate::phase::{Life, Phase, Step};
 use crate::relay::Answer;
 use crate::send::{self, Reply};
+use crate::server::{self, Door};
 use crate::take_in::{self, Job};
 use crate::wire;
 
@@ -270,6 +271,48 @@
     assert_eq!(told.map_err(|unfit| unfit.response(true).status()), expected);
 }
 
+/// Serves on a door with two places and one beyond, and gives what the client makes of it.
+fn visit<T: Send + 'static>(client: impl FnOnce(SocketAddr) -> T + Send + 'static) -> T {
+    block(async {
+        let (clock, life, (events, _happens)) = (Clock::new(), Rc::new(Life::new()), unbounded_channel());
+        life.step(Step::Ready);
+        let door = Rc::new(Door::new(clock, life, events, (2, 1)));
+        let listener = actix_rt::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        actix_rt::spawn(server::accept(listener, door));
+        actix_rt::task::spawn_blocking(move || client(addr)).await.expect("a client")
+    })
+}
+
+const ODD_NEWS: &str = "POST /_jobs/news HTTP/1.1\r\nHost: b\r\nContent-Length: 1\r\n\r\n{";
+
+fn ask(addr: SocketAddr, text: &str) -> String {
+    let mut stream = std::net::TcpStream::connect(addr).expect("a connection");
+    stream.set_read_timeout(Some(seconds(3.0))).expect("a time out");
+    let mut answer = [0; 64];
+    let read = stream.write_all(text.as_bytes()).and_then(|()| stream.read(&mut answer)).unwrap_or(0);
+    String::from_utf8_lossy(&answer[..read]).lines().next().unwrap_or_default().to_owned()
+}
+
+#[test_case("GET /up HTTP/1.1\r\nHost: b\r\n\r\n", "HTTP/1.1 200 OK"; "it serves")]
+#[test_case("GET /look HTTP/1.1\r\nHost: b\r\n\r\n", "HTTP/1.1 405 Method Not Allowed"; "no job")]
+#[test_case(ODD_NEWS, "HTTP/1.1 400 Bad Request"; "no news")]
+#[test_case("nonsense\r\n\r\n", "HTTP/1.1 400 Bad Request"; "no request")]
+fn the_door_answers(text: &'static str, expected: &str) {
+    assert_eq!(visit(|addr| ask(addr, text)), expected);
+}
+
+#[test]
+fn clients_that_only_connect_do_not_keep_others_out() {
+    let answer = visit(|addr| {
+        let connect = |_| std::net::TcpStream::connect(addr).expect("a connection");
+        let mut rude: Vec<_> = (0..9).map(connect).collect();
+        rude.iter_mut().for_each(|stream| drop(stream.write(b"POST /lo")));
+        ask(addr, "GET /up HTTP/1.1\r\nHost: b\r\n\r\n")
+    });
+    assert_eq!(answer, "HTTP/1.1 200 OK");
+}
+
 #[test_case(Answer::Succeeded("r".into()), 200, None; "a result")]
 #[test_case(Answer::Throttled { pause: 0.25 }, 503, Some("0.250"); "come back then")]
 #[test_case(Answer::Throttled { pause: 0.0 }, 503, None; "come back at once")]
@@ -283,7 +326,7 @@
 }
 
 #[test_case(r#"{"id":"c","from":"s","state":"running","share":0.4}"#, Some(Word::Alive); "progress")]
-#[test_case(r#"{"id":"c","from":"s","state":"done","result":"\u00e9"}"#, Some(Word::Succeeded("é".into())); "done")]
+#[test_case(r#"{"id":"c","from":"s","state":"done","result":"\n"}"#, Some(Word::Succeeded("\n".into())); "done")]
 #[test_case(r#"{"id":"c","from":"s","state":"returned"}"#, Some(Word::Ended(Outcome::Full)); "given back")]
 #[test_case(r#"{"id":"c","from":"s","state":"lost","x":1}"#, Some(Word::Ended(Outcome::Reset)); "lost")]
 #[test_case(r#"{"id":"c","from":"s","state":"failed"}"#, Some(Word::Ended(Outcome::Errored)); "failed")]
