--- a/crates/coveroute-node/src/config.rs
+++ b/crates/coveroute-node/src/config.rs
@@ -73,8 +73,8 @@
     pub idle: Duration,
     /// A connection that takes longer to come up counts as failed.
     pub dial: Duration,
-    /// The longest client timeout of any operation.
-    pub longest: f64,
+    /// Each operation's client timeout.
+    pub timeouts: Vec<f64>,
 }
 
 impl Config {
@@ -106,7 +106,7 @@
             names,
             idle: seconds(sockets.limits.conn_idle / 1e3),
             dial: seconds(sockets.limits.dial_timeout / 1e3),
-            longest: sockets.categories.iter().map(|c| c.deadline / 1e3).fold(0.0, f64::max),
+            timeouts: sockets.categories.iter().map(|category| category.deadline / 1e3).collect(),
         })
     }
 }
--- a/crates/coveroute-node/src/driver.rs
+++ b/crates/coveroute-node/src/driver.rs
@@ -70,8 +70,8 @@
     discovery: Discovery,
     /// Of the list of executors that is held.
     version: u64,
-    /// The longest client timeout of any operation.
-    longest: f64,
+    /// Each operation's client timeout.
+    timeouts: Vec<f64>,
     /// By when all must be answered, once the node is to stop.
     leave_by: f64,
     /// From when on it may end, once it is idle.
@@ -95,7 +95,7 @@
             book: Book::default(),
             discovery: Discovery::new(config.discovery, events.clone()),
             version: 0,
-            longest: config.longest,
+            timeouts: config.timeouts,
             leave_by: f64::INFINITY,
             end_from: f64::INFINITY,
             reports,
@@ -184,7 +184,7 @@
             return;
         }
         let now = self.clock.now();
-        let submission = match admit(id, &job, &self.names, now) {
+        let submission = match admit(id, &job, &self.names, &self.timeouts, now) {
             Ok(submission) => submission,
             Err(unfit) => return drop(answer.send(unfit)),
         };
@@ -333,6 +333,10 @@
     fn listed(&mut self, hosts: Hosts, list: impl FnOnce(&Hosts, Vec<Entry>) -> List) {
         self.version = hosts.version;
         let entries = hosts.entries(&mut self.roster, &mut self.names);
+        if hosts.full {
+            // What a whole list lacks is gone.
+            self.links.retain(|tgt| entries.iter().any(|(entry, _)| entry.tgt == tgt));
+        }
         for (entry, addr) in &entries {
             match entry.standing {
                 Standing::Gone => self.links.gone(entry.tgt),
@@ -350,7 +354,7 @@
             return;
         }
         let now = self.clock.now();
-        let waits = now + self.longest.min(WAITS_MOST);
+        let waits = now + self.timeouts.iter().copied().fold(0.0, f64::max).min(WAITS_MOST);
         (self.leave_by, self.end_from) = (waits + ANSWERED_AFTER, now + END_FROM);
         self.timers.set(self.clock.instant(now + QUIET_AFTER), Timer::Life(Step::Quiet));
         self.timers.set(self.clock.instant(waits + LATE_AFTER), Timer::Life(Step::Late));
--- a/crates/coveroute-node/src/executors.rs
+++ b/crates/coveroute-node/src/executors.rs
@@ -80,6 +80,10 @@
         }
     }
 
+    pub fn retain(&mut self, listed: impl Fn(Tgt) -> bool) {
+        (0..self.links.len()).filter(|&tgt| !listed(tgt)).for_each(|tgt| self.links[tgt] = None);
+    }
+
     pub fn gone(&mut self, tgt: Tgt) {
         self.links.iter_mut().skip(tgt).take(1).for_each(|link| *link = None);
     }
--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -260,17 +260,28 @@
     assert_eq!(block(take_in::body(Payload::None)), Ok("".into()));
 }
 
-#[test_case("look", 2.0, Ok(0.95); "time that has passed comes off, and the answer's way")]
-#[test_case("read", 2.0, Err(StatusCode::NOT_FOUND); "an operation that is not known")]
-fn jobs_are_admitted(class: &str, now: f64, expected: Result<f64, StatusCode>) {
-    let names = ["look"].map(str::to_owned).to_vec();
-    let names = Names { operations: names, tenants: Vec::new(), zones: Vec::new(), kinds: Vec::new() };
-    let told = admit(7, &job("c", class, 2.0, 1.0), &names, now);
+#[test_case("look", 2.0, 2.0, Ok(0.95); "time that has passed comes off, and the answer's way")]
+#[test_case("look", 1e9, 2.0, Ok(3.95); "nobody waits longer than the operation allows")]
+#[test_case("read", 2.0, 2.0, Err(StatusCode::NOT_FOUND); "an operation that is not known")]
+fn jobs_are_admitted(class: &str, budget: f64, now: f64, expected: Result<f64, StatusCode>) {
+    let names = Names { tenants: Vec::new(), ..config("").names };
+    let told = admit(7, &job("c", class, budget, 1.0), &names, &[5.0, 10.0], now);
     let told = told.map(|sub| ((sub.timeout * 1e3).round() / 1e3, sub.tenant));
     let expected = expected.map(|timeout| (timeout, None));
     assert_eq!(told.map_err(|unfit| unfit.response(true).status()), expected);
 }
 
+#[test_case(Some(0.5), Some(0.5); "as it came")]
+#[test_case(Some(1e15), Some(50.0); "no more than ten timeouts")]
+#[test_case(Some(1e-15), Some(1e-4); "nor nothing")]
+#[test_case(Some(-1.0), None; "nor less")]
+#[test_case(Some(f64::NAN), None; "no number")]
+fn hints_are_kept_sane(came: Option<f64>, expected: Option<f64>) {
+    let odd = Job { hint: came, ..job("c", "look", 2.0, 1.0) };
+    let told = admit(7, &odd, &config("").names, &[5.0, 10.0], 1.0).map(|sub| sub.hint);
+    assert_eq!(told, Ok(expected));
+}
+
 /// Serves on a door with two places and one beyond, and gives what the client makes of it.
 fn visit<T: Send + 'static>(client: impl FnOnce(SocketAddr) -> T + Send + 'static) -> T {
     block(async {
@@ -325,8 +336,10 @@
     assert!(!response.head().keep_alive(), "told to close");
 }
 
+const DONE: &str = r#"{"id":"c","from":"s","state":"done","result":"\u00e9\n"}"#;
+
 #[test_case(r#"{"id":"c","from":"s","state":"running","share":0.4}"#, Some(Word::Alive); "progress")]
-#[test_case(r#"{"id":"c","from":"s","state":"done","result":"\n"}"#, Some(Word::Succeeded("\n".into())); "done")]
+#[test_case(DONE, Some(Word::Succeeded("é\n".into())); "done")]
 #[test_case(r#"{"id":"c","from":"s","state":"returned"}"#, Some(Word::Ended(Outcome::Full)); "given back")]
 #[test_case(r#"{"id":"c","from":"s","state":"lost","x":1}"#, Some(Word::Ended(Outcome::Reset)); "lost")]
 #[test_case(r#"{"id":"c","from":"s","state":"failed"}"#, Some(Word::Ended(Outcome::Errored)); "failed")]
@@ -380,7 +393,7 @@
 #[test]
 fn the_platforms_variables_go_before_the_file() {
     let config = Config::parse(CONFIG, Some("127.0.0.9:1".into()), Some("127.0.0.9:2".into())).expect("fit");
-    assert_eq!((config.listen.port(), config.discovery.port(), config.longest), (1, 2, 10.0));
+    assert_eq!((config.listen.port(), config.discovery.port(), config.timeouts), (1, 2, vec![5.0, 10.0]));
     assert!(config.settings.must_ask && !config.settings.peers);
 }
 
