--- a/crates/coveroute-node/src/admit.rs
+++ b/crates/coveroute-node/src/admit.rs
@@ -14,9 +14,9 @@
 /// And the most, in client timeouts: heavy work takes tens of the usual, which is itself a part of a timeout.
 const HINT_MOST: f64 = 10.0;
 
-/// Names become indices, and what the node has already used of the client's time comes off. Guards against odd
-/// clients whose figures would spoil what is learned of all: their time and their hint are bound by what the
-/// settings give the operation.
+/// Names become indices, and what the node has already used of the client's time comes off. Guards against
+/// odd clients whose figures would spoil what is learned of all: their time and their hint are bound by what
+/// the settings give the operation.
 pub fn admit(id: InvId, job: &Job, names: &Names, timeouts: &[f64], now: f64) -> Result<Submission, Answer> {
     let find = |names: &[String], name: &str| names.iter().position(|known| known == name);
     let unknown = Answer::Unfit(StatusCode::NOT_FOUND, "no such operation");
