--- a/crates/coveroute-node/src/server.rs
+++ b/crates/coveroute-node/src/server.rs
@@ -205,8 +205,10 @@
     let (door, serving) = (door.clone(), service.call((socket, Some(peer))));
     actix_rt::spawn(async move {
         tokio::select! {
-            ended = serving => if let Err(e) = ended { debug!("{peer}: {e:?}") },
+            // First: guards against a request that is read in the same breath as its connection is closed.
+            biased;
             () = guest.close.notified() => {}
+            ended = serving => if let Err(e) = ended { debug!("{peer}: {e:?}") },
         }
         door.guests.borrow_mut().remove(&peer);
         door.left.notify_one();
