Want of descriptors blames no executor: forwards count as never sent, probes as no room

Found by reading: with every descriptor lent, a forward ended as unreachable, which counts three failures against an executor that was never asked.

--- a/crates/coveroute-node/src/driver.rs
+++ b/crates/coveroute-node/src/driver.rs
@@ -230,7 +230,8 @@
         record.forwards.push(Forward { tgt, sent, stage: Stage::Sending, task: None });
         let (job, left) = (record.job.clone(), record.end - sent);
         let Some(lease) = self.links.lease(tgt) else {
-            return self.settled(id, at, Outcome::Unreachable, Report::default());
+            // Never sent, and no fault of the executor's: it must not be doubted for want of descriptors here.
+            return self.settled(id, at, Outcome::Moot, Report::default());
         };
         let (events, within) = (self.events.clone(), self.links.taken_within());
         let task = actix_rt::spawn(async move {
@@ -320,7 +321,8 @@
 
     fn probe(&mut self, tgt: Tgt) {
         let Some(lease) = self.links.lease(tgt) else {
-            let (outcome, report) = (Outcome::Unreachable, Report::default());
+            // It has no room that could be used now.
+            let (outcome, report) = (Outcome::Full, Report::default());
             return self.route.push(Input::Probed { tgt, outcome, report });
         };
         let (events, reports, patience) = (self.events.clone(), self.reports, self.links.patience());
--- a/crates/coveroute-node/src/driver/tests.rs
+++ b/crates/coveroute-node/src/driver/tests.rs
@@ -23,7 +23,7 @@
     let forward = |&(tgt, stage): &(Tgt, Stage)| Forward { tgt, sent: now, stage, task: None };
     record.forwards = forwards.iter().map(forward).collect();
     // The decisions have not seen it: what they are told of it changes nothing.
-    driver.route.clear();
+    driver.route.take();
     (driver, answered)
 }
 
@@ -154,6 +154,21 @@
     assert!(same && took < budget - late + 0.2, "{told:?} after {took}");
 }
 
+#[test]
+fn without_descriptors_no_executor_is_blamed() {
+    block(async {
+        let (mut driver, _answer) = with("pay", &[]);
+        driver.links = Links::new(0, seconds(1.0), seconds(60.0));
+        driver.links.listed(0, CLOSED.into());
+        driver.forward(ID, 0);
+        driver.probe(0);
+        let told = driver.route.take();
+        let never = |input: &Input| matches!(input, Input::Settled(s) if s.outcome == Outcome::Moot);
+        let full = |input: &Input| matches!(input, Input::Probed { outcome: Outcome::Full, .. });
+        assert!(told.len() == 2 && never(&told[0]) && full(&told[1]), "{told:?}");
+    });
+}
+
 #[test]
 fn a_client_that_leaves_is_forgotten_once_its_forwards_end() {
     block(async {
--- a/crates/coveroute-node/src/route.rs
+++ b/crates/coveroute-node/src/route.rs
@@ -19,8 +19,8 @@
     }
 
     #[cfg(test)]
-    pub fn clear(&mut self) {
-        self.inputs.clear();
+    pub fn take(&mut self) -> Vec<Input> {
+        self.inputs.drain(..).collect()
     }
 
     /// Decides on the next thing that happened, if any.
