Nothing is sent for a client that has left, also where executors can't be told to stop

Found by reading: where cancelling is not allowed the decisions withdraw nothing, and a forward that was still waiting for its connection went out after the invocation had finished. Such forwards are stopped by the driver now.

--- a/crates/coveroute-node/src/driver.rs
+++ b/crates/coveroute-node/src/driver.rs
@@ -202,11 +202,23 @@
 
     fn left(&mut self, id: InvId) {
         if self.book.answer(id, Answer::Errored) {
-            self.route.push(Input::Expired(id));
+            self.finished(id);
         }
         self.book.tidy(id);
     }
 
+    /// An invocation has finished otherwise than by the decisions. Guards against a forward that is still
+    /// waiting for its connection: nothing may be sent any more, also where executors can't be told to stop.
+    fn finished(&mut self, id: InvId) {
+        let out = self.book.get(id).map(|record| record.out()).unwrap_or_default();
+        for forward in out {
+            if self.book.get(id).is_some_and(|record| record.forwards[forward].stage == Stage::Sending) {
+                self.withdraw(id, forward);
+            }
+        }
+        self.route.push(Input::Expired(id));
+    }
+
     /// The client's time is over: what is still out ends as timed out, and the decisions answer.
     fn over(&mut self, id: InvId) {
         let Some(record) = self.book.get(id) else { return };
@@ -291,7 +303,7 @@
                     self.settled(id, forward, Outcome::Succeeded, news.report);
                 } else if owed {
                     // A forward that was given up for lost did it after all.
-                    self.route.push(Input::Expired(id));
+                    self.finished(id);
                 }
                 self.book.tidy(id);
             }
--- a/crates/coveroute-node/src/driver/tests.rs
+++ b/crates/coveroute-node/src/driver/tests.rs
@@ -169,6 +169,21 @@
     });
 }
 
+#[test]
+fn nothing_is_sent_for_a_client_that_has_left() {
+    block(async {
+        let (mut driver, _answer) = with("pay", &[SENDING]);
+        driver.cancelling = false;
+        let task = actix_rt::spawn(std::future::pending());
+        driver.book.get(ID).expect("a record").forwards[0].task = Some(task);
+        let watch = driver.book.get(ID).and_then(|record| record.forwards[0].task.as_ref());
+        let watch = watch.map(|task| task.abort_handle()).expect("a task");
+        driver.happened(Event::Left(ID));
+        actix_rt::task::yield_now().await;
+        assert!(watch.is_finished() && !driver.book.holds(CALL));
+    });
+}
+
 #[test]
 fn a_client_that_leaves_is_forgotten_once_its_forwards_end() {
     block(async {
