Executors' numbers are given again; odd list entries err on the side of sending nothing

Found by reading: indices of replaced executors were kept for ever, in the module and in the node; a removal without an address was left out, so that work would have gone on going there; so would it after a state that is not known. Ten minutes after an executor has gone its number is free, and the module is told to forget it. Unknown states count as draining, no address as gone.

--- a/crates/coveroute-node/src/discovery.rs
+++ b/crates/coveroute-node/src/discovery.rs
@@ -1,4 +1,5 @@
 //! Discovery: follows the list of executors, line by line.
+use std::borrow::Cow;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -38,12 +39,13 @@
 #[derive(Debug, Deserialize)]
 struct Host<'a> {
     #[serde(borrow)]
-    id: std::borrow::Cow<'a, str>,
-    addr: SocketAddr,
+    id: Cow<'a, str>,
+    #[serde(borrow, default)]
+    addr: Cow<'a, str>,
     #[serde(borrow, default)]
-    zone: std::borrow::Cow<'a, str>,
+    zone: Cow<'a, str>,
     #[serde(borrow, default)]
-    kind: std::borrow::Cow<'a, str>,
+    kind: Cow<'a, str>,
     #[serde(default)]
     cell: i64,
     state: State,
@@ -57,14 +59,19 @@
     Up,
     Draining,
     Removed,
+    #[serde(other)]
+    Unknown,
 }
 
 impl Hosts {
-    /// The entries, numbered, each with the executor's address. One that can't be read is left out and
-    /// logged: it must not cost the others.
-    pub fn entries(&self, roster: &mut Roster, names: &mut Names) -> Vec<(Entry, SocketAddr)> {
+    /// The entries, numbered, each with the executor's address if it has one. One that can't be read is left
+    /// out and logged: it must not cost the others.
+    pub fn entries(&self, roster: &mut Roster, names: &mut Names) -> Vec<(Entry, Option<SocketAddr>)> {
         let mut read = |raw: &RawValue| match serde_json::from_str::<Host>(raw.get()) {
-            Ok(host) => Some((roster.entry(names, &host.listed()), host.addr)),
+            Ok(host) => {
+                let addr = host.addr.parse().ok();
+                Some((roster.entry(names, &host.listed(addr)), addr))
+            }
             Err(e) => {
                 warn!("entry left out: {e}: {}", raw.get());
                 None
@@ -83,11 +90,12 @@
 }
 
 impl Host<'_> {
-    fn listed(&self) -> Listed<'_> {
-        let standing = match self.state {
-            State::Up => Standing::Ready,
-            State::Draining => Standing::Draining,
-            State::Removed => Standing::Gone,
+    fn listed(&self, addr: Option<SocketAddr>) -> Listed<'_> {
+        let standing = match (self.state, addr) {
+            (State::Up, Some(_)) => Standing::Ready,
+            // Nothing new goes where it is not known to be wanted, or where to.
+            (State::Draining | State::Unknown, _) => Standing::Draining,
+            (State::Removed, _) | (State::Up, None) => Standing::Gone,
         };
         let started = self.started_ms / 1e3;
         Listed { id: &self.id, zone: &self.zone, kind: &self.kind, cell: self.cell, started, standing }
--- a/crates/coveroute-node/src/driver.rs
+++ b/crates/coveroute-node/src/driver.rs
@@ -1,5 +1,6 @@
 //! The driver: owns the decisions, the clock, the timers and all records. Everything that happens comes to it
 //! as an event; what is decided it carries out in order.
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -55,6 +56,8 @@
 /// Of those 0.7 s: the last answers are given, and then the node ends whatever is left.
 const ANSWERED_AFTER: f64 = 0.2;
 const LATE_AFTER: f64 = 0.45;
+/// After this nothing can come from an executor that has gone: many times the longest client timeouts.
+const FORGET_AFTER: f64 = 600.0;
 /// How often a node that closes looks whether it may end.
 const LOOK_EVERY: f64 = 0.02;
 
@@ -66,6 +69,8 @@
     names: Names,
     roster: Roster,
     links: Links,
+    /// Executors that are not listed any more, and since when.
+    gone: BTreeMap<Tgt, f64>,
     book: Book,
     discovery: Discovery,
     /// Of the list of executors that is held.
@@ -92,6 +97,7 @@
             names: config.names,
             roster: Roster::default(),
             links,
+            gone: BTreeMap::new(),
             book: Book::default(),
             discovery: Discovery::new(config.discovery, events.clone()),
             version: 0,
@@ -242,7 +248,8 @@
         record.forwards.push(Forward { tgt, sent, stage: Stage::Sending, task: None });
         let (job, left) = (record.job.clone(), record.end - sent);
         let Some(lease) = self.links.lease(tgt) else {
-            // Never sent, and no fault of the executor's: it must not be doubted for want of descriptors here.
+            // Never sent, and no fault of the executor's: it must not be doubted for want of descriptors
+            // here.
             return self.settled(id, at, Outcome::Moot, Report::default());
         };
         let (events, within) = (self.events.clone(), self.links.taken_within());
@@ -346,21 +353,47 @@
 
     fn listed(&mut self, hosts: Hosts, list: impl FnOnce(&Hosts, Vec<Entry>) -> List) {
         self.version = hosts.version;
+        let mut told = self.forget();
         let entries = hosts.entries(&mut self.roster, &mut self.names);
         if hosts.full {
             // What a whole list lacks is gone.
-            self.links.retain(|tgt| entries.iter().any(|(entry, _)| entry.tgt == tgt));
-        }
-        for (entry, addr) in &entries {
-            match entry.standing {
-                Standing::Gone => self.links.gone(entry.tgt),
-                Standing::Ready | Standing::Draining => self.links.listed(entry.tgt, *addr),
-            }
+            let lacking = self.links.unlisted(|tgt| entries.iter().any(|(entry, _)| entry.tgt == tgt));
+            lacking.into_iter().for_each(|tgt| self.gone(tgt));
         }
         if !entries.is_empty() {
             self.life.step(Step::Ready);
         }
-        self.route.push(Input::List(list(&hosts, entries.into_iter().map(|entry| entry.0).collect())));
+        for (entry, addr) in entries {
+            match entry.standing {
+                Standing::Gone => self.gone(entry.tgt),
+                Standing::Ready | Standing::Draining => {
+                    self.gone.remove(&entry.tgt);
+                    addr.into_iter().for_each(|addr| self.links.listed(entry.tgt, addr));
+                }
+            }
+            told.push(entry);
+        }
+        self.route.push(Input::List(list(&hosts, told)));
+    }
+
+    fn gone(&mut self, tgt: Tgt) {
+        self.links.gone(tgt);
+        self.gone.insert(tgt, self.clock.now());
+    }
+
+    /// Gives back the numbers of executors that have long gone. Guards against growth without end where
+    /// machines are replaced by new ones. The decisions get a start time that is none, and so forget what
+    /// they knew.
+    fn forget(&mut self) -> Vec<Entry> {
+        let now = self.clock.now();
+        let long = |since: &f64| now - since > FORGET_AFTER;
+        let old: Vec<Tgt> = self.gone.iter().filter(|gone| long(gone.1)).map(|gone| *gone.0).collect();
+        let blank = |&tgt: &Tgt| {
+            self.gone.remove(&tgt);
+            self.roster.retire(tgt);
+            Entry { tgt, started: f64::NAN, ..Entry::default() }
+        };
+        old.iter().map(blank).collect()
     }
 
     fn stop(&mut self) {
--- a/crates/coveroute-node/src/driver/tests.rs
+++ b/crates/coveroute-node/src/driver/tests.rs
@@ -211,6 +211,25 @@
     });
 }
 
+// Executor 0 is gone; another is listed a while later.
+#[test_case(10.0, 2; "a number is kept while something may still come")]
+#[test_case(700.0, 0; "after that it is another's")]
+fn numbers_of_executors_do_not_grow_without_end(since: f64, number: Tgt) {
+    block(async {
+        let (mut driver, _happens, _) = driver(&[CLOSED.into(); 2]);
+        let listed = |text: &str| Event::Listed(serde_json::from_str(text).expect("a list"));
+        driver.happened(listed(
+            r#"{"version":2,"servers":[{"id":"s-0","addr":"127.0.0.1:1","state":"removed"}]}"#,
+        ));
+        assert!(driver.links.lease(0).is_none());
+        driver.gone.entry(0).and_modify(|at| *at -= since);
+        driver
+            .happened(listed(r#"{"version":3,"servers":[{"id":"new","addr":"127.0.0.1:1","state":"up"}]}"#));
+        assert_eq!(driver.roster.known("new"), Some(number));
+        assert!(driver.links.lease(number).is_some() && driver.links.lease(1).is_some());
+    });
+}
+
 #[test]
 fn a_list_that_was_lost_is_asked_for_again_and_never_forgotten() {
     block(async {
--- a/crates/coveroute-node/src/executors.rs
+++ b/crates/coveroute-node/src/executors.rs
@@ -80,8 +80,9 @@
         }
     }
 
-    pub fn retain(&mut self, listed: impl Fn(Tgt) -> bool) {
-        (0..self.links.len()).filter(|&tgt| !listed(tgt)).for_each(|tgt| self.links[tgt] = None);
+    /// Those that have an address and are not listed any more.
+    pub fn unlisted(&self, listed: impl Fn(Tgt) -> bool) -> Vec<Tgt> {
+        (0..self.links.len()).filter(|&tgt| self.links[tgt].is_some() && !listed(tgt)).collect()
     }
 
     pub fn gone(&mut self, tgt: Tgt) {
--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -353,7 +353,7 @@
     assert_eq!(callbacks::parse(text.as_bytes()).ok().map(|news| news.word), expected);
 }
 
-const LINE: &str = r#"{"version":3,"full":false,"servers":[{"id":"a","addr":"127.0.0.1:1","state":"draining"},
+const LINE: &str = r#"{"version":3,"full":false,"servers":[{"id":"a","state":"draining"},
  {"id":"b","addr":"nowhere","state":"up"},{"id":"c","addr":"127.0.0.1:2","state":"odd"},7,
  {"id":"d","addr":"127.0.0.1:3","zone":"z","kind":"k","cell":2,"state":"up","started_ms":1500.0}]}"#;
 
@@ -362,8 +362,10 @@
     let hosts: Hosts = serde_json::from_str(LINE).expect("a list");
     let (mut roster, mut names) = (Roster::default(), config("").names);
     let entries = hosts.entries(&mut roster, &mut names);
-    let told: Vec<_> = entries.iter().map(|(e, addr)| (e.standing, e.started, e.cell, addr.port())).collect();
-    assert_eq!(told, [(Standing::Draining, 0.0, 0, 1), (Standing::Ready, 1.5, 2, 3)]);
+    let told: Vec<_> =
+        entries.iter().map(|(e, addr)| (e.standing, e.started, e.cell, addr.is_some())).collect();
+    let (gone, odd) = ((Standing::Gone, 0.0, 0, false), (Standing::Draining, 0.0, 0, true));
+    assert_eq!(told, [(Standing::Draining, 0.0, 0, false), gone, odd, (Standing::Ready, 1.5, 2, true)]);
 }
 
 #[test]
--- a/crates/coveroute-shared/src/roster.rs
+++ b/crates/coveroute-shared/src/roster.rs
@@ -23,6 +23,8 @@
     numbers: HashMap<String, Tgt>,
     /// By the mark that messages name executors by.
     marks: HashMap<u32, Tgt>,
+    /// Numbers that may be given again.
+    free: Vec<Tgt>,
 }
 
 impl Roster {
@@ -30,13 +32,25 @@
         if let Some(&tgt) = self.numbers.get(id) {
             return tgt;
         }
-        let tgt = self.ids.len();
-        self.ids.push(id.to_owned());
+        let tgt = self.free.pop().unwrap_or(self.ids.len());
+        if tgt == self.ids.len() {
+            self.ids.push(String::new());
+        }
+        self.ids[tgt] = id.to_owned();
         self.numbers.insert(id.to_owned(), tgt);
         self.marks.insert(mark(id), tgt);
         tgt
     }
 
+    /// Gives a number back, of an executor of which nothing more will be heard.
+    pub fn retire(&mut self, tgt: Tgt) {
+        let id = std::mem::take(&mut self.ids[tgt]);
+        if self.numbers.remove(&id).is_some() {
+            self.marks.remove(&mark(&id));
+            self.free.push(tgt);
+        }
+    }
+
     pub fn id(&self, tgt: Tgt) -> &str {
         &self.ids[tgt]
     }
@@ -69,3 +83,19 @@
     let hash = executor.bytes().fold(0x811c_9dc5_u32, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193));
     (hash ^ (hash >> 24)) & 0xff_ffff
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn numbers_are_given_again_once_they_are_given_back() {
+        let mut roster = Roster::default();
+        assert_eq!(["a", "b", "a"].map(|id| roster.number(id)), [0, 1, 0]);
+        roster.retire(0);
+        roster.retire(0);
+        assert_eq!((roster.known("a"), roster.marked(mark("a")), roster.known("b")), (None, None, Some(1)));
+        assert_eq!(["c", "a"].map(|id| roster.number(id)), [0, 2]);
+        assert_eq!((roster.id(0), roster.marked(mark("c"))), ("c", Some(0)));
+    }
+}
