--- a/crates/coveroute-node/src/main.rs
+++ b/crates/coveroute-node/src/main.rs
@@ -24,7 +24,7 @@
 use std::rc::Rc;
 
 use actix_rt::net::TcpListener;
-use log::{error, info, LevelFilter};
+use log::{info, LevelFilter};
 use pico_args::Arguments;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc;
@@ -139,7 +139,6 @@
     match command(Arguments::from_env()).and_then(run) {
         Ok(()) => ExitCode::SUCCESS,
         Err(words) => {
-            error!("{words}");
             eprintln!("coveroute: {words}");
             ExitCode::FAILURE
         }
