--- a/crates/coveroute-node/src/config.rs
+++ b/crates/coveroute-node/src/config.rs
@@ -78,17 +78,46 @@
 }
 
 impl Config {
-    /// Reads the file that is named, else the one that the environment names.
+    /// Reads the file that is named, else the one that the environment names. At the start what the platform's
+    /// variables say goes before it.
     pub fn read(path: Option<PathBuf>) -> Result<Self, String> {
+        let told = |name| std::env::var(name).ok();
+        Self::load(path, |text| Self::parse(text, told(LISTEN), told(DISCOVERY)))
+    }
+
+    /// Reads it anew: the variables of a process that runs stay as they were, so the file goes before them.
+    pub fn reread(path: Option<PathBuf>) -> Result<Self, String> {
+        let told = |name| std::env::var(name).ok();
+        Self::load(path, |text| Self::parse_again(text, told(LISTEN), told(DISCOVERY)))
+    }
+
+    fn load(path: Option<PathBuf>, parse: impl Fn(&str) -> Result<Self, String>) -> Result<Self, String> {
         let path = path.or_else(|| std::env::var_os(PATH).map(PathBuf::from));
         let path = path.ok_or(format!("no configuration: name a file or set {PATH}"))?;
-        let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
-        let told = |name| std::env::var(name).ok();
-        Self::parse(&text, told(LISTEN), told(DISCOVERY)).map_err(|e| format!("{}: {e}", path.display()))
+        let text = std::fs::read_to_string(&path).map_err(|e| e.to_string());
+        text.and_then(|text| parse(&text)).map_err(|e| format!("{}: {e}", path.display()))
     }
 
     pub fn parse(text: &str, listen: Option<String>, discovery: Option<String>) -> Result<Self, String> {
-        let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
+        let mut file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
+        (file.listen, file.discovery) = (listen.or(file.listen), discovery.or(file.discovery));
+        file.config()
+    }
+
+    pub fn parse_again(
+        text: &str,
+        listen: Option<String>,
+        discovery: Option<String>,
+    ) -> Result<Self, String> {
+        let mut file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
+        (file.listen, file.discovery) = (listen.or(file.listen), file.discovery.or(discovery));
+        file.config()
+    }
+}
+
+impl File {
+    fn config(self) -> Result<Config, String> {
+        let file = self;
         let (mut settings, names) = decode(&file.settings)?;
         let sockets: Sockets =
             serde_json::from_str(file.settings.get()).map_err(|e| format!("settings: {e}"))?;
@@ -96,8 +125,8 @@
         (settings.must_ask, settings.peers) = (true, false);
         let seed = if file.seed.is_empty() { "0" } else { &file.seed };
         Ok(Config {
-            listen: address("listen", listen.or(file.listen))?,
-            discovery: address("discovery", discovery.or(file.discovery))?,
+            listen: address("listen", file.listen)?,
+            discovery: address("discovery", file.discovery)?,
             seed: u64::from_str_radix(seed, 16).map_err(|_| format!("seed {seed} is not hexadecimal"))?,
             sockets: file.limits.sockets,
             memory_mb: file.limits.memory_mb,
--- a/crates/coveroute-node/src/discovery.rs
+++ b/crates/coveroute-node/src/discovery.rs
@@ -14,7 +14,7 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
-use crate::driver::{Event, Events};
+use crate::driver::{Event, Events, Watched};
 use crate::wire;
 
 /// Calls wait in turn there; one that is not begun by then is as good as failed.
@@ -24,6 +24,8 @@
 const LINE_WITHIN: Duration = Duration::from_secs(3);
 /// For a connection to come up, which on the platform's network takes milliseconds.
 const DIAL_WITHIN: Duration = Duration::from_secs(1);
+/// The version before any: what has changed since is the whole list.
+const WHOLE: u64 = 0;
 /// The longest line: a whole list of some thousands of executors.
 const LINE_MOST: usize = 2 * 1024 * 1024;
 
@@ -108,32 +110,48 @@
     addr: SocketAddr,
     events: Events,
     watch: Option<JoinHandle<()>>,
+    /// How many watches there have been: what an earlier one has still told counts no more.
+    begun: u64,
 }
 
 impl Discovery {
     pub fn new(addr: SocketAddr, events: Events) -> Self {
         let connector = Connector::new().timeout(DIAL_WITHIN);
         let builder = Client::builder().connector(connector).disable_redirects().disable_timeout();
-        Discovery { client: builder.no_default_headers().finish(), addr, events, watch: None }
+        Discovery { client: builder.no_default_headers().finish(), addr, events, watch: None, begun: 0 }
     }
 
     /// Starts a watch from after `version`; one that still ran is dropped.
     pub fn follow(&mut self, version: u64) {
-        let (client, events) = (self.client.clone(), self.events.clone());
+        self.begun += 1;
+        let (client, events, number) = (self.client.clone(), self.events.clone(), self.begun);
         let uri = format!("http://{}{}?stream=1&index={version}", self.addr, wire::HOSTS);
         let watch = actix_rt::spawn(async move {
-            let ended = watch(&client, &uri, &events).await;
+            let tell = |watched| drop(events.send(Event::Watch(number, watched)));
+            let ended = watch(&client, &uri, tell).await;
             debug!("watch ended: {ended}");
-            let _ = events.send(Event::ListLost);
+            tell(Watched::Lost);
         });
         if let Some(old) = self.watch.replace(watch) {
             old.abort();
         }
     }
+
+    /// From here on another service is followed. Its versions may count otherwise: the whole list is asked
+    /// for.
+    pub fn move_to(&mut self, addr: SocketAddr) {
+        self.addr = addr;
+        self.follow(WHOLE);
+    }
+
+    /// Whether it is the watch that runs now.
+    pub fn is_current(&self, number: u64) -> bool {
+        number == self.begun
+    }
 }
 
 /// Passes lists on until the watch ends; answers why.
-async fn watch(client: &Client, uri: &str, events: &Events) -> String {
+async fn watch(client: &Client, uri: &str, tell: impl Fn(Watched)) -> String {
     let mut answer = match timeout(ANSWER_WITHIN, client.get(uri).send()).await {
         Err(_) => return "no answer in time".into(),
         Ok(Err(e)) => return e.to_string(),
@@ -149,12 +167,12 @@
             Ok(Some(Ok(chunk))) => lines.add(&chunk),
         }
         if !std::mem::replace(&mut begun, true) {
-            let _ = events.send(Event::Watched);
+            tell(Watched::Begun);
         }
         loop {
             match lines.next() {
                 Ok(None) => break,
-                Ok(Some(hosts)) => drop(events.send(Event::Listed(hosts))),
+                Ok(Some(hosts)) => tell(Watched::Listed(hosts)),
                 // What it held is unknown: asking anew brings it again.
                 Err(e) => return e,
             }
--- a/crates/coveroute-node/src/driver.rs
+++ b/crates/coveroute-node/src/driver.rs
@@ -32,14 +32,21 @@
     Replied(InvId, usize, Reply),
     News(News),
     Probed(Tgt, Outcome, Report),
-    /// The list of executors is followed again, whether or not it has changed.
-    Watched,
-    Listed(Hosts),
-    ListLost,
+    /// What the watch of this number on the list of executors tells.
+    Watch(u64, Watched),
+    /// The operators ask for the configuration to be read anew: what it says, or why it is not fit.
+    Reload(Result<Box<Config>, String>),
     /// The platform asks the node to stop.
     Stop,
 }
 
+pub enum Watched {
+    /// It is followed again, whether or not it has changed.
+    Begun,
+    Listed(Hosts),
+    Lost,
+}
+
 enum Timer {
     Decisions(u64),
     /// An invocation's time is over.
@@ -142,9 +149,15 @@
             Event::Replied(id, forward, reply) => self.replied(id, forward, reply),
             Event::News(news) => self.news(news),
             Event::Probed(tgt, outcome, report) => self.route.push(Input::Probed { tgt, outcome, report }),
-            Event::Listed(hosts) => self.listed(hosts, Hosts::list),
-            Event::Watched => self.route.push(Input::List(List::Changes(Vec::new()))),
-            Event::ListLost => self.route.push(Input::List(List::Lost)),
+            Event::Watch(number, _) if !self.discovery.is_current(number) => {}
+            Event::Watch(_, Watched::Listed(hosts)) => self.listed(hosts, Hosts::list),
+            Event::Watch(_, Watched::Begun) => {
+                self.life.step(Step::Followed);
+                self.route.push(Input::List(List::Changes(Vec::new())));
+            }
+            Event::Watch(_, Watched::Lost) => self.route.push(Input::List(List::Lost)),
+            Event::Reload(Ok(config)) => self.reload(&config),
+            Event::Reload(Err(words)) => error!("not reloaded, all stays as it is: {words}"),
             Event::Stop => self.stop(),
         }
         self.carry_on();
@@ -396,6 +409,16 @@
         old.iter().map(blank).collect()
     }
 
+    /// Takes over where discovery is; requests, connections and what was learnt stay. Guards against a node that
+    /// goes on with a list which nobody keeps: the old service may close at any moment from now on.
+    fn reload(&mut self, config: &Config) {
+        if self.life.step(Step::Reread) {
+            info!("follows the list at {}", config.discovery);
+            self.version = 0;
+            self.discovery.move_to(config.discovery);
+        }
+    }
+
     fn stop(&mut self) {
         if !self.life.step(Step::Told) {
             return;
--- a/crates/coveroute-node/src/driver/tests.rs
+++ b/crates/coveroute-node/src/driver/tests.rs
@@ -6,7 +6,7 @@
 use tokio::sync::oneshot::{self, error::TryRecvError, Receiver};
 
 use super::*;
-use crate::tests::{block, driver, executor, job};
+use crate::tests::{block, config, driver, executor, job};
 
 const ID: InvId = 7;
 const CALL: &str = "c";
@@ -27,6 +27,14 @@
     (driver, answered)
 }
 
+/// From here on what happens to the driver is told here.
+fn watched(driver: &mut Driver) -> mpsc::UnboundedReceiver<Event> {
+    let (events, happens) = mpsc::unbounded_channel();
+    driver.discovery = Discovery::new(CLOSED.into(), events);
+    driver.discovery.follow(0);
+    happens
+}
+
 fn news(from: Tgt, word: Word) -> Event {
     let (call, from, report) = (CALL.to_owned(), format!("s-{from}"), Report::default());
     Event::News(News { call, from, word, report })
@@ -217,19 +225,61 @@
 fn numbers_of_executors_do_not_grow_without_end(since: f64, number: Tgt) {
     block(async {
         let (mut driver, _happens, _) = driver(&[CLOSED.into(); 2]);
-        let listed = |text: &str| Event::Listed(serde_json::from_str(text).expect("a list"));
-        driver.happened(listed(
-            r#"{"version":2,"servers":[{"id":"s-0","addr":"127.0.0.1:1","state":"removed"}]}"#,
-        ));
+        driver.happened(listed(1, r#"{"version":2,"servers":[{"id":"s-0","state":"removed"}]}"#));
         assert!(driver.links.lease(0).is_none());
         driver.gone.entry(0).and_modify(|at| *at -= since);
-        driver
-            .happened(listed(r#"{"version":3,"servers":[{"id":"new","addr":"127.0.0.1:1","state":"up"}]}"#));
+        driver.happened(listed(1, NEW));
         assert_eq!(driver.roster.known("new"), Some(number));
         assert!(driver.links.lease(number).is_some() && driver.links.lease(1).is_some());
     });
 }
 
+const NEW: &str = r#"{"version":3,"servers":[{"id":"new","addr":"127.0.0.1:1","state":"up"}]}"#;
+
+fn listed(watch: u64, text: &str) -> Event {
+    Event::Watch(watch, Watched::Listed(serde_json::from_str(text).expect("a list")))
+}
+
+const LIST: &str = "HTTP/1.1 200 OK\r\nContent-Length: 71\r\n\r\n\
+    {\"version\":1,\"servers\":[{\"id\":\"b\",\"addr\":\"127.0.0.1:1\",\"state\":\"up\"}]}\n";
+
+#[test]
+fn a_new_configuration_moves_the_watch_and_nothing_else() {
+    let (addr, service) = executor("index=0", &[LIST]);
+    block(async {
+        let (mut driver, mut answer) = with("look", &[TAKEN]);
+        let mut happens = watched(&mut driver);
+        driver.happened(Event::Reload(Ok(Box::new(Config { discovery: addr, ..config("") }))));
+        assert_eq!(driver.life.phase(), Phase::Reloading);
+        // What the old service still told comes too late.
+        driver.happened(listed(1, NEW));
+        driver.happened(Event::Watch(1, Watched::Lost));
+        assert_eq!((driver.roster.known("new"), driver.route.take().len()), (None, 0));
+        while driver.life.phase() == Phase::Reloading || driver.roster.known("b").is_none() {
+            let event = timeout(seconds(9.0), happens.recv()).await.expect("in time");
+            event.into_iter().for_each(|event| driver.happened(event));
+        }
+        assert!(driver.links.lease(0).is_some() && driver.book.holds(CALL));
+        assert_eq!((driver.life.phase(), answer.try_recv()), (Phase::Serving, Err(TryRecvError::Empty)));
+    });
+    drop(service);
+}
+
+// Neither moves the watch: it is the first one still.
+#[test_case(true, Phase::Leaving; "during a stop")]
+#[test_case(false, Phase::Serving; "to a configuration that is not fit")]
+fn a_reload_that_changes_nothing(stopped: bool, phase: Phase) {
+    block(async {
+        let (mut driver, _answer) = with("look", &[TAKEN]);
+        if stopped {
+            driver.happened(Event::Stop);
+        }
+        let told = if stopped { Ok(Box::new(config(""))) } else { Err("no".into()) };
+        driver.happened(Event::Reload(told));
+        assert!(driver.discovery.is_current(1) && driver.life.phase() == phase);
+    });
+}
+
 #[test]
 fn a_list_that_was_lost_is_asked_for_again_and_never_forgotten() {
     block(async {
@@ -237,15 +287,16 @@
         assert_eq!(life.phase(), Phase::Serving);
         // Nothing listens where discovery should: the watch that began with the start ends.
         let lost = timeout(seconds(9.0), happens.recv()).await.expect("in time");
-        assert!(matches!(lost, Some(Event::ListLost)));
-        driver.happened(Event::ListLost);
+        assert!(matches!(lost, Some(Event::Watch(1, Watched::Lost))));
+        driver.happened(Event::Watch(1, Watched::Lost));
         let asks = timeout(seconds(9.0), async {
             loop {
                 while let Some(timer) = driver.timers.pop(Instant::now()) {
                     driver.due(timer);
                     driver.carry_on();
                 }
-                if let Ok(Some(Event::ListLost)) = timeout(seconds(0.01), happens.recv()).await {
+                if let Ok(Some(Event::Watch(2, Watched::Lost))) = timeout(seconds(0.01), happens.recv()).await
+                {
                     return;
                 }
             }
--- a/crates/coveroute-node/src/main.rs
+++ b/crates/coveroute-node/src/main.rs
@@ -19,6 +19,7 @@
 mod tests;
 mod wire;
 
+use std::future::Future;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -89,8 +90,8 @@
         }
         Command::Serve(path, level) => {
             logger::start(level);
-            let config = Config::read(path)?;
-            actix_rt::System::new().block_on(serve(config))?;
+            let config = Config::read(path.clone())?;
+            actix_rt::System::new().block_on(serve(config, path))?;
         }
     }
     Ok(())
@@ -105,17 +106,18 @@
     (sockets / 4, ((sockets / 2).min(fit / 2), (sockets / 8).min(fit / 8)))
 }
 
-async fn serve(config: Config) -> Result<(), String> {
+async fn serve(config: Config, path: Option<PathBuf>) -> Result<(), String> {
+    let (events, happens) = mpsc::unbounded_channel();
+    // First: a signal that nobody listens to would end the process.
+    actix_rt::spawn(signals(events.clone(), path)?);
     let clock = Clock::new();
     let listener = TcpListener::bind(config.listen).await.map_err(|e| format!("{}: {e}", config.listen))?;
     info!("listens on {}", config.listen);
-    let (life, (events, happens)) = (Rc::new(Life::new()), mpsc::unbounded_channel());
+    let life = Rc::new(Life::new());
     let (executors, clients) = budget(config.sockets, config.memory_mb);
     let links = Links::new(executors, config.dial, config.idle);
     let door = Rc::new(Door::new(clock, life.clone(), events.clone(), clients));
-    let driver = Driver::new(config, clock, life, links, events.clone());
-    let stop = stop(events)?;
-    actix_rt::spawn(stop);
+    let driver = Driver::new(config, clock, life, links, events);
     actix_rt::spawn(server::accept(listener, door.clone()));
     actix_rt::spawn(server::sweep(door));
     driver.run(happens).await;
@@ -123,14 +125,20 @@
     Ok(())
 }
 
-/// Passes the platform's wish to stop on.
-fn stop(events: Events) -> Result<impl std::future::Future<Output = ()>, String> {
-    let mut term = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
-    let mut int = signal(SignalKind::interrupt()).map_err(|e| e.to_string())?;
+/// Passes on that the platform wants the node to stop, or the operators its configuration to be read anew.
+fn signals(events: Events, path: Option<PathBuf>) -> Result<impl Future<Output = ()>, String> {
+    let listen = |kind| signal(kind).map_err(|e| e.to_string());
+    let mut term = listen(SignalKind::terminate())?;
+    let mut int = listen(SignalKind::interrupt())?;
+    let mut hup = listen(SignalKind::hangup())?;
     Ok(async move {
         loop {
-            tokio::select! { _ = term.recv() => {}, _ = int.recv() => {} }
-            let _ = events.send(Event::Stop);
+            let event = tokio::select! {
+                _ = term.recv() => Event::Stop,
+                _ = int.recv() => Event::Stop,
+                _ = hup.recv() => Event::Reload(Config::reread(path.clone()).map(Box::new)),
+            };
+            let _ = events.send(event);
         }
     })
 }
--- a/crates/coveroute-node/src/phase.rs
+++ b/crates/coveroute-node/src/phase.rs
@@ -9,6 +9,8 @@
     /// Not yet able to serve.
     Starting,
     Serving,
+    /// Serving, while the list is not yet followed as the configuration that was read anew says.
+    Reloading,
     /// Told to stop: takes what still comes, and closes each connection with its answer.
     Leaving,
     /// No more is expected: closes connections that stand idle, finishes the rest.
@@ -20,6 +22,10 @@
 pub enum Step {
     /// Executors are known.
     Ready,
+    /// A configuration was read anew.
+    Reread,
+    /// The list of executors is followed.
+    Followed,
     /// Asked to stop.
     Told,
     /// The front has had time to notice.
@@ -30,10 +36,15 @@
     Late,
 }
 
-const TABLE: [(Phase, Step, Phase); 7] = [
+const TABLE: [(Phase, Step, Phase); 12] = [
     (Phase::Starting, Step::Ready, Phase::Serving),
     (Phase::Starting, Step::Told, Phase::Leaving),
+    (Phase::Starting, Step::Reread, Phase::Starting),
     (Phase::Serving, Step::Told, Phase::Leaving),
+    (Phase::Serving, Step::Reread, Phase::Reloading),
+    (Phase::Reloading, Step::Reread, Phase::Reloading),
+    (Phase::Reloading, Step::Followed, Phase::Serving),
+    (Phase::Reloading, Step::Told, Phase::Leaving),
     (Phase::Leaving, Step::Quiet, Phase::Closing),
     (Phase::Leaving, Step::Late, Phase::Ended),
     (Phase::Closing, Step::Idle, Phase::Ended),
@@ -85,8 +96,13 @@
         row.is_some()
     }
 
+    /// Whether the front may send clients here.
+    pub fn is_up(&self) -> bool {
+        matches!(self.phase(), Phase::Serving | Phase::Reloading)
+    }
+
     /// Whether a connection may be used again after the answer.
     pub fn keeps_connections(&self) -> bool {
-        matches!(self.phase(), Phase::Starting | Phase::Serving)
+        self.phase() == Phase::Starting || self.is_up()
     }
 }
--- a/crates/coveroute-node/src/server.rs
+++ b/crates/coveroute-node/src/server.rs
@@ -97,9 +97,7 @@
     async fn answer(&self, mut request: Request, guest: Option<&Guest>) -> Answer {
         let came = self.clock.now();
         match (request.path(), request.method()) {
-            (wire::UP, &Method::GET | &Method::HEAD) if self.life.phase() == Phase::Serving => {
-                Answer::Succeeded("up\n".into())
-            }
+            (wire::UP, &Method::GET | &Method::HEAD) if self.life.is_up() => Answer::Succeeded("up\n".into()),
             (wire::UP, _) => Answer::Throttled { pause: 0.0 },
             (wire::NEWS, &Method::POST) => match take_in::body(request.take_payload()).await {
                 Ok(body) => self.news(&body),
--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -9,6 +9,7 @@
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use actix_http::test::TestRequest;
 use actix_http::{Method, Payload, StatusCode};
+use actix_rt::time::timeout;
 use coveroute::types::{Outcome, Report, Standing};
 use coveroute_shared::{Names, Roster};
 use test_case::test_case;
@@ -404,8 +405,34 @@
     assert!(config.settings.must_ask && !config.settings.peers);
 }
 
+// Without a handler the signal would end the process, this one here.
+#[test]
+fn the_signal_to_reload_does_not_end_the_node() {
+    block(async {
+        let (events, mut happens) = unbounded_channel();
+        actix_rt::spawn(crate::signals(events, Some("no such file".into())).expect("signals"));
+        let told =
+            std::process::Command::new("kill").args(["-HUP", &std::process::id().to_string()]).status();
+        assert!(told.is_ok_and(|told| told.success()));
+        let event = timeout(seconds(9.0), happens.recv()).await;
+        assert!(matches!(event, Ok(Some(Event::Reload(Err(_))))));
+    });
+}
+
+#[test]
+fn a_file_that_is_read_anew_goes_before_the_platforms_variables() {
+    let told = |text| Config::parse_again(text, Some("127.0.0.9:1".into()), Some("127.0.0.9:2".into()));
+    let ports = |text| told(text).map(|config| (config.listen.port(), config.discovery.port()));
+    assert_eq!(ports(CONFIG), Ok((1, 8500)));
+    assert_eq!(ports(&CONFIG.replace("\"discovery\"", "\"elsewhere\"")), Ok((1, 2)));
+}
+
 #[test_case(&[Step::Idle], Phase::Starting; "nothing to end yet")]
 #[test_case(&[Step::Ready, Step::Idle, Step::Quiet], Phase::Serving; "idle is no reason to stop")]
+#[test_case(&[Step::Ready, Step::Reread, Step::Reread], Phase::Reloading; "read anew, and again")]
+#[test_case(&[Step::Ready, Step::Reread, Step::Followed], Phase::Serving; "and followed")]
+#[test_case(&[Step::Reread, Step::Followed], Phase::Starting; "read anew before it began")]
+#[test_case(&[Step::Ready, Step::Told, Step::Reread], Phase::Leaving; "read anew during a stop")]
 #[test_case(&[Step::Told], Phase::Leaving; "stopped before it began")]
 #[test_case(&[Step::Ready, Step::Told, Step::Idle, Step::Told], Phase::Leaving; "the front comes first")]
 #[test_case(&[Step::Ready, Step::Told, Step::Quiet, Step::Idle], Phase::Ended; "finished")]
--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -2,6 +2,8 @@
 //!
 //!     cargo run --release --example toy
 //!
+//! With an address behind it, it is discovery alone, at that address.
+//!
 //! Discovery listens on 127.0.0.1:8500, two executors on 9101 and 9102, and they tell the node on 9000 (see
 //! `examples/config.json`) what became of its jobs. It keeps to the protocol's ordinary path only.
 use std::io::{BufRead, BufReader, Read, Write};
@@ -127,8 +129,9 @@
 }
 
 fn main() {
-    listen(DISCOVERY, |stream| drop(discovery(stream)));
-    for (id, addr) in EXECUTORS {
+    let alone = std::env::args().nth(1);
+    listen(alone.as_deref().unwrap_or(DISCOVERY), |stream| drop(discovery(stream)));
+    for (id, addr) in EXECUTORS.into_iter().filter(|_| alone.is_none()) {
         let held = Arc::default();
         listen(addr, move |stream| drop(executor(id, stream, &held)));
     }
