A leaving node keeps connections for half its time; answers and takings are traced

Checked: node logs and a packet trace. Both nodes were stopped in turn; the second is told to stop 0.5 s before the first is ended. The first one is up again 15 ms after its start, but the front sends nothing for another 0.65 s. Between, no node gets new connections, and clients do not come on those that are open either. Ruled out: late starts, lost answers. At fault for what little is ours: server.rs closed each connection with its answer from the signal on, driver.rs (QUIET_AFTER) closed idle ones after 0.6 s. Now connections serve on for half the time, and what is given back closes its connection.

--- a/crates/coveroute-node/src/driver.rs
+++ b/crates/coveroute-node/src/driver.rs
@@ -55,9 +55,11 @@
 }
 
 /// From the stop on: new connections come for 0.4 s at most, and some way more.
-const QUIET_AFTER: f64 = 0.6;
-/// By then idle connections are closed, and who was about to use one has come again.
-const END_FROM: f64 = 0.8;
+const QUIET_LEAST: f64 = 0.6;
+/// Of the time to stop: half is used as before, half to finish in.
+const QUIET_SHARE: f64 = 0.5;
+/// After that idle connections are closed, and who was about to use one has come again.
+const CLOSED_AFTER: f64 = 0.2;
 /// The platform waits for the longest client timeout, but no longer than this, and 0.7 s more; then it kills.
 const WAITS_MOST: f64 = 3.0;
 /// Of those 0.7 s: the last answers are given, and then the node ends whatever is left.
@@ -203,6 +205,7 @@
             return;
         }
         let now = self.clock.now();
+        debug!("{id} taken: {}, {}, {:.3} s", job.call, job.class, job.budget);
         let submission = match admit(id, &job, &self.names, &self.timeouts, now) {
             Ok(submission) => submission,
             Err(unfit) => return drop(answer.send(unfit)),
@@ -215,6 +218,7 @@
     }
 
     fn answer(&mut self, id: InvId, answer: Answer) {
+        debug!("{id} ends as {answer:?}");
         self.book.answer(id, answer);
         self.book.tidy(id);
     }
@@ -424,9 +428,10 @@
             return;
         }
         let now = self.clock.now();
-        let waits = now + self.timeouts.iter().copied().fold(0.0, f64::max).min(WAITS_MOST);
-        (self.leave_by, self.end_from) = (waits + ANSWERED_AFTER, now + END_FROM);
-        self.timers.set(self.clock.instant(now + QUIET_AFTER), Timer::Life(Step::Quiet));
+        let span = self.timeouts.iter().copied().fold(0.0, f64::max).min(WAITS_MOST);
+        let (quiet, waits) = (now + QUIET_LEAST.max(QUIET_SHARE * span), now + span);
+        (self.leave_by, self.end_from) = (waits + ANSWERED_AFTER, quiet + CLOSED_AFTER);
+        self.timers.set(self.clock.instant(quiet), Timer::Life(Step::Quiet));
         self.timers.set(self.clock.instant(waits + LATE_AFTER), Timer::Life(Step::Late));
         for (id, end) in self.book.cut(self.leave_by) {
             self.timers.set(self.clock.instant(end), Timer::End(id));
--- a/crates/coveroute-node/src/phase.rs
+++ b/crates/coveroute-node/src/phase.rs
@@ -11,9 +11,9 @@
     Serving,
     /// Serving, while the list is not yet followed as the configuration that was read anew says.
     Reloading,
-    /// Told to stop: takes what still comes, and closes each connection with its answer.
+    /// Told to stop: takes what still comes, and closes a connection only with what it gives back.
     Leaving,
-    /// No more is expected: closes connections that stand idle, finishes the rest.
+    /// Closes connections with their answers and those that stand idle, finishes the rest.
     Closing,
     Ended,
 }
@@ -28,7 +28,7 @@
     Followed,
     /// Asked to stop.
     Told,
-    /// The front has had time to notice.
+    /// The front has had time to notice, and what comes now may not be finished.
     Quiet,
     /// Nothing is owed any more.
     Idle,
@@ -100,9 +100,4 @@
     pub fn is_up(&self) -> bool {
         matches!(self.phase(), Phase::Serving | Phase::Reloading)
     }
-
-    /// Whether a connection may be used again after the answer.
-    pub fn keeps_connections(&self) -> bool {
-        self.phase() == Phase::Starting || self.is_up()
-    }
 }
--- a/crates/coveroute-node/src/server.rs
+++ b/crates/coveroute-node/src/server.rs
@@ -89,11 +89,22 @@
     async fn serve(self: Rc<Self>, request: Request) -> Response<BoxBody> {
         let guest = request.peer_addr().and_then(|peer| self.guests.borrow().get(&peer).cloned());
         let answer = self.answer(request, guest.as_deref()).await;
-        let keep = self.life.keeps_connections() && answer != CROWDED;
+        let keep = self.keeps(&answer);
         guest.iter().for_each(|guest| guest.rest());
         answer.response(keep)
     }
 
+    /// Whether the connection may be used again. Guards against a restart that leaves clients with no node at
+    /// all, while the one before is not up yet: new connections go elsewhere, but those that are open serve
+    /// on. With what is given back the client is sent elsewhere.
+    pub fn keeps(&self, answer: &Answer) -> bool {
+        match self.life.phase() {
+            Phase::Starting | Phase::Serving | Phase::Reloading => *answer != CROWDED,
+            Phase::Leaving => !matches!(answer, Answer::Throttled { .. }),
+            Phase::Closing | Phase::Ended => false,
+        }
+    }
+
     async fn answer(&self, mut request: Request, guest: Option<&Guest>) -> Answer {
         let came = self.clock.now();
         match (request.path(), request.method()) {
--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -301,6 +301,18 @@
     })
 }
 
+#[test_case(&[], true, true; "from a node that serves")]
+#[test_case(&[Step::Told], true, false; "from one that was told to stop, but for what it gives back")]
+#[test_case(&[Step::Told, Step::Quiet], false, false; "from one that has to finish")]
+fn connections_can_be_used_again(steps: &[Step], succeeded: bool, throttled: bool) {
+    let life = Rc::new(Life::new());
+    [Step::Ready].iter().chain(steps).for_each(|step| assert!(life.step(*step)));
+    let door = Door::new(Clock::new(), life, unbounded_channel().0, (2, 1));
+    let kept =
+        [Answer::Succeeded("r".into()), Answer::Throttled { pause: 0.5 }].map(|told| door.keeps(&told));
+    assert_eq!(kept, [succeeded, throttled]);
+}
+
 const ODD_NEWS: &str = "POST /_jobs/news HTTP/1.1\r\nHost: b\r\nContent-Length: 1\r\n\r\n{";
 
 fn ask(addr: SocketAddr, text: &str) -> String {
