--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -195,6 +195,25 @@
     assert_eq!((told.0, told.1.free), (outcome, free));
 }
 
+const ALIVE: &str = "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n{\"x0\":2}";
+
+// An empty answer closes the connection under the request.
+#[test_case(&[ALIVE, "", ALIVE], Outcome::Succeeded; "a connection that was kept, reset at the next request")]
+#[test_case(&["", ALIVE, ALIVE], Outcome::Succeeded; "a new one, reset")]
+#[test_case(&["", "", ""], Outcome::Reset; "each one")]
+fn a_probe_outlives_a_reset(answers: &'static [&'static str], outcome: Outcome) {
+    let (addr, _executor) = executor("\r\n\r\n", answers);
+    let told = block(async {
+        let mut links = links(addr);
+        let mut told = Outcome::Moot;
+        for _ in 0..answers.len() - answers.iter().filter(|answer| answer.is_empty()).count().min(2) {
+            told = probe(links.lease(0).expect("a connection"), true, seconds(1.0)).await.0;
+        }
+        told
+    });
+    assert_eq!(told, outcome);
+}
+
 #[test_case(202, false, Reply::Taken; "taken")]
 #[test_case(503, true, ended(Outcome::Full); "turned away, as it says itself")]
 #[test_case(504, true, ended(Outcome::Full); "turned away by a front that says so")]
