--- a/crates/coveroute-node/src/driver.rs
+++ b/crates/coveroute-node/src/driver.rs
@@ -282,6 +282,10 @@
     fn replied(&mut self, id: InvId, forward: usize, reply: Reply) {
         match reply {
             Reply::Ended(outcome, report) => self.settled(id, forward, outcome, report),
+            Reply::Unheard => {
+                debug!("forward {forward} of {id} is not acknowledged");
+                self.route.push(Input::Unheard { id, forward });
+            }
             Reply::Unfit(status, report) => {
                 // No other executor would find it any better, and each that is asked would be doubted for it.
                 info!("invocation {id} was turned away with {status}");
@@ -319,7 +323,11 @@
                 // that this one never ran.
                 debug!("{} returned by {} again", news.call, news.from);
             }
-            Word::Alive => self.route.push(Input::Alive { id, forward }),
+            Word::Alive => {
+                // It may come before the executor has answered for it.
+                self.replied(id, forward, Reply::Taken);
+                self.route.push(Input::Alive { id, forward });
+            }
             Word::Ended(outcome) => {
                 self.settled(id, forward, outcome, news.report);
                 if outcome == Outcome::Full {
--- a/crates/coveroute-node/src/executors.rs
+++ b/crates/coveroute-node/src/executors.rs
@@ -50,6 +50,13 @@
     }
 }
 
+/// How long an executor may take to say that it has a job: before that is told, and before it is given up.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    pub heard: Duration,
+    pub taken: Duration,
+}
+
 pub struct Links {
     links: Vec<Option<Link>>,
     most: usize,
@@ -132,10 +139,10 @@
         2 * self.dial
     }
 
-    /// How long an executor may take to say that it has a job. Guards against machines that vanish: they say
-    /// nothing. Ten connections' time: healthy ones, with work waiting, need a fiftieth of that.
-    pub fn taken_within(&self) -> Duration {
-        10 * self.dial
+    /// Healthy executors, with work waiting, say within a fifth of a connection's time that they have a job. One
+    /// that says so later has paused, or runs it and tells with its first progress note.
+    pub fn taken_within(&self) -> Patience {
+        Patience { heard: self.dial, taken: 10 * self.dial }
     }
 }
 
--- a/crates/coveroute-node/src/send.rs
+++ b/crates/coveroute-node/src/send.rs
@@ -1,4 +1,5 @@
 //! Send: one forward of an invocation to an executor, and what its connection tells of it.
+use std::pin::pin;
 use std::time::Duration;
 
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
@@ -9,7 +10,7 @@
 use coveroute_shared::Gauge;
 use log::{debug, warn};
 
-use crate::executors::Lease;
+use crate::executors::{Lease, Patience};
 use crate::take_in::Job;
 use crate::wire;
 
@@ -20,15 +21,17 @@
 pub enum Reply {
     /// The executor has the job, and will tell what becomes of it.
     Taken,
+    /// It has not said so in time. It may still.
+    Unheard,
     Ended(Outcome, Report),
     /// The executor finds fault with the request.
     Unfit(StatusCode, Report),
 }
 
 /// Sends the job as it came; `left` is how long the node will wait. Tells the reply as soon as it is known.
-/// An executor that does not say `within` that time that it has the job is given up, by closing the
-/// connection.
-pub async fn forward(lease: Lease, job: &Job, left: f64, within: Duration, tell: impl FnOnce(Reply)) {
+/// An executor that does not say in time that it has the job is told of first, then given up, by closing the
+/// connection. Guards against machines that vanish and jobs that get lost: neither says anything.
+pub async fn forward(lease: Lease, job: &Job, left: f64, patience: Patience, tell: impl Fn(Reply)) {
     let uri = Uri::builder().scheme("http").authority(lease.addr().to_string());
     let Ok(uri) = uri.path_and_query(job.target.clone()).build() else {
         // Can't be: both parts were read as such before.
@@ -36,7 +39,13 @@
     };
     let mut request = lease.client().request(job.method.clone(), uri);
     *request.headers_mut() = headers(&job.headers, left);
-    match timeout(within, request.send_body(job.body.clone())).await {
+    let mut sent = pin!(request.send_body(job.body.clone()));
+    let mut answer = timeout(patience.heard, &mut sent).await;
+    if answer.is_err() {
+        tell(Reply::Unheard);
+        answer = timeout(patience.taken.saturating_sub(patience.heard), sent).await;
+    }
+    match answer {
         Err(_) => tell(Reply::Ended(Outcome::TimedOut, Report::default())),
         Ok(Err(e)) => {
             debug!("{}: {e}", lease.addr());
--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -1,5 +1,5 @@
 //! Tests of the units round the driver, and what tests share. No bench: executors are sockets of the test.
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
@@ -21,7 +21,7 @@
 use crate::config::Config;
 use crate::discovery::{Hosts, Lines};
 use crate::driver::{Driver, Event};
-use crate::executors::{probe, Links};
+use crate::executors::{probe, Links, Patience};
 use crate::guest::{Claim, Doing, Guest};
 use crate::logger::{Pace, Turn};
 use crate::phase::{Life, Phase, Step};
@@ -104,11 +104,25 @@
     links
 }
 
-async fn forward(links: &mut Links, within: Duration) -> Option<Reply> {
-    let reply = Cell::new(None);
+/// What is told of a forward: the last of it, where nothing is told of its being late.
+async fn forward(links: &mut Links, taken: Duration) -> Option<Reply> {
+    forwarded(links, Patience { heard: taken, taken }).await.into_iter().rfind(|told| *told != Reply::Unheard)
+}
+
+async fn forwarded(links: &mut Links, patience: Patience) -> Vec<Reply> {
+    let told = RefCell::new(Vec::new());
     let lease = links.lease(0).expect("a connection");
-    send::forward(lease, &job("c", "look", 1.0, 0.0), 1.0, within, |told| reply.set(Some(told))).await;
-    reply.get()
+    send::forward(lease, &job("c", "look", 1.0, 0.0), 1.0, patience, |reply| told.borrow_mut().push(reply))
+        .await;
+    told.into_inner()
+}
+
+#[test]
+fn a_job_that_is_not_acknowledged_is_told_of_and_then_given_up() {
+    let (addr, _executor) = executor("body", &["HTTP/1.1 20"]);
+    let patience = Patience { heard: 50 * MS, taken: 100 * MS };
+    let told = block(async { forwarded(&mut links(addr), patience).await });
+    assert_eq!(told, [Reply::Unheard, ended(Outcome::TimedOut)]);
 }
 
 const TAKEN: &str = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
@@ -198,15 +212,15 @@
 const ALIVE: &str = "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n{\"x0\":2}";
 
 // An empty answer closes the connection under the request.
-#[test_case(&[ALIVE, "", ALIVE], Outcome::Succeeded; "a connection that was kept, reset at the next request")]
-#[test_case(&["", ALIVE, ALIVE], Outcome::Succeeded; "a new one, reset")]
-#[test_case(&["", "", ""], Outcome::Reset; "each one")]
-fn a_probe_outlives_a_reset(answers: &'static [&'static str], outcome: Outcome) {
+#[test_case(&[ALIVE, "", ALIVE], 2, Outcome::Succeeded; "a connection that was kept, reset at the next request")]
+#[test_case(&["", ALIVE, ALIVE], 2, Outcome::Succeeded; "a new one, reset")]
+#[test_case(&["", "", ""], 1, Outcome::Reset; "each one")]
+fn a_probe_outlives_a_reset(answers: &'static [&'static str], probes: usize, outcome: Outcome) {
     let (addr, _executor) = executor("\r\n\r\n", answers);
     let told = block(async {
         let mut links = links(addr);
         let mut told = Outcome::Moot;
-        for _ in 0..answers.len() - answers.iter().filter(|answer| answer.is_empty()).count().min(2) {
+        for _ in 0..probes {
             told = probe(links.lease(0).expect("a connection"), true, seconds(1.0)).await.0;
         }
         told
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -9,11 +9,9 @@
 const ASK: u64 = 2; // asking again for the list.
 
 /// State, input, next state, effect. What is not listed changes nothing: late, double or unknown events.
-const TABLE: [(Life, Turn, Life, Act); 14] = [
+const TABLE: [(Life, Turn, Life, Act); 12] = [
     (Life::Waiting, Turn::Sent, Life::Out, Act::Keep),
     (Life::Suspect, Turn::Sent, Life::Again, Act::Keep),
-    (Life::Out, Turn::Sent, Life::Again, Act::Keep),
-    (Life::Again, Turn::Sent, Life::Again, Act::Keep),
     (Life::Out, Turn::NotRun, Life::Waiting, Act::Queue),
     (Life::Out, Turn::MayHaveRun, Life::Suspect, Act::Queue),
     (Life::Again, Turn::NotRun, Life::Waiting, Act::Queue),
@@ -98,6 +96,7 @@
             Input::Submitted(sub) => self.submitted(now, sub, out),
             Input::Settled(settled) => self.settled(now, settled, out),
             Input::Alive { id, forward } => return self.alive(now, id, forward),
+            Input::Unheard { id, forward } => self.unheard(now, id, forward, out),
             Input::Expired(id) => self.step(now, id, Turn::Finished, out),
             Input::Leaving(end) => self.leave(end),
             Input::Timer(SOLVE) => self.tick(now, out),
@@ -133,9 +132,7 @@
 
     fn entry(&mut self, now: f64, entry: Entry, out: &mut Vec<Output>) {
         const GOOD_AT_START: f64 = 4.0; // Of an unknown executor: two failures in a row make it doubtful.
-        let blank = |tgt| Entry { tgt, started: f64::NAN, ..Entry::default() };
-        let unheard = |tgt| Executor { entry: blank(tgt), ..Executor::default() };
-        self.tgts.extend((self.tgts.len()..=entry.tgt).map(unheard));
+        self.tgts.extend((self.tgts.len()..=entry.tgt).map(Executor::unheard));
         let t = &mut self.tgts[entry.tgt];
         let drains = t.entry.standing == Standing::Ready && entry.standing == Standing::Draining;
         out.extend(drains.then(|| Output::Log(format!("executor {:06x} drains", entry.mark))));
@@ -277,9 +274,6 @@
             _ => t.failed(if outcome == Outcome::Unfit { 0.25 } else { 1.0 }, out), // It may be right.
         }
         let (outs, ran, life) = (inv.still_out().count(), inv.anchor().is_some(), inv.life);
-        if life == Life::Ended && outs == 0 {
-            self.invs.remove(&id);
-        }
         self.tell(tgt, out);
         // Guards against connect failures: hundreds of nodes' idle connections fill an executor's table.
         out.extend((self.tgts[tgt].held == 0 && !self.whole()).then_some(Output::Release(tgt)));
@@ -288,6 +282,7 @@
         self.misled += MISLED_NEW * (f64::from(u8::from(late)) - self.misled);
         self.report(now, tgt, report);
         match (ended || outcome == Outcome::Succeeded, outs) {
+            (_, 0) if life == Life::Ended => drop(self.invs.remove(&id)),
             (true, _) => self.step(now, id, Turn::Finished, out),
             (false, 1..) => {}
             (false, 0) => self.step(now, id, if ran { Turn::MayHaveRun } else { Turn::NotRun }, out),
@@ -319,6 +314,17 @@
         t.woke(now);
     }
 
+    /// Guards against jobs that get lost while others run there: what can be sent again is taken back.
+    fn unheard(&mut self, now: f64, id: InvId, forward: usize, out: &mut Vec<Output>) {
+        let Some(inv) = self.invs.get(&id) else { return };
+        let fwd = inv.forwards.get(forward).filter(|f| f.fate == Fate::Out && !f.started);
+        let Some(tgt) = fwd.map(|f| f.tgt) else { return };
+        let more = self.set.cancelling && inv.forwards.len() < self.set.max_forwards;
+        let again = more && self.tgts.iter().any(|t| self.may_go(now, inv, t));
+        out.extend(again.then_some(Output::Withdraw { id, forward }));
+        self.tgts[tgt].failed(1.0, out);
+    }
+
     fn probed(&mut self, now: f64, tgt: Tgt, outcome: Outcome, report: Report, out: &mut Vec<Output>) {
         let Some(t) = self.tgts.get_mut(tgt) else { return };
         match outcome {
@@ -474,11 +480,10 @@
         for i in order.into_iter().filter(|&i| able(&self.tgts[i])) {
             let t = &self.tgts[i];
             let fits = t.slots <= 0.0 || t.memory + t.foreign + inv.memory <= t.slots;
+            let first = stale.is_empty() || !self.whole();
             match self.room(now, t) {
                 None => stale.push(i),
-                Some(room) if room >= ONE && fits && (stale.is_empty() || !self.whole()) => {
-                    return Place::Here(i)
-                }
+                Some(room) if room >= ONE && fits && first => return Place::Here(i),
                 Some(_) => {}
             }
         }
@@ -530,8 +535,7 @@
         }
     }
 
-    /// Guards against answers cut off at a stop: all is answered by `end`, and what is not sent yet and
-    /// usually takes longer is given back (see `place`), for clients to try elsewhere at once.
+    /// Guards against answers cut off at a stop: what usually takes longer is given back (see `place`).
     fn leave(&mut self, end: f64) {
         (self.leaving, self.set.max_pause) = (Some(end), 0.0);
         self.invs.values_mut().for_each(|inv| inv.end = inv.end.min(end));
@@ -567,13 +571,12 @@
         self.phi = self.classes.iter().map(|class| class.rate).sum();
         let usual = |(op, c): (usize, &Class)| c.rate * self.value(op, c.pace.map_or(1.0, f64::exp));
         self.value = self.classes.iter().enumerate().map(usual).sum::<f64>() / self.phi.max(1e-6);
-        let forget = (-passed / FORGET).exp();
         // Silent: no sign for one and a half intervals, longer where starts are told and none was (queued).
         let limit = if self.set.progress > 0.0 { 1.5 * self.set.progress + 0.2 } else { 5.0 };
         for t in &mut self.tgts {
             let others = t.others.iter_mut().zip(&self.peer_heard);
             others.filter(|o| now - o.1 > PEER_SILENT).for_each(|(count, _)| *count = 0);
-            t.bad *= forget;
+            t.bad *= (-passed / FORGET).exp();
             let (a, b) = (1 + t.good.round() as usize, 1 + t.bad.round().min(12.0) as usize);
             t.trial = (t.doubtful || t.silent) && self.chance.beta(a, b) >= TRY_AT;
             let limit = if self.set.tells_start && t.running == 0 { 2.5 * limit } else { limit };
@@ -643,14 +646,12 @@
         self.tgts[tgt].told = true;
         let t = &self.tgts[tgt];
         let to = self.keeper(t).filter(|_| self.counting == Counting::Keepers);
-        let (told, count) = (Told::Held, t.held.min(255) as u8);
         let heard = self.counting != Counting::Never && to != Some(self.set.me);
-        out.extend(heard.then_some(Output::Tell { to, told, tgt, count }));
+        out.extend(heard.then_some(Output::Tell { to, told: Told::Held, tgt, count: t.held.min(255) as u8 }));
     }
 
     fn peer(&mut self, now: f64, from: usize, told: Told, tgt: Tgt, count: u8, out: &mut Vec<Output>) {
-        let Some(heard) = self.peer_heard.get_mut(from) else { return };
-        *heard = now;
+        let Some(()) = self.peer_heard.get_mut(from).map(|heard| *heard = now) else { return };
         let room = self.tgts.get(tgt).and_then(|t| self.room(now, t));
         let Some(t) = self.tgts.get_mut(tgt) else { return };
         match told {
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -230,6 +230,25 @@
     assert!(node.tgts[0].doubtful && node.tgts[0].slow == 0.0 && !node.tgts[1].doubtful);
 }
 
+const ONE_CELL: Effect = Effect::Deduplicated { group: Group::Cell, window: 5.0 };
+
+// The first two executors share a cell.
+#[test_case(Effect::Idempotent, 2, false, true; "it can be sent again")]
+#[test_case(Effect::Idempotent, 1, false, false; "there is nowhere else")]
+#[test_case(Effect::NonIdempotent, 2, false, false; "it can't be sent again")]
+#[test_case(ONE_CELL, 2, false, true; "it can in its cell")]
+#[test_case(Effect::Idempotent, 2, true, false; "it has started after all")]
+fn what_is_not_acknowledged_is_taken_back(effect: Effect, many: usize, started: bool, back: bool) {
+    let mut node = node(effect, many);
+    node.set.cancelling = true;
+    add(&mut node, Life::Out, &[Fate::Out]);
+    node.invs.entry(ID).and_modify(|inv| inv.forwards[0].started = started);
+    let mut out = Vec::new();
+    node.unheard(2.0, ID, 0, &mut out);
+    assert_eq!(out, Vec::from_iter(back.then_some(Output::Withdraw { id: ID, forward: 0 })));
+    assert_eq!(node.tgts[0].bad > 0.0, !started);
+}
+
 #[test]
 fn fault_found_with_an_invocation_or_two_brings_no_doubt() {
     let mut node = node(Effect::Idempotent, 1);
--- a/src/types.rs
+++ b/src/types.rs
@@ -181,6 +181,11 @@
         id: InvId,
         forward: usize,
     },
+    /// A forward's executor has not said in time that it has it.
+    Unheard {
+        id: InvId,
+        forward: usize,
+    },
     Expired(InvId),
     /// The node is asked to stop, and has until then.
     Leaving(f64),
@@ -375,6 +380,11 @@
 }
 
 impl Executor {
+    /// Of which nothing has been listed yet: any start time is new.
+    pub fn unheard(tgt: Tgt) -> Self {
+        Executor { entry: Entry { tgt, started: f64::NAN, ..Entry::default() }, ..Executor::default() }
+    }
+
     /// What the other nodes hold there.
     pub fn elsewhere(&self) -> f64 {
         self.others.iter().map(|&n| f64::from(n)).sum()
