--- a/crates/coveroute-node/src/server.rs
+++ b/crates/coveroute-node/src/server.rs
@@ -106,7 +106,7 @@
         match self.life.phase() {
             _ if matches!(answer, Answer::Unfit(..)) => false,
             Phase::Starting | Phase::Serving | Phase::Reloading => true,
-            Phase::Leaving => !matches!(answer, Answer::Throttled { .. }),
+            Phase::Leaving => !matches!(answer, Answer::Throttled { pause } if *pause <= 0.0),
             Phase::Closing | Phase::Ended => false,
         }
     }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -228,7 +228,8 @@
         inv.life = row.2;
         let (effect, end) = (self.set.operations[inv.op].effect, inv.end);
         // Throttled clients are spread over the upper half of what they honour, not to return as one.
-        let pause = self.set.max_pause * (0.5 + 0.5 * self.chance.draw());
+        let back = self.leaving.is_some() && now < inv.until; // At a stop: elsewhere there may be time.
+        let pause = if back { 0.0 } else { self.set.max_pause * (0.5 + 0.5 * self.chance.draw()) };
         let harmless = matches!(effect, Effect::Idempotent | Effect::Deduplicated { group: Group::All, .. });
         match (row.3, harmless) {
             (Act::Keep, _) => return,
@@ -258,8 +259,7 @@
         let Settled { id, forward, outcome, took, ended, report } = settled;
         let Some(inv) = self.invs.get_mut(&id) else { return };
         let Some(fwd) = inv.forwards.get_mut(forward).filter(|f| f.fate == Fate::Out) else { return };
-        let proven = matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::Moot);
-        fwd.fate = if proven { Fate::NotRun } else { Fate::MayHaveRun };
+        fwd.fate = if outcome.never_ran() { Fate::NotRun } else { Fate::MayHaveRun };
         let (tgt, op, hint) = (fwd.tgt, inv.op, inv.hint);
         inv.sample.clear();
         let t = &mut self.tgts[tgt];
@@ -537,7 +537,7 @@
 
     /// Guards against answers cut off at a stop: what usually takes longer is given back (see `place`).
     fn leave(&mut self, end: f64) {
-        (self.leaving, self.set.max_pause) = (Some(end), 0.0);
+        self.leaving = Some(end);
         self.invs.values_mut().for_each(|inv| inv.end = inv.end.min(end));
     }
 
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -559,3 +559,15 @@
     node.review(4.0 - BEFORE_END, &mut out);
     assert_eq!(out, [Output::Throttle { id: ID, pause: 0.0 }]);
 }
+
+#[test_case(2.0, false; "given back while there is time elsewhere")]
+#[test_case(5.0, true; "it has waited for room, and there is none")]
+fn a_stop_keeps_the_pause_of_those_that_found_no_room(now: f64, paused: bool) {
+    let mut node = node(Effect::Idempotent, 0);
+    node.set.max_pause = 2.0;
+    add(&mut node, Life::Waiting, &[]);
+    node.leave(9.0);
+    let mut out = Vec::new();
+    node.step(now, ID, Turn::GaveUp, &mut out);
+    assert!(matches!(out[..], [Output::Throttle { pause, .. }] if (pause >= 1.0) == paused), "{out:?}");
+}
--- a/src/types.rs
+++ b/src/types.rs
@@ -149,6 +149,13 @@
     Moot,
 }
 
+impl Outcome {
+    /// Whether it proves that the invocation has not run there, and will not.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::Unreachable | Outcome::Moot)
+    }
+}
+
 /// A load report; a value that is absent or senseless is `None`.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Report {
