--- a/crates/coveroute-node/src/guest.rs
+++ b/crates/coveroute-node/src/guest.rs
@@ -36,7 +36,7 @@
 
 /// From connecting, or from a request's first byte, to its last: many times what an honest client's 64 KiB
 /// take on a busy core, and inside the three seconds in which whoever is not served is told or closed.
-const ASKS_WITHIN: Duration = Duration::from_millis(2400);
+const ASKS_WITHIN: Duration = Duration::from_millis(2200);
 /// A connection that has stood idle for so long may be closed for another: its last answer has long left by
 /// then, and a client that has only just connected has had time to say what it wants.
 const IDLE_AT_LEAST: Duration = Duration::from_millis(250);
