--- /dev/null
+++ b/crates/coveroute-engine/src/admit.rs
@@ -0,0 +1,46 @@
+//! Admit: whether a call can be taken at all, and what the decisions are told of it.
+use std::sync::Arc;
+
+use coveroute::types::{InvId, Submission};
+use coveroute_shared::Names;
+
+use crate::engine::Unfit;
+
+/// What a front has read of an invocation; its bytes stay with the front.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The id that it came with.
+    pub call: Arc<str>,
+    pub class: String,
+    pub caller: Option<String>,
+    /// How long the client will wait, in seconds, counted from `came`.
+    pub budget: f64,
+    pub hint: Option<f64>,
+    pub memory: Option<f64>,
+    pub came: f64,
+}
+
+/// Kept back from what the client waits: the way of the answer's last byte, with a busy core.
+const ANSWER_TAKES: f64 = 0.05;
+
+/// The least work that a hint may speak of: under the way to an executor it makes no difference.
+const HINT_LEAST: f64 = 1e-4;
+/// And the most, in client timeouts: heavy work takes tens of the usual, which is itself a part of a timeout.
+const HINT_MOST: f64 = 10.0;
+
+/// Names become indices, and what the node has already used of the client's time comes off. Guards against
+/// odd clients whose figures would spoil what is learned of all: their time and their hint are bound by what
+/// the settings give the operation.
+pub fn admit(id: InvId, call: &Call, names: &Names, timeouts: &[f64], now: f64) -> Result<Submission, Unfit> {
+    let find = |names: &[String], name: &str| names.iter().position(|known| known == name);
+    let operation = find(&names.operations, &call.class).ok_or(Unfit::Operation)?;
+    let most = timeouts[operation].max(HINT_LEAST);
+    Ok(Submission {
+        id,
+        operation,
+        tenant: call.caller.as_deref().and_then(|caller| find(&names.tenants, caller)),
+        timeout: call.budget.min(most) - (now - call.came).max(0.0) - ANSWER_TAKES,
+        hint: call.hint.filter(|hint| *hint > 0.0).map(|hint| hint.clamp(HINT_LEAST, HINT_MOST * most)),
+        memory: call.memory,
+    })
+}
--- a/crates/coveroute-node/src/book.rs
+++ b/crates/coveroute-engine/src/book.rs
@@ -1,14 +1,9 @@
 //! Book: the record of each invocation that is owed an answer or has a forward out, found by its index or by
 //! the id that it came with. A record ends with the last of both.
 use std::collections::{BTreeMap, HashMap, VecDeque};
-use std::rc::Rc;
+use std::sync::Arc;
 
-use actix_rt::task::JoinHandle;
 use coveroute::types::{InvId, Tgt};
-use tokio::sync::oneshot;
-
-use crate::relay::Answer;
-use crate::take_in::Job;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Stage {
@@ -32,14 +27,13 @@
     pub tgt: Tgt,
     pub sent: f64,
     pub stage: Stage,
-    /// The task that sends it; stopped when it is given up before an answer, which closes the connection.
-    pub task: Option<JoinHandle<()>>,
 }
 
 #[derive(Debug)]
 pub struct Record {
-    pub job: Rc<Job>,
-    pub answer: Option<oneshot::Sender<Answer>>,
+    pub call: Arc<str>,
+    /// Whether the client waits for its final answer.
+    pub owed: bool,
     pub end: f64,
     pub forwards: Vec<Forward>,
 }
@@ -59,21 +53,16 @@
 pub struct Book {
     records: BTreeMap<InvId, Record>,
     /// None for those that have ended.
-    calls: HashMap<Rc<str>, Option<InvId>>,
-    ended: VecDeque<Rc<str>>,
+    calls: HashMap<Arc<str>, Option<InvId>>,
+    ended: VecDeque<Arc<str>>,
 }
 
 impl Book {
     pub fn open(&mut self, id: InvId, record: Record) {
-        self.calls.insert(record.job.call.clone(), Some(id));
+        self.calls.insert(record.call.clone(), Some(id));
         self.records.insert(id, record);
     }
 
-    #[cfg(test)]
-    pub fn holds(&self, call: &str) -> bool {
-        self.calls.get(call).is_some_and(Option::is_some)
-    }
-
     /// Whether the call is served, or was.
     pub fn knows(&self, call: &str) -> bool {
         self.calls.contains_key(call)
@@ -83,10 +72,14 @@
         self.records.get_mut(&id)
     }
 
-    /// Gives the final answer, once; tells whether it was still owed.
-    pub fn answer(&mut self, id: InvId, answer: Answer) -> bool {
-        let owed = self.records.get_mut(&id).and_then(|record| record.answer.take());
-        owed.map(|owed| owed.send(answer)).is_some()
+    /// Books the final answer, once; tells whether it was still owed.
+    pub fn answer(&mut self, id: InvId) -> bool {
+        self.records.get_mut(&id).is_some_and(|record| std::mem::take(&mut record.owed))
+    }
+
+    /// Records that are held.
+    pub fn len(&self) -> usize {
+        self.records.len()
     }
 
     /// Ends a forward; the one that ended, unless it had before.
@@ -97,6 +90,10 @@
         out.then_some(forward)
     }
 
+    pub fn is_out(&self, id: InvId, forward: usize) -> bool {
+        self.records.get(&id).is_some_and(|record| record.forwards[forward].stage.is_out())
+    }
+
     /// The forward that an executor's word of an invocation speaks of: its last one there. A word of a former
     /// process's invocation finds none.
     pub fn find(&self, call: &str, tgt: Tgt) -> Option<(InvId, usize)> {
@@ -121,15 +118,15 @@
 
     /// Drops the record if nothing is owed and nothing is out any more.
     pub fn tidy(&mut self, id: InvId) {
-        let done = |record: &Record| record.answer.is_none() && record.out().is_empty();
+        let done = |record: &Record| !record.owed && record.out().is_empty();
         if self.records.get(&id).is_some_and(done) {
             if let Some(record) = self.records.remove(&id) {
-                self.keep(record.job.call.clone());
+                self.keep(record.call.clone());
             }
         }
     }
 
-    fn keep(&mut self, call: Rc<str>) {
+    fn keep(&mut self, call: Arc<str>) {
         if self.ended.len() == ENDED_KEPT {
             self.ended.pop_front().and_then(|oldest| self.calls.remove(&oldest));
         }
--- /dev/null
+++ b/crates/coveroute-engine/src/engine.rs
@@ -0,0 +1,561 @@
+//! The engine: everything that happens comes to it as an event, with the time; what is decided leaves it as
+//! actions, to be carried out in order.
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use coveroute::types::{
+    Input, InvId, List, Node, Outcome, Output, Report, Settings, Settled, Submission, Tgt, Told,
+};
+use coveroute_shared::Names;
+use log::{debug, error, info};
+
+use crate::admit::{admit, Call};
+use crate::book::{Book, Forward, Record, Stage};
+use crate::list::{Fleet, Listing, Move};
+use crate::phase::{Phase, Step};
+use crate::route::Route;
+use crate::timers::Timers;
+
+/// What decides; `coveroute::types::Node` does in every node, others only where they are compared with it.
+pub trait Decide {
+    fn handle(&mut self, now: f64, input: Input, out: &mut Vec<Output>);
+}
+
+impl Decide for Node {
+    fn handle(&mut self, now: f64, input: Input, out: &mut Vec<Output>) {
+        Node::handle(self, now, input, out);
+    }
+}
+
+/// What an engine is begun with.
+#[derive(Debug)]
+pub struct Setup {
+    pub settings: Settings,
+    pub names: Names,
+    pub seed: u64,
+    /// Each operation's client timeout.
+    pub timeouts: Vec<f64>,
+    /// The list as this node last had it.
+    pub known: Option<Listing>,
+}
+
+#[derive(Debug)]
+pub enum Event<'a> {
+    Taken(InvId, &'a Call),
+    /// The client has gone.
+    Left(InvId),
+    /// What an executor's first answer to a forward, or the want of it, tells.
+    Replied(InvId, usize, Reply),
+    News(News),
+    Probed(Tgt, Outcome, Report),
+    /// What the watch of this number on the list of executors tells.
+    Watch(u64, Watched),
+    /// Another node, by its number, tells of the executor with this mark.
+    Heard {
+        from: usize,
+        told: Told,
+        mark: u32,
+        count: u8,
+    },
+    /// The operators' configuration was read anew, and is fit.
+    Reread,
+    /// The platform asks the node to stop.
+    Stop,
+    /// No request is in hand: each answer has left.
+    Idle,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// The executor has the job, and will tell what becomes of it.
+    Taken,
+    /// It has not said so in time. It may still.
+    Unheard,
+    Ended(Outcome, Report),
+    /// The executor finds fault with the request: the status, as the protocol words it.
+    Unfit(u16, Report),
+    /// It ran, and this is what it made.
+    Succeeded(Bytes, Report),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Watched {
+    /// It is followed again, whether or not it has changed.
+    Begun,
+    Listed(Listing),
+    Lost,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Word {
+    /// It has started, or goes on.
+    Alive,
+    Succeeded(Bytes),
+    Ended(Outcome),
+}
+
+/// What an executor tells of a job that it has taken.
+#[derive(Clone, Debug, PartialEq)]
+pub struct News {
+    pub call: String,
+    pub from: String,
+    pub word: Word,
+    pub report: Report,
+}
+
+/// Why a call was never taken, or is wrong in itself.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Unfit {
+    /// Its id has come before.
+    Again,
+    /// No such operation.
+    Operation,
+    /// An executor turned it away, with this status.
+    TurnedAway(u16),
+}
+
+/// An invocation's final answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// What an executor made, as it came.
+    Succeeded(Bytes),
+    /// Trying again is harmless, best after `pause` seconds.
+    Throttled {
+        pause: f64,
+    },
+    /// It may have run.
+    Errored,
+    Unfit(Unfit),
+}
+
+/// What the host has to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Hand the job to the executor; `left` is how long the node will wait.
+    Send {
+        id: InvId,
+        forward: usize,
+        tgt: Tgt,
+        left: f64,
+    },
+    /// Stop sending, by closing the connection: the executor has not said that it has the job.
+    Abort {
+        id: InvId,
+        forward: usize,
+    },
+    /// Tell the executor, which has the job, to give it up.
+    GiveUp {
+        tgt: Tgt,
+        call: Arc<str>,
+    },
+    Answer {
+        id: InvId,
+        answer: Answer,
+    },
+    Probe(Tgt),
+    /// Close idle connections.
+    Release(Tgt),
+    /// The executor listens there; at a new address nothing of the old connections is kept.
+    At(Tgt, SocketAddr),
+    Gone(Tgt),
+    /// Follow the list from after this version with a watch of this number; an earlier one is dropped.
+    Follow {
+        watch: u64,
+        version: u64,
+    },
+    /// Tell one node, or all others, of the executor with this mark.
+    Tell {
+        to: Option<usize>,
+        told: Told,
+        mark: u32,
+        count: u8,
+    },
+}
+
+#[derive(Debug)]
+enum Timer {
+    Decisions(u64),
+    /// An invocation's time is over.
+    End(InvId),
+    Life(Step),
+}
+
+/// From the stop on: new connections come for 0.4 s at most, and some way more.
+const QUIET_LEAST: f64 = 0.6;
+/// Of the time to stop: half is used as before, half to finish in.
+const QUIET_SHARE: f64 = 0.5;
+/// After that idle connections are closed, and who was about to use one has come again.
+const CLOSED_AFTER: f64 = 0.2;
+/// The platform waits for the longest client timeout, but no longer than this, and 0.7 s more; then it kills.
+const WAITS_MOST: f64 = 3.0;
+/// Of those 0.7 s: the last answers are given, and then the node ends whatever is left.
+const ANSWERED_AFTER: f64 = 0.2;
+const LATE_AFTER: f64 = 0.45;
+
+pub struct Engine<D = Node> {
+    timers: Timers<Timer>,
+    phase: Phase,
+    pub(crate) route: Route<D>,
+    pub(crate) fleet: Fleet,
+    pub(crate) book: Book,
+    /// How many watches on the list there have been: what an earlier one has still told counts no more.
+    watch: u64,
+    /// Of the list of executors that is held.
+    version: u64,
+    timeouts: Vec<f64>,
+    /// By when all must be answered, once the node is to stop.
+    leave_by: f64,
+    /// From when on it may end, once it is idle.
+    end_from: f64,
+    pub(crate) cancelling: bool,
+    /// Kept for the next event's outputs.
+    outputs: Vec<Output>,
+}
+
+impl Engine<Node> {
+    pub fn new(now: f64, setup: Setup, out: &mut Vec<Action>) -> Self {
+        let node = Node::new(setup.settings.clone(), setup.seed);
+        Engine::deciding(now, node, setup, out)
+    }
+}
+
+impl<D: Decide> Engine<D> {
+    /// An engine with these decisions.
+    pub fn deciding(now: f64, decide: D, setup: Setup, out: &mut Vec<Action>) -> Self {
+        let mut engine = Engine {
+            timers: Timers::new(),
+            phase: Phase::Starting,
+            route: Route::new(decide),
+            fleet: Fleet::new(setup.names),
+            book: Book::default(),
+            watch: 0,
+            version: 0,
+            timeouts: setup.timeouts,
+            leave_by: f64::INFINITY,
+            end_from: f64::INFINITY,
+            cancelling: setup.settings.cancelling,
+            outputs: Vec::new(),
+        };
+        engine.listed(now, &setup.known.unwrap_or_default(), |_, entries| List::Kept(entries), out);
+        engine.carry_on(now, out);
+        engine
+    }
+
+    pub fn phase(&self) -> Phase {
+        self.phase
+    }
+
+    /// When `advance` has something to do next.
+    pub fn next_due(&self) -> Option<f64> {
+        self.timers.next()
+    }
+
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    pub fn decisions(&self) -> &D {
+        self.route.decide()
+    }
+
+    /// Records that are held: bounded by what fronts let in.
+    pub fn held(&self) -> usize {
+        self.book.len()
+    }
+
+    pub fn handle(&mut self, now: f64, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Taken(id, call) => self.taken(now, id, call, out),
+            Event::Left(id) => self.left(now, id, out),
+            Event::Replied(id, forward, reply) => self.replied(now, id, forward, reply, out),
+            Event::News(news) => self.news(now, news, out),
+            Event::Probed(tgt, outcome, report) => self.route.push(Input::Probed { tgt, outcome, report }),
+            Event::Watch(number, _) if number != self.watch => {}
+            Event::Watch(_, Watched::Listed(listing)) => self.listed(now, &listing, Listing::list, out),
+            Event::Watch(_, Watched::Begun) => {
+                self.step(Step::Followed);
+                self.route.push(Input::List(List::Changes(Vec::new())));
+            }
+            Event::Watch(_, Watched::Lost) => self.route.push(Input::List(List::Lost)),
+            Event::Heard { from, told, mark, count } => {
+                let tgt = self.fleet.marked(mark);
+                let heard = tgt.map(|tgt| Input::Heard { from, told, tgt, count });
+                heard.into_iter().for_each(|heard| self.route.push(heard));
+            }
+            Event::Reread => self.reread(out),
+            Event::Stop => self.stop(now),
+            Event::Idle if now >= self.end_from => drop(self.step(Step::Idle)),
+            Event::Idle => {}
+        }
+        self.carry_on(now, out);
+    }
+
+    /// Does what is due.
+    pub fn advance(&mut self, now: f64, out: &mut Vec<Action>) {
+        while let Some(timer) = self.timers.pop(now) {
+            match timer {
+                Timer::Decisions(timer) => self.route.push(Input::Timer(timer)),
+                Timer::End(id) => self.over(now, id, out),
+                Timer::Life(step) => drop(self.step(step)),
+            }
+            self.carry_on(now, out);
+        }
+    }
+
+    fn step(&mut self, step: Step) -> bool {
+        let after = self.phase.after(step);
+        self.phase = after.unwrap_or(self.phase);
+        after.is_some()
+    }
+
+    /// Decides and carries out until nothing is left to decide on.
+    pub(crate) fn carry_on(&mut self, now: f64, out: &mut Vec<Action>) {
+        let mut outputs = std::mem::take(&mut self.outputs);
+        while self.route.next(now, &mut outputs) {
+            outputs.drain(..).for_each(|output| self.carry_out(now, output, out));
+        }
+        self.outputs = outputs;
+    }
+
+    fn carry_out(&mut self, now: f64, output: Output, out: &mut Vec<Action>) {
+        match output {
+            Output::Forward { id, tgt } => self.forward(now, id, tgt, out),
+            Output::Withdraw { id, forward } => self.withdraw(now, id, forward, out),
+            Output::Throttle { id, pause } => self.answer(id, Answer::Throttled { pause }, out),
+            Output::Error { id } => self.answer(id, Answer::Errored, out),
+            Output::Wake { after, timer } => self.timers.set(now + after, Timer::Decisions(timer)),
+            Output::Probe(tgt) => out.push(Action::Probe(tgt)),
+            Output::Release(tgt) => out.push(Action::Release(tgt)),
+            Output::Tell { to, told, tgt, count } => {
+                out.push(Action::Tell { to, told, mark: self.fleet.mark(tgt), count });
+            }
+            Output::Follow => self.follow(out),
+            Output::Log(words) => info!("{words}"),
+        }
+    }
+
+    fn follow(&mut self, out: &mut Vec<Action>) {
+        self.watch += 1;
+        out.push(Action::Follow { watch: self.watch, version: self.version });
+    }
+
+    pub(crate) fn taken(&mut self, now: f64, id: InvId, call: &Call, out: &mut Vec<Action>) {
+        let unfit = |why| Action::Answer { id, answer: Answer::Unfit(why) };
+        // Guards against a second effect, and against clients that take another's id.
+        if self.book.knows(&call.call) {
+            return out.push(unfit(Unfit::Again));
+        }
+        debug!("{id} taken: {}, {}, {:.3} s", call.call, call.class, call.budget);
+        match admit(id, call, self.fleet.names(), &self.timeouts, now) {
+            Ok(submission) => self.open(now, call.call.clone(), submission),
+            Err(why) => out.push(unfit(why)),
+        }
+    }
+
+    fn open(&mut self, now: f64, call: Arc<str>, submission: Submission) {
+        let end = (now + submission.timeout).min(self.leave_by);
+        self.timers.set(end, Timer::End(submission.id));
+        self.book.open(submission.id, Record { call, owed: true, end, forwards: Vec::new() });
+        self.route.push(Input::Submitted(submission));
+    }
+
+    /// Gives the final answer, once; tells whether it was still owed.
+    fn give(&mut self, id: InvId, answer: Answer, out: &mut Vec<Action>) -> bool {
+        let owed = self.book.answer(id);
+        if owed {
+            debug!("{id} ends as {answer:?}");
+            out.push(Action::Answer { id, answer });
+        }
+        owed
+    }
+
+    pub(crate) fn answer(&mut self, id: InvId, answer: Answer, out: &mut Vec<Action>) {
+        self.give(id, answer, out);
+        self.book.tidy(id);
+    }
+
+    fn left(&mut self, now: f64, id: InvId, out: &mut Vec<Action>) {
+        if self.book.answer(id) {
+            self.finished(now, id, out);
+        }
+        self.book.tidy(id);
+    }
+
+    /// An invocation has finished otherwise than by the decisions. Guards against a forward that is still
+    /// waiting for its connection: nothing may be sent any more, also where executors can't be told to stop.
+    fn finished(&mut self, now: f64, id: InvId, out: &mut Vec<Action>) {
+        let forwards = self.book.get(id).map(|record| record.out()).unwrap_or_default();
+        for forward in forwards {
+            if self.book.get(id).is_some_and(|record| record.forwards[forward].stage == Stage::Sending) {
+                self.withdraw(now, id, forward, out);
+            }
+        }
+        self.route.push(Input::Expired(id));
+    }
+
+    /// The client's time is over: what is still out ends as timed out, and the decisions answer.
+    pub(crate) fn over(&mut self, now: f64, id: InvId, out: &mut Vec<Action>) {
+        let Some(record) = self.book.get(id) else { return };
+        for forward in record.out() {
+            self.drop_forward(id, forward, out);
+            self.settled(now, id, forward, Outcome::TimedOut, Report::default());
+        }
+        self.carry_on(now, out);
+        // Nobody may be left without an answer, even if the decisions forgot.
+        if self.give(id, Answer::Errored, out) {
+            error!("invocation {id} was left without an answer");
+            self.route.push(Input::Expired(id));
+        }
+        self.book.tidy(id);
+    }
+
+    fn forward(&mut self, now: f64, id: InvId, tgt: Tgt, out: &mut Vec<Action>) {
+        let Some(record) = self.book.get(id) else { return };
+        let forward = record.forwards.len();
+        record.forwards.push(Forward { tgt, sent: now, stage: Stage::Sending });
+        out.push(Action::Send { id, forward, tgt, left: record.end - now });
+    }
+
+    fn replied(&mut self, now: f64, id: InvId, forward: usize, reply: Reply, out: &mut Vec<Action>) {
+        match reply {
+            Reply::Ended(outcome, report) => self.settled(now, id, forward, outcome, report),
+            Reply::Unheard => {
+                debug!("forward {forward} of {id} is not acknowledged");
+                self.route.push(Input::Unheard { id, forward });
+            }
+            Reply::Unfit(status, report) => {
+                // No other executor would find it any better, and each that is asked would be doubted for it.
+                info!("invocation {id} was turned away with {status}");
+                self.give(id, Answer::Unfit(Unfit::TurnedAway(status)), out);
+                self.settled(now, id, forward, Outcome::Unfit, report);
+            }
+            Reply::Taken => {
+                let forward = self.book.get(id).and_then(|record| record.forwards.get_mut(forward));
+                // It may have ended already: executors may tell of the end first.
+                if let Some(forward) = forward.filter(|forward| forward.stage == Stage::Sending) {
+                    forward.stage = Stage::Taken;
+                }
+            }
+            Reply::Succeeded(result, report) => self.succeeded(now, id, forward, result, report, out),
+        }
+    }
+
+    /// Books the end of a forward, once, and tells the decisions.
+    pub(crate) fn settled(&mut self, now: f64, id: InvId, forward: usize, outcome: Outcome, report: Report) {
+        let Some(ended) = self.book.end(id, forward) else { return };
+        let took = now - ended.sent;
+        debug!("forward {forward} of {id} at {}: {outcome:?} after {took:.3}, {report:?}", ended.tgt);
+        let ended = self.book.get(id).is_none_or(|record| !record.owed);
+        self.route.push(Input::Settled(Settled { id, forward, outcome, took, ended, report }));
+        self.book.tidy(id);
+    }
+
+    fn news(&mut self, now: f64, news: News, out: &mut Vec<Action>) {
+        let tgt = self.fleet.known(&news.from);
+        let Some((id, forward)) = tgt.and_then(|tgt| self.book.find(&news.call, tgt)) else {
+            return debug!("news of {} from {} is of nothing held", news.call, news.from);
+        };
+        match news.word {
+            Word::Ended(Outcome::Full) if self.book.was_returned(id, forward) => {
+                // Guards against a second effect: a repeat of what ended an earlier forward there would prove
+                // that this one never ran.
+                debug!("{} returned by {} again", news.call, news.from);
+            }
+            Word::Alive => {
+                // It may come before the executor has answered for it.
+                self.replied(now, id, forward, Reply::Taken, out);
+                self.route.push(Input::Alive { id, forward });
+            }
+            Word::Ended(outcome) => {
+                self.settled(now, id, forward, outcome, news.report);
+                if outcome == Outcome::Full {
+                    self.book.returned(id, forward);
+                }
+            }
+            Word::Succeeded(result) => self.succeeded(now, id, forward, result, news.report, out),
+        }
+    }
+
+    fn succeeded(
+        &mut self,
+        now: f64,
+        id: InvId,
+        forward: usize,
+        result: Bytes,
+        report: Report,
+        out: &mut Vec<Action>,
+    ) {
+        let owed = self.give(id, Answer::Succeeded(result), out);
+        if self.book.is_out(id, forward) {
+            self.settled(now, id, forward, Outcome::Succeeded, report);
+        } else if owed {
+            // A forward that was given up for lost did it after all.
+            self.finished(now, id, out);
+        }
+        self.book.tidy(id);
+    }
+
+    /// Stops waiting for a forward: by closing its connection, or by telling the executor that has it.
+    fn drop_forward(&mut self, id: InvId, forward: usize, out: &mut Vec<Action>) {
+        let Some(record) = self.book.get(id) else { return };
+        let Forward { tgt, stage, .. } = record.forwards[forward];
+        match stage {
+            Stage::Sending => out.push(Action::Abort { id, forward }),
+            Stage::Taken if self.cancelling => {
+                let call = record.call.clone();
+                out.push(Action::GiveUp { tgt, call });
+            }
+            Stage::Taken | Stage::Returned | Stage::Ended => {}
+        }
+    }
+
+    pub(crate) fn withdraw(&mut self, now: f64, id: InvId, forward: usize, out: &mut Vec<Action>) {
+        self.drop_forward(id, forward, out);
+        self.settled(now, id, forward, Outcome::Cancelled, Report::default());
+    }
+
+    fn listed(
+        &mut self,
+        now: f64,
+        listing: &Listing,
+        list: impl FnOnce(&Listing, Vec<coveroute::types::Entry>) -> List,
+        out: &mut Vec<Action>,
+    ) {
+        self.version = listing.version;
+        let (told, moves) = self.fleet.listed(now, listing);
+        if !listing.hosts.is_empty() {
+            self.step(Step::Ready);
+        }
+        out.extend(moves.into_iter().map(|to| match to {
+            Move::At(tgt, addr) => Action::At(tgt, addr),
+            Move::Gone(tgt) => Action::Gone(tgt),
+        }));
+        self.route.push(Input::List(list(listing, told)));
+    }
+
+    /// The host knows where the list is to be followed now; requests, connections and what was learnt stay.
+    /// Guards against a node that goes on with a list which nobody keeps: the old service may close at any
+    /// moment from now on. The new one's versions may count otherwise: the whole list is asked for.
+    fn reread(&mut self, out: &mut Vec<Action>) {
+        if self.step(Step::Reread) {
+            self.version = 0;
+            self.follow(out);
+        }
+    }
+
+    fn stop(&mut self, now: f64) {
+        if !self.step(Step::Told) {
+            return;
+        }
+        let span = self.timeouts.iter().copied().fold(0.0, f64::max).min(WAITS_MOST);
+        let (quiet, waits) = (now + QUIET_LEAST.max(QUIET_SHARE * span), now + span);
+        (self.leave_by, self.end_from) = (waits + ANSWERED_AFTER, quiet + CLOSED_AFTER);
+        self.timers.set(quiet, Timer::Life(Step::Quiet));
+        self.timers.set(waits + LATE_AFTER, Timer::Life(Step::Late));
+        for (id, end) in self.book.cut(self.leave_by) {
+            self.timers.set(end, Timer::End(id));
+        }
+        self.route.push(Input::Leaving(self.leave_by));
+    }
+}
--- /dev/null
+++ b/crates/coveroute-engine/src/lib.rs
@@ -0,0 +1,20 @@
+//! What a coveroute node does, on any wire and in any time: the engine takes (now, event) and gives actions, which
+//! its host carries out in order. It owns the decisions, the book of records, the timers, the list of executors
+//! and the node's phases; it does no I/O, reads no clock and knows no protocol. Times are seconds, on whichever
+//! clock the host keeps to.
+mod admit;
+mod book;
+mod engine;
+mod list;
+mod phase;
+mod route;
+mod timers;
+
+pub use admit::Call;
+pub use book::Stage;
+pub use engine::{Action, Answer, Decide, Engine, Event, News, Reply, Setup, Unfit, Watched, Word};
+pub use list::{Host, Listing};
+pub use phase::{Phase, Step};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/coveroute-engine/src/list.rs
@@ -0,0 +1,148 @@
+//! The list of executors, in no protocol's words: who is listed, where, and who has gone since when.
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use coveroute::types::{Entry, List, Standing, Tgt};
+use coveroute_shared::{Listed, Names, Roster};
+
+/// After this nothing can come from an executor that has gone: many times the longest client timeouts.
+const FORGET_AFTER: f64 = 600.0;
+
+/// One executor, as a source of the list words it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Host {
+    pub id: String,
+    pub addr: Option<SocketAddr>,
+    pub zone: String,
+    pub kind: String,
+    pub cell: i64,
+    /// When its process started, 0 for long ago.
+    pub started: f64,
+    pub standing: Standing,
+}
+
+/// A whole list, or the entries that changed.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Listing {
+    pub version: u64,
+    pub full: bool,
+    pub hosts: Vec<Host>,
+}
+
+impl Listing {
+    pub fn list(&self, entries: Vec<Entry>) -> List {
+        if self.full {
+            List::Whole(entries)
+        } else {
+            List::Changes(entries)
+        }
+    }
+}
+
+/// What became of one executor's address with a listing.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Move {
+    At(Tgt, SocketAddr),
+    Gone(Tgt),
+}
+
+#[derive(Debug)]
+pub struct Fleet {
+    names: Names,
+    roster: Roster,
+    /// By number; none for who has no address, or has gone.
+    addrs: Vec<Option<SocketAddr>>,
+    /// Executors that are not listed any more, and since when.
+    gone: BTreeMap<Tgt, f64>,
+}
+
+impl Fleet {
+    pub fn new(names: Names) -> Self {
+        Fleet { names, roster: Roster::default(), addrs: Vec::new(), gone: BTreeMap::new() }
+    }
+
+    pub fn names(&self) -> &Names {
+        &self.names
+    }
+
+    pub fn known(&self, id: &str) -> Option<Tgt> {
+        self.roster.known(id)
+    }
+
+    pub fn id(&self, tgt: Tgt) -> &str {
+        self.roster.id(tgt)
+    }
+
+    pub fn mark(&self, tgt: Tgt) -> u32 {
+        coveroute_shared::mark(self.roster.id(tgt))
+    }
+
+    pub fn marked(&self, mark: u32) -> Option<Tgt> {
+        self.roster.marked(mark)
+    }
+
+    pub fn addr(&self, tgt: Tgt) -> Option<SocketAddr> {
+        self.addrs.get(tgt).copied().flatten()
+    }
+
+    /// Takes a listing over; what the decisions are told, and what moves.
+    pub fn listed(&mut self, now: f64, listing: &Listing) -> (Vec<Entry>, Vec<Move>) {
+        let (mut told, mut moves) = (self.forget(now), Vec::new());
+        let entries: Vec<(Entry, Option<SocketAddr>)> =
+            listing.hosts.iter().map(|host| (self.entry(host), host.addr)).collect();
+        if listing.full {
+            // What a whole list lacks is gone.
+            let mut named = vec![false; self.addrs.len()];
+            entries.iter().for_each(|(e, _)| named.iter_mut().skip(e.tgt).take(1).for_each(|n| *n = true));
+            let lacking = |&tgt: &Tgt| self.addrs[tgt].is_some() && !named[tgt];
+            let lacking: Vec<Tgt> = (0..self.addrs.len()).filter(lacking).collect();
+            lacking.into_iter().for_each(|tgt| self.leave(now, tgt, &mut moves));
+        }
+        for (entry, addr) in entries {
+            match (entry.standing, addr) {
+                (Standing::Gone, _) => self.leave(now, entry.tgt, &mut moves),
+                (Standing::Ready | Standing::Draining, addr) => {
+                    self.gone.remove(&entry.tgt);
+                    addr.into_iter().for_each(|addr| self.settle(entry.tgt, addr, &mut moves));
+                }
+            }
+            told.push(entry);
+        }
+        (told, moves)
+    }
+
+    fn entry(&mut self, host: &Host) -> Entry {
+        let Host { id, zone, kind, cell, started, standing, .. } = host;
+        let listed = Listed { id, zone, kind, cell: *cell, started: *started, standing: *standing };
+        self.roster.entry(&mut self.names, &listed)
+    }
+
+    fn settle(&mut self, tgt: Tgt, addr: SocketAddr, moves: &mut Vec<Move>) {
+        if self.addrs.len() <= tgt {
+            self.addrs.resize(tgt + 1, None);
+        }
+        if self.addrs[tgt].replace(addr) != Some(addr) {
+            moves.push(Move::At(tgt, addr));
+        }
+    }
+
+    fn leave(&mut self, now: f64, tgt: Tgt, moves: &mut Vec<Move>) {
+        self.addrs.iter_mut().skip(tgt).take(1).for_each(|addr| *addr = None);
+        self.gone.insert(tgt, now);
+        moves.push(Move::Gone(tgt));
+    }
+
+    /// Gives back the numbers of executors that have long gone. Guards against growth without end where
+    /// machines are replaced by new ones. The decisions get a start time that is none, and so forget what
+    /// they knew.
+    fn forget(&mut self, now: f64) -> Vec<Entry> {
+        let long = |since: &f64| now - since > FORGET_AFTER;
+        let old: Vec<Tgt> = self.gone.iter().filter(|gone| long(gone.1)).map(|gone| *gone.0).collect();
+        let blank = |&tgt: &Tgt| {
+            self.gone.remove(&tgt);
+            self.roster.retire(tgt);
+            Entry { tgt, started: f64::NAN, ..Entry::default() }
+        };
+        old.iter().map(blank).collect()
+    }
+}
--- /dev/null
+++ b/crates/coveroute-engine/src/tests.rs
@@ -0,0 +1,334 @@
+//! Tests of the engine: one event given to it, what it has its host do, how its records stand. No sockets, no clock.
+use coveroute::types::*;
+use coveroute_shared::Names;
+use test_case::test_case;
+
+use crate::admit::admit;
+use crate::book::Forward;
+use crate::timers::Timers;
+use crate::*;
+
+const ID: InvId = 7;
+const CALL: &str = "c";
+const NOW: f64 = 1e9;
+
+fn names() -> Names {
+    let texts = |texts: &[&str]| texts.iter().map(|text| (*text).to_owned()).collect();
+    Names { operations: texts(&["look", "pay"]), tenants: Vec::new(), zones: Vec::new(), kinds: Vec::new() }
+}
+
+fn operation(effect: Effect) -> Operation {
+    Operation { effect, objective: 1.0, stretch: 0.0, value: 1.0, late_value: 0.0, kind: None }
+}
+
+fn host(at: usize, standing: Standing) -> Host {
+    let addr = Some(([127, 0, 0, 1], 9000 + at as u16).into());
+    let (id, zone, kind) = (format!("s-{at}"), "a".to_owned(), String::new());
+    Host { id, addr, zone, kind, cell: 0, started: 0.0, standing }
+}
+
+fn listing(version: u64, full: bool, hosts: Vec<Host>) -> Listing {
+    Listing { version, full, hosts }
+}
+
+/// An engine that knows two executors, and what it asks for at its start.
+fn engine() -> (Engine, Vec<Action>) {
+    let settings = Settings {
+        nodes: 1,
+        operations: vec![operation(Effect::Idempotent), operation(Effect::NonIdempotent)],
+        max_forwards: 4,
+        cancelling: true,
+        probing: true,
+        must_ask: true,
+        max_pause: 2.0,
+        ..Settings::default()
+    };
+    let known = Some(listing(1, true, (0..2).map(|at| host(at, Standing::Ready)).collect()));
+    let setup = Setup { settings, names: names(), seed: 1, timeouts: vec![5.0, 10.0], known };
+    let mut out = Vec::new();
+    (Engine::new(NOW, setup, &mut out), out)
+}
+
+fn call(call: &str, class: &str, budget: f64) -> Call {
+    let (call, class) = (call.into(), class.to_owned());
+    Call { call, class, caller: Some("nobody".into()), budget, hint: None, memory: None, came: NOW }
+}
+
+/// An invocation whose forwards went to these, and stand so; the decisions have not seen it.
+fn with(class: &str, forwards: &[(Tgt, Stage)]) -> Engine {
+    let mut engine = engine().0;
+    engine.taken(NOW, ID, &call(CALL, class, 5.0), &mut Vec::new());
+    let record = engine.book.get(ID).expect("a record");
+    let forward = |&(tgt, stage): &(Tgt, Stage)| Forward { tgt, sent: NOW, stage };
+    record.forwards = forwards.iter().map(forward).collect();
+    engine.route.take();
+    engine
+}
+
+fn told(engine: &mut Engine, now: f64, event: Event) -> Vec<Action> {
+    let mut out = Vec::new();
+    engine.handle(now, event, &mut out);
+    out
+}
+
+fn answers(out: &[Action]) -> Vec<&Answer> {
+    let answer = |action: &Action| matches!(action, Action::Answer { .. });
+    out.iter()
+        .filter(|a| answer(a))
+        .map(|a| if let Action::Answer { answer, .. } = a { answer } else { unreachable!() })
+        .collect()
+}
+
+fn stages(engine: &mut Engine) -> Option<Vec<Stage>> {
+    engine.book.get(ID).map(|record| record.forwards.iter().map(|forward| forward.stage).collect())
+}
+
+fn news(from: Tgt, word: Word) -> Event<'static> {
+    Event::News(News { call: CALL.into(), from: format!("s-{from}"), word, report: Report::default() })
+}
+
+fn done() -> Word {
+    Word::Succeeded("r".into())
+}
+
+const SENDING: (Tgt, Stage) = (0, Stage::Sending);
+const TAKEN: (Tgt, Stage) = (0, Stage::Taken);
+const ENDED: (Tgt, Stage) = (0, Stage::Ended);
+const RETURNED: (Tgt, Stage) = (0, Stage::Returned);
+const FULL: Word = Word::Ended(Outcome::Full);
+const FAILED: Word = Word::Ended(Outcome::Errored);
+
+// What executors tell: each word, whether the client is answered then, and how the forwards stand.
+#[test_case(&[TAKEN], 0, done(), true, None; "done")]
+#[test_case(&[SENDING], 0, done(), true, None; "done before it was said to be taken")]
+#[test_case(&[ENDED, (1, Stage::Taken)], 0, done(), true, Some(&[ENDED.1, TAKEN.1]); "done by a lost one")]
+#[test_case(&[TAKEN], 1, done(), false, Some(&[TAKEN.1]); "done by one that never had it")]
+#[test_case(&[TAKEN], 9, done(), false, Some(&[TAKEN.1]); "done by one that nobody knows")]
+#[test_case(&[TAKEN], 0, Word::Alive, false, Some(&[TAKEN.1]); "progress")]
+#[test_case(&[SENDING], 0, Word::Alive, false, Some(&[TAKEN.1]); "progress before it was said to be taken")]
+#[test_case(&[TAKEN], 0, FAILED, false, Some(&[ENDED.1]); "failed")]
+#[test_case(&[TAKEN], 0, FULL, false, Some(&[RETURNED.1]); "given back")]
+#[test_case(&[RETURNED, TAKEN], 0, FULL, false, Some(&[RETURNED.1, TAKEN.1]); "given back, told again later")]
+#[test_case(&[ENDED, TAKEN], 0, FULL, false, Some(&[ENDED.1, RETURNED.1]); "given back, turned away before")]
+fn news_are_booked_once(
+    forwards: &[(Tgt, Stage)],
+    from: Tgt,
+    word: Word,
+    answered: bool,
+    left: Option<&[Stage]>,
+) {
+    let mut engine = with("look", forwards);
+    let out = told(&mut engine, NOW, news(from, word));
+    assert_eq!(!answers(&out).is_empty(), answered);
+    assert_eq!(stages(&mut engine).as_deref(), left);
+}
+
+#[test]
+fn a_result_told_twice_answers_once() {
+    let mut engine = with("look", &[TAKEN]);
+    let first = told(&mut engine, NOW, news(0, done()));
+    let second = told(&mut engine, NOW, news(0, Word::Succeeded("other".into())));
+    assert_eq!((answers(&first), answers(&second).len()), (vec![&Answer::Succeeded("r".into())], 0));
+    assert_eq!(engine.held(), 0, "the record has ended");
+}
+
+#[test_case(Reply::Taken, Stage::Taken; "taken")]
+#[test_case(Reply::Ended(Outcome::Reset, Report::default()), Stage::Ended; "broken")]
+fn replies_are_booked(reply: Reply, stage: Stage) {
+    let mut engine = with("look", &[SENDING]);
+    // One that comes late, or for nothing that is held, changes nothing.
+    let replies = [(ID, 0, reply.clone()), (ID, 0, Reply::Taken), (ID + 1, 0, reply.clone()), (ID, 5, reply)];
+    for (id, forward, reply) in replies {
+        told(&mut engine, NOW, Event::Replied(id, forward, reply));
+        assert_eq!(stages(&mut engine), Some(vec![stage]));
+    }
+}
+
+#[test]
+fn a_fault_found_with_the_request_is_the_clients_answer() {
+    let mut engine = with("look", &[SENDING]);
+    let out = told(&mut engine, NOW, Event::Replied(ID, 0, Reply::Unfit(400, Report::default())));
+    assert_eq!(answers(&out), [&Answer::Unfit(Unfit::TurnedAway(400))]);
+    assert_eq!(engine.held(), 0, "it is not tried elsewhere");
+}
+
+#[test_case(&[TAKEN], false; "served")]
+#[test_case(&[TAKEN], true; "ended")]
+fn a_call_is_not_taken_again(forwards: &[(Tgt, Stage)], ended: bool) {
+    let mut engine = with("look", forwards);
+    if ended {
+        told(&mut engine, NOW, news(0, done()));
+    }
+    let out = told(&mut engine, NOW, Event::Taken(ID + 1, &call(CALL, "look", 5.0)));
+    assert_eq!(answers(&out), [&Answer::Unfit(Unfit::Again)]);
+    assert_eq!(engine.held(), usize::from(!ended), "the first one is served on");
+}
+
+#[test]
+fn the_ids_of_ended_calls_are_bounded() {
+    let mut engine = with("look", &[TAKEN]);
+    told(&mut engine, NOW, news(0, done()));
+    for id in 0..9000 {
+        told(&mut engine, NOW, Event::Taken(ID + 2 + id, &call(&id.to_string(), "pay", 5.0)));
+        engine.answer(ID + 2 + id, Answer::Errored, &mut Vec::new());
+    }
+    assert!(!engine.book.knows(CALL) && engine.book.knows("8999"), "the last ones are kept, no more");
+}
+
+#[test_case(false; "where executors can be told to stop")]
+#[test_case(true; "and where they can't")]
+fn nothing_is_sent_for_a_client_that_has_left(deaf: bool) {
+    let mut engine = with("pay", &[SENDING]);
+    engine.cancelling = !deaf;
+    let out = told(&mut engine, NOW, Event::Left(ID));
+    assert_eq!((out, engine.held()), (vec![Action::Abort { id: ID, forward: 0 }], 0));
+}
+
+#[test]
+fn a_client_that_leaves_is_forgotten_once_its_forwards_end() {
+    let mut engine = with("look", &[TAKEN]);
+    told(&mut engine, NOW, Event::Left(ID));
+    assert_eq!(engine.held(), 1, "a forward is still out");
+    let mut out = Vec::new();
+    engine.withdraw(NOW, ID, 0, &mut out);
+    assert_eq!((out, engine.held()), (vec![Action::GiveUp { tgt: 0, call: CALL.into() }], 0));
+    assert!(told(&mut engine, NOW, Event::Left(ID)).is_empty());
+    assert!(answers(&told(&mut engine, NOW, news(0, done()))).is_empty());
+}
+
+#[test]
+fn at_a_stop_all_is_answered_in_the_time_that_the_platform_gives() {
+    let mut engine = with("pay", &[TAKEN]);
+    assert!(answers(&told(&mut engine, NOW, Event::Stop)).is_empty());
+    let end = engine.book.get(ID).map(|record| record.end - NOW).expect("a record");
+    assert!(end > 1.0 && end < 3.3, "{end}");
+    assert_eq!(engine.phase(), Phase::Leaving);
+    told(&mut engine, NOW + 1.0, Event::Stop);
+    let mut out = Vec::new();
+    engine.advance(NOW + end, &mut out);
+    assert_eq!(answers(&out), [&Answer::Errored]);
+    told(&mut engine, NOW + end, Event::Idle);
+    assert_eq!(engine.phase(), Phase::Ended);
+}
+
+#[test_case("look", true; "idempotent is refused")]
+#[test_case("pay", false; "what may have run is not refused")]
+fn every_call_gets_an_answer_in_time(class: &str, refused: bool) {
+    let mut engine = engine().0;
+    let sent = told(&mut engine, NOW, Event::Taken(ID, &call(CALL, class, 2.0)));
+    let send = sent.iter().find(|action| matches!(action, Action::Send { .. }));
+    let Some(&Action::Send { forward, left, .. }) = send else { panic!("sent nowhere: {sent:?}") };
+    told(&mut engine, NOW, Event::Replied(ID, forward, Reply::Taken));
+    let (mut out, mut now) = (Vec::new(), NOW);
+    while answers(&out).is_empty() {
+        now = engine.next_due().expect("something is due");
+        engine.advance(now, &mut out);
+    }
+    assert!(now <= NOW + left + 1e-6 && left < 2.0, "{}", now - NOW);
+    assert_eq!(matches!(answers(&out)[0], Answer::Throttled { .. }), refused);
+}
+
+// Executor 0 is gone; another is listed a while later.
+#[test_case(10.0, 2; "a number is kept while something may still come")]
+#[test_case(700.0, 0; "after that it is another's")]
+fn numbers_of_executors_do_not_grow_without_end(since: f64, number: Tgt) {
+    let mut engine = engine().0;
+    let gone = listing(2, false, vec![host(0, Standing::Gone)]);
+    let out = told(&mut engine, NOW, Event::Watch(1, Watched::Listed(gone)));
+    assert!(out.contains(&Action::Gone(0)) && engine.fleet().addr(0).is_none());
+    let new = listing(3, false, vec![host(9, Standing::Ready)]);
+    let out = told(&mut engine, NOW + since, Event::Watch(1, Watched::Listed(new)));
+    assert!(out.contains(&Action::At(number, ([127, 0, 0, 1], 9009).into())), "{out:?}");
+    assert_eq!((engine.fleet().known("s-9"), engine.fleet().addr(1).is_some()), (Some(number), true));
+}
+
+#[test]
+fn what_a_whole_list_lacks_is_gone() {
+    let mut engine = engine().0;
+    let whole = listing(2, true, vec![host(1, Standing::Draining)]);
+    let out = told(&mut engine, NOW, Event::Watch(1, Watched::Listed(whole)));
+    assert!(out.contains(&Action::Gone(0)) && !out.contains(&Action::Gone(1)), "{out:?}");
+    let out = told(&mut engine, NOW, Event::Taken(ID, &call(CALL, "look", 5.0)));
+    assert!(!out.iter().any(|action| matches!(action, Action::Send { .. })), "nothing new goes there");
+}
+
+#[test]
+fn a_new_configuration_moves_the_watch_and_nothing_else() {
+    let mut engine = with("look", &[TAKEN]);
+    let out = told(&mut engine, NOW, Event::Reread);
+    assert_eq!(out, [Action::Follow { watch: 2, version: 0 }]);
+    assert_eq!(engine.phase(), Phase::Reloading);
+    // What the old service still told comes too late.
+    let old = Watched::Listed(listing(9, false, vec![host(9, Standing::Ready)]));
+    assert!(told(&mut engine, NOW, Event::Watch(1, old)).is_empty() && engine.fleet().known("s-9").is_none());
+    assert!(told(&mut engine, NOW, Event::Watch(1, Watched::Lost)).is_empty());
+    told(&mut engine, NOW, Event::Watch(2, Watched::Begun));
+    assert_eq!((engine.phase(), engine.held()), (Phase::Serving, 1));
+}
+
+#[test]
+fn a_reload_during_a_stop_changes_nothing() {
+    let mut engine = with("look", &[TAKEN]);
+    told(&mut engine, NOW, Event::Stop);
+    assert!(told(&mut engine, NOW, Event::Reread).is_empty());
+    assert_eq!(engine.phase(), Phase::Leaving);
+}
+
+#[test]
+fn a_list_that_was_lost_is_asked_for_again_and_never_forgotten() {
+    let (mut engine, out) = engine();
+    assert!(out.contains(&Action::Follow { watch: 1, version: 1 }));
+    told(&mut engine, NOW, Event::Watch(1, Watched::Lost));
+    let (mut out, mut now) = (Vec::new(), NOW);
+    while !out.contains(&Action::Follow { watch: 2, version: 1 }) {
+        now = engine.next_due().expect("something is due");
+        engine.advance(now, &mut out);
+    }
+    assert!(now < NOW + 2.0 && engine.fleet().addr(0).is_some(), "{}", now - NOW);
+}
+
+#[test_case(&[Step::Idle], Phase::Starting; "nothing to end yet")]
+#[test_case(&[Step::Ready, Step::Idle, Step::Quiet], Phase::Serving; "idle is no reason to stop")]
+#[test_case(&[Step::Ready, Step::Reread, Step::Reread], Phase::Reloading; "read anew, and again")]
+#[test_case(&[Step::Ready, Step::Reread, Step::Followed], Phase::Serving; "and followed")]
+#[test_case(&[Step::Reread, Step::Followed], Phase::Starting; "read anew before it began")]
+#[test_case(&[Step::Ready, Step::Told, Step::Reread], Phase::Leaving; "read anew during a stop")]
+#[test_case(&[Step::Told], Phase::Leaving; "stopped before it began")]
+#[test_case(&[Step::Ready, Step::Told, Step::Idle, Step::Told], Phase::Leaving; "the front comes first")]
+#[test_case(&[Step::Ready, Step::Told, Step::Quiet, Step::Idle], Phase::Ended; "finished")]
+#[test_case(&[Step::Told, Step::Quiet, Step::Ready, Step::Late], Phase::Ended; "out of time")]
+fn life_goes_by_its_steps(steps: &[Step], phase: Phase) {
+    let step = |phase: Phase, step: &Step| phase.after(*step).unwrap_or(phase);
+    assert_eq!(steps.iter().fold(Phase::Starting, step), phase);
+}
+
+#[test]
+fn timers_come_due_in_order() {
+    let mut timers = Timers::new();
+    for (second, what) in
+        [(2.0, 'c'), (1.0, 'a'), (1.0, 'b'), (9.0, 'd'), (f64::NAN, '!'), (f64::INFINITY, 'e')]
+    {
+        timers.set(second, what);
+    }
+    let due: String = std::iter::from_fn(|| timers.pop(2.0)).collect();
+    assert_eq!((&*due, timers.next()), ("!abc", Some(9.0)));
+}
+
+#[test_case("look", 2.0, 2.0, Ok(0.95); "time that has passed comes off, and the answer's way")]
+#[test_case("look", 1e9, 2.0, Ok(3.95); "nobody waits longer than the operation allows")]
+#[test_case("read", 2.0, 2.0, Err(Unfit::Operation); "an operation that is not known")]
+fn calls_are_admitted(class: &str, budget: f64, now: f64, expected: Result<f64, Unfit>) {
+    let odd = Call { came: 1.0, ..call("c", class, budget) };
+    let told = admit(7, &odd, &names(), &[5.0, 10.0], now);
+    assert_eq!(told.map(|sub| (sub.timeout * 1e3).round() / 1e3), expected);
+}
+
+#[test_case(Some(0.5), Some(0.5); "as it came")]
+#[test_case(Some(1e15), Some(50.0); "no more than ten timeouts")]
+#[test_case(Some(1e-15), Some(1e-4); "nor nothing")]
+#[test_case(Some(-1.0), None; "nor less")]
+#[test_case(Some(f64::NAN), None; "no number")]
+fn hints_are_kept_sane(came: Option<f64>, expected: Option<f64>) {
+    let odd = Call { hint: came, ..call("c", "look", 2.0) };
+    assert_eq!(admit(7, &odd, &names(), &[5.0, 10.0], NOW).map(|sub| sub.hint), Ok(expected));
+}
--- a/crates/coveroute-node/src/callbacks.rs
+++ b/crates/coveroute-node/src/callbacks.rs
@@ -1,6 +1,6 @@
 //! What executors tell of jobs that they have taken.
-use bytes::Bytes;
-use coveroute::types::{Outcome, Report};
+use coveroute::types::Outcome;
+use coveroute_engine::{News, Word};
 use coveroute_shared::Gauge;
 use serde::Deserialize;
 
@@ -24,22 +24,6 @@
     load: Option<Gauge>,
 }
 
-#[derive(Debug, PartialEq)]
-pub enum Word {
-    /// It has started, or goes on.
-    Alive,
-    Succeeded(Bytes),
-    Ended(Outcome),
-}
-
-#[derive(Debug, PartialEq)]
-pub struct News {
-    pub call: String,
-    pub from: String,
-    pub word: Word,
-    pub report: Report,
-}
-
 pub fn parse(body: &[u8]) -> Result<News, String> {
     let line: Line = serde_json::from_slice(body).map_err(|e| e.to_string())?;
     let word = match (line.state, line.result) {
--- a/crates/coveroute-node/src/clock.rs
+++ b/crates/coveroute-node/src/clock.rs
@@ -1,5 +1,4 @@
-//! The node's clock and its timers.
-use std::collections::BTreeMap;
+//! The node's clock.
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Seconds since 1970, as the list of executors counts them: read once, then moved on by the steady clock, so
@@ -31,30 +30,3 @@
     const LONGEST: f64 = 1e8; // Three years: any sum with it still fits a clock.
     Duration::try_from_secs_f64(span.clamp(0.0, LONGEST)).unwrap_or(Duration::ZERO)
 }
-
-/// What is due when; of the same moment, in the order in which it was set.
-#[derive(Debug)]
-pub struct Timers<T> {
-    due: BTreeMap<(Instant, u64), T>,
-    set: u64,
-}
-
-impl<T> Timers<T> {
-    pub fn new() -> Self {
-        Timers { due: BTreeMap::new(), set: 0 }
-    }
-
-    pub fn set(&mut self, at: Instant, what: T) {
-        self.set += 1;
-        self.due.insert((at, self.set), what);
-    }
-
-    pub fn next(&self) -> Option<Instant> {
-        self.due.keys().next().map(|key| key.0)
-    }
-
-    pub fn pop(&mut self, now: Instant) -> Option<T> {
-        let first = self.due.first_entry().filter(|entry| entry.key().0 <= now)?;
-        Some(first.remove())
-    }
-}
--- a/crates/coveroute-node/src/config.rs
+++ b/crates/coveroute-node/src/config.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use coveroute::types::Settings;
+use coveroute_engine::Listing;
 use coveroute_shared::{decode, Names};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
 use crate::clock::seconds;
-use crate::discovery::Hosts;
+use crate::hosts::Hosts;
 
 pub const PATH: &str = "BALANCER_CONFIG";
 const LISTEN: &str = "BALANCER_LISTEN";
@@ -66,7 +67,7 @@
     pub seed: u64,
     pub sockets: usize,
     pub memory_mb: usize,
-    pub known: Option<Hosts>,
+    pub known: Option<Listing>,
     pub settings: Settings,
     pub names: Names,
     /// Executors close a connection that has stood idle for so long.
@@ -130,7 +131,7 @@
             seed: u64::from_str_radix(seed, 16).map_err(|_| format!("seed {seed} is not hexadecimal"))?,
             sockets: file.limits.sockets,
             memory_mb: file.limits.memory_mb,
-            known: file.known,
+            known: file.known.map(Listing::from),
             settings,
             names,
             idle: seconds(sockets.limits.conn_idle / 1e3),
--- a/crates/coveroute-node/src/discovery.rs
+++ b/crates/coveroute-node/src/discovery.rs
@@ -1,5 +1,4 @@
 //! Discovery: follows the list of executors, line by line.
-use std::borrow::Cow;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -7,14 +6,12 @@
 use actix_rt::time::timeout;
 use awc::{Client, Connector};
 use bytes::BytesMut;
-use coveroute::types::{Entry, List, Standing};
-use coveroute_shared::{Listed, Names, Roster};
+use coveroute_engine::{Listing, Watched};
 use futures_util::StreamExt;
-use log::{debug, warn};
-use serde::Deserialize;
-use serde_json::value::RawValue;
+use log::debug;
 
-use crate::driver::{Event, Events, Watched};
+use crate::driver::{Happening, Happenings};
+use crate::hosts::Hosts;
 use crate::wire;
 
 /// Calls wait in turn there; one that is not begun by then is as good as failed.
@@ -24,110 +21,30 @@
 const LINE_WITHIN: Duration = Duration::from_secs(3);
 /// For a connection to come up, which on the platform's network takes milliseconds.
 const DIAL_WITHIN: Duration = Duration::from_secs(1);
-/// The version before any: what has changed since is the whole list.
-const WHOLE: u64 = 0;
 /// The longest line: a whole list of some thousands of executors.
 const LINE_MOST: usize = 2 * 1024 * 1024;
 
-/// A list of executors as discovery words it.
-#[derive(Debug, Default, Deserialize)]
-pub struct Hosts {
-    pub version: u64,
-    #[serde(default)]
-    pub full: bool,
-    servers: Vec<Box<RawValue>>,
-}
-
-#[derive(Debug, Deserialize)]
-struct Host<'a> {
-    #[serde(borrow)]
-    id: Cow<'a, str>,
-    #[serde(borrow, default)]
-    addr: Cow<'a, str>,
-    #[serde(borrow, default)]
-    zone: Cow<'a, str>,
-    #[serde(borrow, default)]
-    kind: Cow<'a, str>,
-    #[serde(default)]
-    cell: i64,
-    state: State,
-    #[serde(default)]
-    started_ms: f64,
-}
-
-#[derive(Clone, Copy, Debug, Deserialize)]
-#[serde(rename_all = "lowercase")]
-enum State {
-    Up,
-    Draining,
-    Removed,
-    #[serde(other)]
-    Unknown,
-}
-
-impl Hosts {
-    /// The entries, numbered, each with the executor's address if it has one. One that can't be read is left
-    /// out and logged: it must not cost the others.
-    pub fn entries(&self, roster: &mut Roster, names: &mut Names) -> Vec<(Entry, Option<SocketAddr>)> {
-        let mut read = |raw: &RawValue| match serde_json::from_str::<Host>(raw.get()) {
-            Ok(host) => {
-                let addr = host.addr.parse().ok();
-                Some((roster.entry(names, &host.listed(addr)), addr))
-            }
-            Err(e) => {
-                warn!("entry left out: {e}: {}", raw.get());
-                None
-            }
-        };
-        self.servers.iter().filter_map(|raw| read(raw)).collect()
-    }
-
-    pub fn list(&self, entries: Vec<Entry>) -> List {
-        if self.full {
-            List::Whole(entries)
-        } else {
-            List::Changes(entries)
-        }
-    }
-}
-
-impl Host<'_> {
-    fn listed(&self, addr: Option<SocketAddr>) -> Listed<'_> {
-        let standing = match (self.state, addr) {
-            (State::Up, Some(_)) => Standing::Ready,
-            // Nothing new goes where it is not known to be wanted, or where to.
-            (State::Draining | State::Unknown, _) => Standing::Draining,
-            (State::Removed, _) | (State::Up, None) => Standing::Gone,
-        };
-        let started = self.started_ms / 1e3;
-        Listed { id: &self.id, zone: &self.zone, kind: &self.kind, cell: self.cell, started, standing }
-    }
-}
-
 /// The watch on changes; one runs at a time.
 pub struct Discovery {
     client: Client,
     addr: SocketAddr,
-    events: Events,
+    happenings: Happenings,
     watch: Option<JoinHandle<()>>,
-    /// How many watches there have been: what an earlier one has still told counts no more.
-    begun: u64,
 }
 
 impl Discovery {
-    pub fn new(addr: SocketAddr, events: Events) -> Self {
+    pub fn new(addr: SocketAddr, happenings: Happenings) -> Self {
         let connector = Connector::new().timeout(DIAL_WITHIN);
         let builder = Client::builder().connector(connector).disable_redirects().disable_timeout();
-        Discovery { client: builder.no_default_headers().finish(), addr, events, watch: None, begun: 0 }
+        Discovery { client: builder.no_default_headers().finish(), addr, happenings, watch: None }
     }
 
-    /// Starts a watch from after `version`; one that still ran is dropped.
-    pub fn follow(&mut self, version: u64) {
-        self.begun += 1;
-        let (client, events, number) = (self.client.clone(), self.events.clone(), self.begun);
+    /// Starts a watch of this number from after `version`; one that still ran is dropped.
+    pub fn follow(&mut self, number: u64, version: u64) {
+        let (client, happenings) = (self.client.clone(), self.happenings.clone());
         let uri = format!("http://{}{}?stream=1&index={version}", self.addr, wire::HOSTS);
         let watch = actix_rt::spawn(async move {
-            let tell = |watched| drop(events.send(Event::Watch(number, watched)));
+            let tell = |watched| drop(happenings.send(Happening::Watch(number, watched)));
             let ended = watch(&client, &uri, tell).await;
             debug!("watch ended: {ended}");
             tell(Watched::Lost);
@@ -137,16 +54,9 @@
         }
     }
 
-    /// From here on another service is followed. Its versions may count otherwise: the whole list is asked
-    /// for.
+    /// From the next watch on another service is followed.
     pub fn move_to(&mut self, addr: SocketAddr) {
         self.addr = addr;
-        self.follow(WHOLE);
-    }
-
-    /// Whether it is the watch that runs now.
-    pub fn is_current(&self, number: u64) -> bool {
-        number == self.begun
     }
 }
 
@@ -172,7 +82,7 @@
         loop {
             match lines.next() {
                 Ok(None) => break,
-                Ok(Some(hosts)) => tell(Watched::Listed(hosts)),
+                Ok(Some(listing)) => tell(Watched::Listed(listing)),
                 // What it held is unknown: asking anew brings it again.
                 Err(e) => return e,
             }
@@ -192,13 +102,14 @@
     }
 
     /// The next list that has come whole; empty lines only show that the watch lives.
-    pub fn next(&mut self) -> Result<Option<Hosts>, String> {
+    pub fn next(&mut self) -> Result<Option<Listing>, String> {
         while let Some(end) = self.buffer.iter().position(|&b| b == b'\n') {
             let line = self.buffer.split_to(end + 1);
             if line.trim_ascii().is_empty() {
                 continue;
             }
-            return serde_json::from_slice(&line).map(Some).map_err(|e| format!("a line can't be read: {e}"));
+            let hosts = serde_json::from_slice::<Hosts>(&line);
+            return hosts.map(|hosts| Some(hosts.into())).map_err(|e| format!("a line can't be read: {e}"));
         }
         if self.buffer.len() > LINE_MOST {
             return Err("a line is too long".into());
--- a/crates/coveroute-node/src/driver.rs
+++ b/crates/coveroute-node/src/driver.rs
@@ -1,38 +1,34 @@
-//! The driver: owns the decisions, the clock, the timers and all records. Everything that happens comes to it
-//! as an event; what is decided it carries out in order.
-use std::collections::BTreeMap;
+//! The driver: owns the engine and the clock, gives it everything that happens, and carries out its actions.
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Instant;
 
-use actix_http::StatusCode;
-use coveroute::types::{Entry, Input, InvId, List, Outcome, Output, Report, Reports, Settled, Standing, Tgt};
-use coveroute_shared::{Names, Roster};
-use log::{debug, error, info};
+use actix_rt::task::JoinHandle;
+use coveroute::types::{InvId, Outcome, Report, Reports, Tgt};
+use coveroute_engine::{Action, Engine, Event, News, Phase, Reply, Setup, Watched};
+use log::{error, info};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::admit::admit;
-use crate::book::{Book, Forward, Record, Stage};
-use crate::callbacks::{News, Word};
-use crate::clock::{seconds, Clock, Timers};
+use crate::clock::{seconds, Clock};
 use crate::config::Config;
-use crate::discovery::{Discovery, Hosts};
+use crate::discovery::Discovery;
 use crate::executors::{give_up, probe, Links};
-use crate::phase::{Life, Phase, Step};
+use crate::phase::Life;
 use crate::relay::Answer;
-use crate::route::Route;
-use crate::send::{self, Reply};
+use crate::send;
 use crate::take_in::Job;
 
-pub type Events = mpsc::UnboundedSender<Event>;
+pub type Happenings = mpsc::UnboundedSender<Happening>;
 
-pub enum Event {
+/// What the units on sockets tell the driver.
+pub enum Happening {
     Taken(InvId, Box<Job>, oneshot::Sender<Answer>),
     /// The client has closed its connection.
     Left(InvId),
     Replied(InvId, usize, Reply),
     News(News),
     Probed(Tgt, Outcome, Report),
-    /// What the watch of this number on the list of executors tells.
     Watch(u64, Watched),
     /// The operators ask for the configuration to be read anew: what it says, or why it is not fit.
     Reload(Result<Box<Config>, String>),
@@ -40,417 +36,186 @@
     Stop,
 }
 
-pub enum Watched {
-    /// It is followed again, whether or not it has changed.
-    Begun,
-    Listed(Hosts),
-    Lost,
-}
-
-enum Timer {
-    Decisions(u64),
-    /// An invocation's time is over.
-    End(InvId),
-    Life(Step),
-}
-
-/// From the stop on: new connections come for 0.4 s at most, and some way more.
-const QUIET_LEAST: f64 = 0.6;
-/// Of the time to stop: half is used as before, half to finish in.
-const QUIET_SHARE: f64 = 0.5;
-/// After that idle connections are closed, and who was about to use one has come again.
-const CLOSED_AFTER: f64 = 0.2;
-/// The platform waits for the longest client timeout, but no longer than this, and 0.7 s more; then it kills.
-const WAITS_MOST: f64 = 3.0;
-/// Of those 0.7 s: the last answers are given, and then the node ends whatever is left.
-const ANSWERED_AFTER: f64 = 0.2;
-const LATE_AFTER: f64 = 0.45;
-/// After this nothing can come from an executor that has gone: many times the longest client timeouts.
-const FORGET_AFTER: f64 = 600.0;
 /// How often a node that closes looks whether it may end.
 const LOOK_EVERY: f64 = 0.02;
 
+/// What is kept of a job until its client has the final answer.
+struct Held {
+    job: Rc<Job>,
+    answer: oneshot::Sender<Answer>,
+}
+
 pub struct Driver {
     clock: Clock,
-    timers: Timers<Timer>,
+    engine: Engine,
     life: Rc<Life>,
-    route: Route,
-    names: Names,
-    roster: Roster,
     links: Links,
-    /// Executors that are not listed any more, and since when.
-    gone: BTreeMap<Tgt, f64>,
-    book: Book,
     discovery: Discovery,
-    /// Of the list of executors that is held.
-    version: u64,
-    /// Each operation's client timeout.
-    timeouts: Vec<f64>,
-    /// By when all must be answered, once the node is to stop.
-    leave_by: f64,
-    /// From when on it may end, once it is idle.
-    end_from: f64,
+    held: HashMap<InvId, Held>,
+    /// What sends a forward; stopped when it is given up before an answer, which closes the connection.
+    sending: HashMap<(InvId, usize), JoinHandle<()>>,
     reports: bool,
-    cancelling: bool,
-    events: Events,
+    happenings: Happenings,
+    /// Kept for the next event's actions.
+    actions: Vec<Action>,
 }
 
 impl Driver {
-    pub fn new(config: Config, clock: Clock, life: Rc<Life>, links: Links, events: Events) -> Self {
-        let (reports, cancelling) = (config.settings.reports != Reports::Never, config.settings.cancelling);
+    pub fn new(config: Config, clock: Clock, life: Rc<Life>, links: Links, happenings: Happenings) -> Self {
+        let Config { settings, names, seed, timeouts, known, discovery, .. } = config;
+        let reports = settings.reports != Reports::Never;
+        let setup = Setup { settings, names, seed, timeouts, known };
+        let mut actions = Vec::new();
         let mut driver = Driver {
             clock,
-            timers: Timers::new(),
+            engine: Engine::new(clock.now(), setup, &mut actions),
             life,
-            route: Route::new(config.settings, config.seed),
-            names: config.names,
-            roster: Roster::default(),
             links,
-            gone: BTreeMap::new(),
-            book: Book::default(),
-            discovery: Discovery::new(config.discovery, events.clone()),
-            version: 0,
-            timeouts: config.timeouts,
-            leave_by: f64::INFINITY,
-            end_from: f64::INFINITY,
+            discovery: Discovery::new(discovery, happenings.clone()),
+            held: HashMap::new(),
+            sending: HashMap::new(),
             reports,
-            cancelling,
-            events,
+            happenings,
+            actions,
         };
-        driver.listed(config.known.unwrap_or_default(), |_, entries| List::Kept(entries));
-        driver.carry_on();
+        driver.carry_out();
         driver
     }
 
     /// Runs until the node's life has ended.
-    pub async fn run(mut self, mut events: mpsc::UnboundedReceiver<Event>) {
+    pub async fn run(mut self, mut happenings: mpsc::UnboundedReceiver<Happening>) {
         while self.life.phase() != Phase::Ended {
             let look = Instant::now() + seconds(LOOK_EVERY);
             let closing = (self.life.phase() == Phase::Closing).then_some(look);
-            let next = self.timers.next().into_iter().chain(closing).min();
+            let due = self.engine.next_due().map(|due| self.clock.instant(due));
+            let next = due.into_iter().chain(closing).min();
             tokio::select! {
                 biased;
-                event = events.recv() => event.into_iter().for_each(|event| self.happened(event)),
+                happening = happenings.recv() => happening.into_iter().for_each(|what| self.happened(what)),
                 () = tokio::time::sleep_until(next.unwrap_or(look).into()) => {}
             }
-            while let Some(timer) = self.timers.pop(Instant::now()) {
-                self.due(timer);
-                self.carry_on();
-            }
+            self.advance();
             // An answer has left once its request is no longer in hand.
-            if self.clock.now() >= self.end_from && self.life.idle() {
-                self.life.step(Step::Idle);
-            }
-        }
-    }
-
-    fn happened(&mut self, event: Event) {
-        match event {
-            Event::Taken(id, job, answer) => self.taken(id, *job, answer),
-            Event::Left(id) => self.left(id),
-            Event::Replied(id, forward, reply) => self.replied(id, forward, reply),
-            Event::News(news) => self.news(news),
-            Event::Probed(tgt, outcome, report) => self.route.push(Input::Probed { tgt, outcome, report }),
-            Event::Watch(number, _) if !self.discovery.is_current(number) => {}
-            Event::Watch(_, Watched::Listed(hosts)) => self.listed(hosts, Hosts::list),
-            Event::Watch(_, Watched::Begun) => {
-                self.life.step(Step::Followed);
-                self.route.push(Input::List(List::Changes(Vec::new())));
-            }
-            Event::Watch(_, Watched::Lost) => self.route.push(Input::List(List::Lost)),
-            Event::Reload(Ok(config)) => self.reload(&config),
-            Event::Reload(Err(words)) => error!("not reloaded, all stays as it is: {words}"),
-            Event::Stop => self.stop(),
-        }
-        self.carry_on();
-    }
-
-    fn due(&mut self, timer: Timer) {
-        match timer {
-            Timer::Decisions(timer) => self.route.push(Input::Timer(timer)),
-            Timer::End(id) => self.over(id),
-            Timer::Life(step) => drop(self.life.step(step)),
-        }
-    }
-
-    /// Decides and carries out until nothing is left to decide on.
-    fn carry_on(&mut self) {
-        while let Some(out) = self.route.next(self.clock.now()) {
-            out.into_iter().for_each(|output| self.carry_out(output));
-        }
-    }
-
-    fn carry_out(&mut self, output: Output) {
-        match output {
-            Output::Forward { id, tgt } => self.forward(id, tgt),
-            Output::Withdraw { id, forward } => self.withdraw(id, forward),
-            Output::Throttle { id, pause } => self.answer(id, Answer::Throttled { pause }),
-            Output::Error { id } => self.answer(id, Answer::Errored),
-            Output::Wake { after, timer } => {
-                let at = self.clock.instant(self.clock.now() + after);
-                self.timers.set(at, Timer::Decisions(timer));
+            if closing.is_some() && self.life.idle() {
+                self.tell(Event::Idle);
             }
-            Output::Probe(tgt) => self.probe(tgt),
-            Output::Release(tgt) => self.links.release(tgt),
-            // No node is told another's address.
-            Output::Tell { .. } => {}
-            Output::Follow => self.discovery.follow(self.version),
-            Output::Log(words) => info!("{words}"),
-        }
-    }
-
-    fn taken(&mut self, id: InvId, job: Job, answer: oneshot::Sender<Answer>) {
-        // Guards against a second effect, and against clients that take another's id.
-        if self.book.knows(&job.call) {
-            return drop(answer.send(Answer::Unfit(StatusCode::CONFLICT, "this call has come before")));
         }
-        let now = self.clock.now();
-        debug!("{id} taken: {}, {}, {:.3} s", job.call, job.class, job.budget);
-        let submission = match admit(id, &job, &self.names, &self.timeouts, now) {
-            Ok(submission) => submission,
-            Err(unfit) => return drop(answer.send(unfit)),
-        };
-        let end = (now + submission.timeout).min(self.leave_by);
-        self.timers.set(self.clock.instant(end), Timer::End(id));
-        let record = Record { job: Rc::new(job), answer: Some(answer), end, forwards: Vec::new() };
-        self.book.open(id, record);
-        self.route.push(Input::Submitted(submission));
     }
 
-    fn answer(&mut self, id: InvId, answer: Answer) {
-        debug!("{id} ends as {answer:?}");
-        self.book.answer(id, answer);
-        self.book.tidy(id);
-    }
-
-    fn left(&mut self, id: InvId) {
-        if self.book.answer(id, Answer::Errored) {
-            self.finished(id);
-        }
-        self.book.tidy(id);
+    fn advance(&mut self) {
+        self.engine.advance(self.clock.now(), &mut self.actions);
+        self.carry_out();
     }
 
-    /// An invocation has finished otherwise than by the decisions. Guards against a forward that is still
-    /// waiting for its connection: nothing may be sent any more, also where executors can't be told to stop.
-    fn finished(&mut self, id: InvId) {
-        let out = self.book.get(id).map(|record| record.out()).unwrap_or_default();
-        for forward in out {
-            if self.book.get(id).is_some_and(|record| record.forwards[forward].stage == Stage::Sending) {
-                self.withdraw(id, forward);
-            }
-        }
-        self.route.push(Input::Expired(id));
-    }
-
-    /// The client's time is over: what is still out ends as timed out, and the decisions answer.
-    fn over(&mut self, id: InvId) {
-        let Some(record) = self.book.get(id) else { return };
-        for forward in record.out() {
-            self.drop_forward(id, forward);
-            self.settled(id, forward, Outcome::TimedOut, Report::default());
-        }
-        self.carry_on();
-        // Nobody may be left without an answer, even if the decisions forgot.
-        if self.book.answer(id, Answer::Errored) {
-            error!("invocation {id} was left without an answer");
-            self.route.push(Input::Expired(id));
-        }
-        self.book.tidy(id);
-    }
-
-    fn forward(&mut self, id: InvId, tgt: Tgt) {
-        let sent = self.clock.now();
-        let Some(record) = self.book.get(id) else { return };
-        let at = record.forwards.len();
-        record.forwards.push(Forward { tgt, sent, stage: Stage::Sending, task: None });
-        let (job, left) = (record.job.clone(), record.end - sent);
-        let Some(lease) = self.links.lease(tgt) else {
-            // Never sent, and no fault of the executor's: it must not be doubted for want of descriptors
-            // here.
-            return self.settled(id, at, Outcome::Moot, Report::default());
-        };
-        let (events, within) = (self.events.clone(), self.links.taken_within());
-        let task = actix_rt::spawn(async move {
-            let tell = |reply| drop(events.send(Event::Replied(id, at, reply)));
-            send::forward(lease, &job, left, within, tell).await;
-        });
-        if let Some(record) = self.book.get(id) {
-            record.forwards[at].task = Some(task);
-        }
+    fn tell(&mut self, event: Event) {
+        self.engine.handle(self.clock.now(), event, &mut self.actions);
+        self.carry_out();
     }
 
-    fn replied(&mut self, id: InvId, forward: usize, reply: Reply) {
-        match reply {
-            Reply::Ended(outcome, report) => self.settled(id, forward, outcome, report),
-            Reply::Unheard => {
-                debug!("forward {forward} of {id} is not acknowledged");
-                self.route.push(Input::Unheard { id, forward });
+    fn happened(&mut self, happening: Happening) {
+        match happening {
+            Happening::Taken(id, job, answer) => {
+                let job: Rc<Job> = job.into();
+                self.held.insert(id, Held { job: job.clone(), answer });
+                self.tell(Event::Taken(id, &job.call));
             }
-            Reply::Unfit(status, report) => {
-                // No other executor would find it any better, and each that is asked would be doubted for it.
-                info!("invocation {id} was turned away with {status}");
-                self.book.answer(id, Answer::Unfit(status, "turned away by the executor"));
-                self.settled(id, forward, Outcome::Unfit, report);
+            Happening::Left(id) => {
+                self.held.remove(&id);
+                self.tell(Event::Left(id));
             }
-            Reply::Taken => {
-                let forward = self.book.get(id).and_then(|record| record.forwards.get_mut(forward));
-                // It may have ended already: executors may tell of the end first.
-                if let Some(forward) = forward.filter(|forward| forward.stage == Stage::Sending) {
-                    forward.stage = Stage::Taken;
+            Happening::Replied(id, forward, reply) => {
+                if reply != Reply::Unheard {
+                    self.sending.remove(&(id, forward));
                 }
+                self.tell(Event::Replied(id, forward, reply));
             }
+            Happening::News(news) => self.tell(Event::News(news)),
+            Happening::Probed(tgt, outcome, report) => self.tell(Event::Probed(tgt, outcome, report)),
+            Happening::Watch(watch, watched) => self.tell(Event::Watch(watch, watched)),
+            Happening::Reload(Ok(config)) => self.reload(config.discovery),
+            Happening::Reload(Err(words)) => error!("not reloaded, all stays as it is: {words}"),
+            Happening::Stop => self.tell(Event::Stop),
         }
     }
 
-    /// Books the end of a forward, once, and tells the decisions.
-    fn settled(&mut self, id: InvId, forward: usize, outcome: Outcome, report: Report) {
-        let Some(ended) = self.book.end(id, forward) else { return };
-        let took = self.clock.now() - ended.sent;
-        debug!("forward {forward} of {id} at {}: {outcome:?} after {took:.3}, {report:?}", ended.tgt);
-        let ended = self.book.get(id).is_none_or(|record| record.answer.is_none());
-        self.route.push(Input::Settled(Settled { id, forward, outcome, took, ended, report }));
-        self.book.tidy(id);
+    fn reload(&mut self, discovery: SocketAddr) {
+        if self.engine.phase().is_up() || self.engine.phase() == Phase::Starting {
+            info!("follows the list at {discovery}");
+            self.discovery.move_to(discovery);
+        }
+        self.tell(Event::Reread);
     }
 
-    fn news(&mut self, news: News) {
-        let tgt = self.roster.known(&news.from);
-        let Some((id, forward)) = tgt.and_then(|tgt| self.book.find(&news.call, tgt)) else {
-            return debug!("news of {} from {} is of nothing held", news.call, news.from);
-        };
-        match news.word {
-            Word::Ended(Outcome::Full) if self.book.was_returned(id, forward) => {
-                // Guards against a second effect: a repeat of what ended an earlier forward there would prove
-                // that this one never ran.
-                debug!("{} returned by {} again", news.call, news.from);
-            }
-            Word::Alive => {
-                // It may come before the executor has answered for it.
-                self.replied(id, forward, Reply::Taken);
-                self.route.push(Input::Alive { id, forward });
-            }
-            Word::Ended(outcome) => {
-                self.settled(id, forward, outcome, news.report);
-                if outcome == Outcome::Full {
-                    self.book.returned(id, forward);
+    /// What can't be carried out is told to the engine, which may give more to do.
+    fn carry_out(&mut self) {
+        while !self.actions.is_empty() {
+            let mut actions = std::mem::take(&mut self.actions);
+            for action in actions.drain(..) {
+                if let Some(failed) = self.act(action) {
+                    self.engine.handle(self.clock.now(), failed, &mut self.actions);
                 }
             }
-            Word::Succeeded(result) => {
-                let owed = self.book.answer(id, Answer::Succeeded(result));
-                let out = self.book.get(id).is_some_and(|record| record.forwards[forward].stage.is_out());
-                if out {
-                    self.settled(id, forward, Outcome::Succeeded, news.report);
-                } else if owed {
-                    // A forward that was given up for lost did it after all.
-                    self.finished(id);
-                }
-                self.book.tidy(id);
+            if self.actions.is_empty() {
+                self.actions = actions; // Its room is used again.
+                break;
             }
         }
+        self.life.set(self.engine.phase());
     }
 
-    /// Stops waiting for a forward: by closing its connection, or by telling the executor that has it.
-    fn drop_forward(&mut self, id: InvId, at: usize) {
-        let Some(record) = self.book.get(id) else { return };
-        let (call, forward) = (record.job.call.clone(), &mut record.forwards[at]);
-        match forward.stage {
-            Stage::Sending => forward.task.take().into_iter().for_each(|task| task.abort()),
-            Stage::Taken if self.cancelling => {
+    fn act(&mut self, action: Action) -> Option<Event<'static>> {
+        match action {
+            Action::Send { id, forward, tgt, left } => return self.send(id, forward, tgt, left),
+            Action::Abort { id, forward } => {
+                self.sending.remove(&(id, forward)).into_iter().for_each(|task| task.abort());
+            }
+            Action::GiveUp { tgt, call } => {
                 let patience = self.links.patience();
-                let tgt = forward.tgt;
                 let lease = self.links.lease(tgt);
                 lease.map(|lease| actix_rt::spawn(give_up(lease, call, patience)));
             }
-            Stage::Taken | Stage::Returned | Stage::Ended => {}
+            Action::Answer { id, answer } => {
+                let held = self.held.remove(&id);
+                held.map(|held| held.answer.send(answer.into()));
+            }
+            Action::Probe(tgt) => return self.probe(tgt),
+            Action::Release(tgt) => self.links.release(tgt),
+            Action::At(tgt, addr) => self.links.listed(tgt, addr),
+            Action::Gone(tgt) => self.links.gone(tgt),
+            Action::Follow { watch, version } => self.discovery.follow(watch, version),
+            // No node is told another's address.
+            Action::Tell { .. } => {}
         }
+        None
     }
 
-    fn withdraw(&mut self, id: InvId, forward: usize) {
-        self.drop_forward(id, forward);
-        self.settled(id, forward, Outcome::Cancelled, Report::default());
+    fn send(&mut self, id: InvId, forward: usize, tgt: Tgt, left: f64) -> Option<Event<'static>> {
+        let job = self.held.get(&id).map(|held| held.job.clone());
+        let Some((job, lease)) = job.zip(self.links.lease(tgt)) else {
+            // Never sent, and no fault of the executor's: it must not be doubted for want of descriptors
+            // here, nor for a client that has left.
+            return Some(Event::Replied(id, forward, Reply::Ended(Outcome::Moot, Report::default())));
+        };
+        let (happenings, within) = (self.happenings.clone(), self.links.taken_within());
+        let task = actix_rt::spawn(async move {
+            let tell = |reply| drop(happenings.send(Happening::Replied(id, forward, reply)));
+            send::forward(lease, &job, left, within, tell).await;
+        });
+        self.sending.insert((id, forward), task);
+        None
     }
 
-    fn probe(&mut self, tgt: Tgt) {
+    fn probe(&mut self, tgt: Tgt) -> Option<Event<'static>> {
         let Some(lease) = self.links.lease(tgt) else {
             // It has no room that could be used now.
-            let (outcome, report) = (Outcome::Full, Report::default());
-            return self.route.push(Input::Probed { tgt, outcome, report });
+            return Some(Event::Probed(tgt, Outcome::Full, Report::default()));
         };
-        let (events, reports, patience) = (self.events.clone(), self.reports, self.links.patience());
+        let (happenings, reports, patience) = (self.happenings.clone(), self.reports, self.links.patience());
         actix_rt::spawn(async move {
             let (outcome, report) = probe(lease, reports, patience).await;
-            let _ = events.send(Event::Probed(tgt, outcome, report));
+            let _ = happenings.send(Happening::Probed(tgt, outcome, report));
         });
-    }
-
-    fn listed(&mut self, hosts: Hosts, list: impl FnOnce(&Hosts, Vec<Entry>) -> List) {
-        self.version = hosts.version;
-        let mut told = self.forget();
-        let entries = hosts.entries(&mut self.roster, &mut self.names);
-        if hosts.full {
-            // What a whole list lacks is gone.
-            let lacking = self.links.unlisted(|tgt| entries.iter().any(|(entry, _)| entry.tgt == tgt));
-            lacking.into_iter().for_each(|tgt| self.gone(tgt));
-        }
-        if !entries.is_empty() {
-            self.life.step(Step::Ready);
-        }
-        for (entry, addr) in entries {
-            match entry.standing {
-                Standing::Gone => self.gone(entry.tgt),
-                Standing::Ready | Standing::Draining => {
-                    self.gone.remove(&entry.tgt);
-                    addr.into_iter().for_each(|addr| self.links.listed(entry.tgt, addr));
-                }
-            }
-            told.push(entry);
-        }
-        self.route.push(Input::List(list(&hosts, told)));
-    }
-
-    fn gone(&mut self, tgt: Tgt) {
-        self.links.gone(tgt);
-        self.gone.insert(tgt, self.clock.now());
-    }
-
-    /// Gives back the numbers of executors that have long gone. Guards against growth without end where
-    /// machines are replaced by new ones. The decisions get a start time that is none, and so forget what
-    /// they knew.
-    fn forget(&mut self) -> Vec<Entry> {
-        let now = self.clock.now();
-        let long = |since: &f64| now - since > FORGET_AFTER;
-        let old: Vec<Tgt> = self.gone.iter().filter(|gone| long(gone.1)).map(|gone| *gone.0).collect();
-        let blank = |&tgt: &Tgt| {
-            self.gone.remove(&tgt);
-            self.roster.retire(tgt);
-            Entry { tgt, started: f64::NAN, ..Entry::default() }
-        };
-        old.iter().map(blank).collect()
-    }
-
-    /// Takes over where discovery is; requests, connections and what was learnt stay. Guards against a node that
-    /// goes on with a list which nobody keeps: the old service may close at any moment from now on.
-    fn reload(&mut self, config: &Config) {
-        if self.life.step(Step::Reread) {
-            info!("follows the list at {}", config.discovery);
-            self.version = 0;
-            self.discovery.move_to(config.discovery);
-        }
-    }
-
-    fn stop(&mut self) {
-        if !self.life.step(Step::Told) {
-            return;
-        }
-        let now = self.clock.now();
-        let span = self.timeouts.iter().copied().fold(0.0, f64::max).min(WAITS_MOST);
-        let (quiet, waits) = (now + QUIET_LEAST.max(QUIET_SHARE * span), now + span);
-        (self.leave_by, self.end_from) = (waits + ANSWERED_AFTER, quiet + CLOSED_AFTER);
-        self.timers.set(self.clock.instant(quiet), Timer::Life(Step::Quiet));
-        self.timers.set(self.clock.instant(waits + LATE_AFTER), Timer::Life(Step::Late));
-        for (id, end) in self.book.cut(self.leave_by) {
-            self.timers.set(self.clock.instant(end), Timer::End(id));
-        }
-        self.route.push(Input::Leaving(self.leave_by));
+        None
     }
 }
 
--- a/crates/coveroute-node/src/executors.rs
+++ b/crates/coveroute-node/src/executors.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use actix_rt::time::timeout;
@@ -87,11 +88,6 @@
         }
     }
 
-    /// Those that have an address and are not listed any more.
-    pub fn unlisted(&self, listed: impl Fn(Tgt) -> bool) -> Vec<Tgt> {
-        (0..self.links.len()).filter(|&tgt| self.links[tgt].is_some() && !listed(tgt)).collect()
-    }
-
     pub fn gone(&mut self, tgt: Tgt) {
         self.links.iter_mut().skip(tgt).take(1).for_each(|link| *link = None);
     }
@@ -179,7 +175,7 @@
 }
 
 /// Tells an executor to give up a job that it has taken; whatever it answers, the forward has ended for us.
-pub async fn give_up(lease: Lease, call: Rc<str>, patience: Duration) {
+pub async fn give_up(lease: Lease, call: Arc<str>, patience: Duration) {
     let uri = format!("http://{}{}/{call}", lease.addr(), wire::JOBS);
     let tell = async {
         if let Ok(mut answer) = lease.client().delete(uri).send().await {
--- a/crates/coveroute-node/src/main.rs
+++ b/crates/coveroute-node/src/main.rs
@@ -1,7 +1,5 @@
 //! coveroute, the node on sockets: takes invocations from clients and pushes them to executors. The decisions
 //! stand in the library `coveroute`; this program carries them out.
-mod admit;
-mod book;
 mod callbacks;
 mod clock;
 mod config;
@@ -9,10 +7,10 @@
 mod driver;
 mod executors;
 mod guest;
+mod hosts;
 mod logger;
 mod phase;
 mod relay;
-mod route;
 mod send;
 mod server;
 mod take_in;
@@ -33,7 +31,7 @@
 
 use clock::Clock;
 use config::Config;
-use driver::{Driver, Event, Events};
+use driver::{Driver, Happening, Happenings};
 use executors::Links;
 use phase::Life;
 use server::Door;
@@ -109,17 +107,18 @@
 }
 
 async fn serve(config: Config, path: Option<PathBuf>) -> Result<(), String> {
-    let (events, happens) = mpsc::unbounded_channel();
+    let (happenings, happens) = mpsc::unbounded_channel();
     // First: a signal that nobody listens to would end the process.
-    actix_rt::spawn(signals(events.clone(), path)?);
+    actix_rt::spawn(signals(happenings.clone(), path)?);
     let clock = Clock::new();
     let listener = TcpListener::bind(config.listen).await.map_err(|e| format!("{}: {e}", config.listen))?;
     info!("listens on {}", config.listen);
     let life = Rc::new(Life::new());
     let (executors, clients) = budget(config.sockets, config.memory_mb);
     let links = Links::new(executors, config.dial, config.idle);
-    let door = Rc::new(Door::new(clock, life.clone(), events.clone(), clients, config.settings.max_pause));
-    let driver = Driver::new(config, clock, life, links, events);
+    let door =
+        Rc::new(Door::new(clock, life.clone(), happenings.clone(), clients, config.settings.max_pause));
+    let driver = Driver::new(config, clock, life, links, happenings);
     actix_rt::spawn(server::accept(listener, door.clone()));
     actix_rt::spawn(server::sweep(door));
     driver.run(happens).await;
@@ -128,19 +127,19 @@
 }
 
 /// Passes on that the platform wants the node to stop, or the operators its configuration to be read anew.
-fn signals(events: Events, path: Option<PathBuf>) -> Result<impl Future<Output = ()>, String> {
+fn signals(happenings: Happenings, path: Option<PathBuf>) -> Result<impl Future<Output = ()>, String> {
     let listen = |kind| signal(kind).map_err(|e| e.to_string());
     let mut term = listen(SignalKind::terminate())?;
     let mut int = listen(SignalKind::interrupt())?;
     let mut hup = listen(SignalKind::hangup())?;
     Ok(async move {
         loop {
-            let event = tokio::select! {
-                _ = term.recv() => Event::Stop,
-                _ = int.recv() => Event::Stop,
-                _ = hup.recv() => Event::Reload(Config::reread(path.clone()).map(Box::new)),
+            let happening = tokio::select! {
+                _ = term.recv() => Happening::Stop,
+                _ = int.recv() => Happening::Stop,
+                _ = hup.recv() => Happening::Reload(Config::reread(path.clone()).map(Box::new)),
             };
-            let _ = events.send(event);
+            let _ = happenings.send(happening);
         }
     })
 }
--- a/crates/coveroute-node/src/relay.rs
+++ b/crates/coveroute-node/src/relay.rs
@@ -3,6 +3,8 @@
 use actix_http::header::{HeaderValue, RETRY_AFTER};
 use actix_http::{Response, StatusCode};
 use bytes::Bytes;
+use coveroute_engine as engine;
+use coveroute_engine::Unfit;
 
 #[derive(Debug, PartialEq)]
 pub enum Answer {
@@ -16,6 +18,26 @@
     Unfit(StatusCode, &'static str),
 }
 
+impl From<engine::Answer> for Answer {
+    fn from(answer: engine::Answer) -> Answer {
+        match answer {
+            engine::Answer::Succeeded(result) => Answer::Succeeded(result),
+            engine::Answer::Throttled { pause } => Answer::Throttled { pause },
+            engine::Answer::Errored => Answer::Errored,
+            engine::Answer::Unfit(Unfit::Again) => {
+                Answer::Unfit(StatusCode::CONFLICT, "this call has come before")
+            }
+            engine::Answer::Unfit(Unfit::Operation) => {
+                Answer::Unfit(StatusCode::NOT_FOUND, "no such operation")
+            }
+            engine::Answer::Unfit(Unfit::TurnedAway(status)) => {
+                let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_REQUEST);
+                Answer::Unfit(status, "turned away by the executor")
+            }
+        }
+    }
+}
+
 impl Answer {
     pub fn response(self, keep: bool) -> Response<BoxBody> {
         let (status, body, pause) = match self {
--- a/crates/coveroute-node/src/send.rs
+++ b/crates/coveroute-node/src/send.rs
@@ -7,6 +7,7 @@
 use actix_rt::time::timeout;
 use awc::error::{ConnectError, SendRequestError};
 use coveroute::types::{Outcome, Report};
+use coveroute_engine::Reply;
 use coveroute_shared::Gauge;
 use log::{debug, warn};
 
@@ -17,17 +18,6 @@
 /// The rest of an answer whose head has told all; a connection that takes longer is not worth keeping.
 const REST_WITHIN: Duration = Duration::from_secs(1);
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Reply {
-    /// The executor has the job, and will tell what becomes of it.
-    Taken,
-    /// It has not said so in time. It may still.
-    Unheard,
-    Ended(Outcome, Report),
-    /// The executor finds fault with the request.
-    Unfit(StatusCode, Report),
-}
-
 /// Sends the job as it came; `left` is how long the node will wait. Tells the reply as soon as it is known.
 /// An executor that does not say in time that it has the job is told of first, then given up, by closing the
 /// connection. Guards against machines that vanish and jobs that get lost: neither says anything.
@@ -87,7 +77,7 @@
         // Only its own word proves that it never ran.
         (503 | 504, true) => Outcome::Full,
         (500, _) => Outcome::Errored,
-        (400..=499, _) => return Reply::Unfit(status, report(load)),
+        (400..=499, _) => return Reply::Unfit(status.as_u16(), report(load)),
         _ => {
             warn!("an executor answered {status} to a job");
             Outcome::Errored
--- a/crates/coveroute-node/src/server.rs
+++ b/crates/coveroute-node/src/server.rs
@@ -11,13 +11,14 @@
 use actix_rt::time::{sleep, timeout};
 use actix_service::{fn_service, Service, ServiceFactory};
 use coveroute::types::InvId;
+use coveroute_engine::Phase;
 use log::{debug, warn};
 use tokio::sync::{oneshot, Notify};
 
 use crate::clock::Clock;
-use crate::driver::{Event, Events};
+use crate::driver::{Happening, Happenings};
 use crate::guest::{Claim, Doing, Guest, Stream};
-use crate::phase::{Life, Phase};
+use crate::phase::Life;
 use crate::relay::Answer;
 use crate::{callbacks, take_in, wire};
 
@@ -38,7 +39,7 @@
 pub struct Door {
     clock: Clock,
     life: Rc<Life>,
-    events: Events,
+    happenings: Happenings,
     next: Cell<InvId>,
     guests: RefCell<BTreeMap<SocketAddr, Rc<Guest>>>,
     /// Connections that wait for an answer, and connections beyond those, idle or only answered.
@@ -54,12 +55,12 @@
     pub fn new(
         clock: Clock,
         life: Rc<Life>,
-        events: Events,
+        happenings: Happenings,
         (most, beyond): (usize, usize),
         max_pause: f64,
     ) -> Self {
         let (next, guests, left) = (Cell::new(0), RefCell::default(), Notify::new());
-        Door { clock, life, events, next, guests, most, beyond, max_pause, left }
+        Door { clock, life, happenings, next, guests, most, beyond, max_pause, left }
     }
 
     fn close(&self, which: impl Fn(&Guest) -> bool) {
@@ -137,7 +138,7 @@
     fn news(&self, body: &[u8]) -> Answer {
         match callbacks::parse(body) {
             Ok(news) => {
-                let _ = self.events.send(Event::News(news));
+                let _ = self.happenings.send(Happening::News(news));
                 Answer::Succeeded("".into())
             }
             Err(e) => {
@@ -156,9 +157,9 @@
         let id = self.next.get();
         self.next.set(id.wrapping_add(1));
         let (answer, answered) = oneshot::channel();
-        let _ = self.events.send(Event::Taken(id, Box::new(job), answer));
+        let _ = self.happenings.send(Happening::Taken(id, Box::new(job), answer));
         // Dropped with this future, when the client has closed the connection.
-        let mut visit = Visit { id, events: &self.events, over: false };
+        let mut visit = Visit { id, happenings: &self.happenings, over: false };
         let answer = answered.await;
         visit.over = true;
         (answer.unwrap_or(Answer::Errored), Next::Asks)
@@ -168,14 +169,14 @@
 /// Tells that the client has gone if it is dropped before it is over.
 struct Visit<'a> {
     id: InvId,
-    events: &'a Events,
+    happenings: &'a Happenings,
     over: bool,
 }
 
 impl Drop for Visit<'_> {
     fn drop(&mut self) {
         if !self.over {
-            let _ = self.events.send(Event::Left(self.id));
+            let _ = self.happenings.send(Happening::Left(self.id));
         }
     }
 }
--- a/crates/coveroute-node/src/take_in.rs
+++ b/crates/coveroute-node/src/take_in.rs
@@ -1,11 +1,10 @@
 //! Take in: a client's request becomes a job, its bytes kept as they came and only what decisions need
 //! decoded.
-use std::rc::Rc;
-
 use actix_http::header::{HeaderMap, CONTENT_LENGTH};
 use actix_http::uri::PathAndQuery;
 use actix_http::{HttpMessage, Method, Payload, Request, StatusCode};
 use bytes::{Bytes, BytesMut};
+use coveroute_engine::Call;
 use futures_util::StreamExt;
 
 use crate::relay::Answer;
@@ -18,14 +17,7 @@
 
 #[derive(Debug)]
 pub struct Job {
-    pub call: Rc<str>,
-    pub class: String,
-    pub caller: Option<String>,
-    /// How long the client will wait, in seconds, counted from `came`.
-    pub budget: f64,
-    pub hint: Option<f64>,
-    pub memory: Option<f64>,
-    pub came: f64,
+    pub call: Call,
     pub method: Method,
     pub target: PathAndQuery,
     pub headers: HeaderMap,
@@ -64,7 +56,7 @@
         return Err(unfit("X-Call-Class is not the first part of the path"));
     }
     let body = body(payload, &headers).await?;
-    Ok(Job {
+    let call = Call {
         call: call.into(),
         class: class.to_owned(),
         caller: text(wire::CALLER).map(str::to_owned),
@@ -72,11 +64,8 @@
         hint: number(wire::CALL_COST).map(|us| us / 1e6),
         memory: text(wire::CALL_INFO).and_then(|info| figure(info, "memory")),
         came,
-        method: head.method.clone(),
-        target,
-        body,
-        headers,
-    })
+    };
+    Ok(Job { call, method: head.method.clone(), target, headers, body })
 }
 
 /// Reads a body up to the most that one may hold; none of one that says to hold more. How long it may take is
--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -11,22 +11,22 @@
 use actix_http::{Method, Payload, StatusCode};
 use actix_rt::time::timeout;
 use coveroute::types::{Outcome, Report, Standing};
-use coveroute_shared::{Names, Roster};
+use coveroute_engine::{Call, Listing, Phase, Reply, Word};
 use test_case::test_case;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
 
-use crate::admit::admit;
-use crate::callbacks::{self, Word};
-use crate::clock::{seconds, Clock, Timers};
+use crate::callbacks;
+use crate::clock::{seconds, Clock};
 use crate::config::Config;
-use crate::discovery::{Hosts, Lines};
-use crate::driver::{Driver, Event};
+use crate::discovery::Lines;
+use crate::driver::{Driver, Happening};
 use crate::executors::{probe, Links, Patience};
 use crate::guest::{Claim, Doing, Guest};
+use crate::hosts::Hosts;
 use crate::logger::{Pace, Turn};
-use crate::phase::{Life, Phase, Step};
+use crate::phase::Life;
 use crate::relay::Answer;
-use crate::send::{self, Reply};
+use crate::send;
 use crate::server::{self, Door};
 use crate::take_in::{self, Job};
 use crate::wire;
@@ -45,7 +45,8 @@
     let (headers, method, body) = (HeaderMap::new(), Method::POST, "body".into());
     let (call, class) = (call.into(), class.to_owned());
     let (caller, hint, memory) = (Some("nobody".to_owned()), None, None);
-    Job { call, class, caller, budget, hint, memory, came, method, target, headers, body }
+    let call = Call { call, class, caller, budget, hint, memory, came };
+    Job { call, method, target, headers, body }
 }
 
 pub fn block<T>(test: impl std::future::Future<Output = T>) -> T {
@@ -88,7 +89,7 @@
 }
 
 /// A driver that knows executors `s-0`, `s-1`, ... at these addresses.
-pub fn driver(addrs: &[SocketAddr]) -> (Driver, UnboundedReceiver<Event>, Rc<Life>) {
+pub fn driver(addrs: &[SocketAddr]) -> (Driver, UnboundedReceiver<Happening>, Rc<Life>) {
     let entry =
         |(at, addr): (usize, &SocketAddr)| format!(r#"{{"id":"s-{at}","addr":"{addr}","state":"up"}}"#);
     let entries: Vec<String> = addrs.iter().enumerate().map(entry).collect();
@@ -181,7 +182,7 @@
         }
         replies
     });
-    assert_eq!(replies, [Reply::Taken; 3]);
+    assert_eq!(replies, vec![Reply::Taken; 3]);
     assert_eq!(executor.join().expect("counts"), counts);
 }
 
@@ -234,7 +235,7 @@
 #[test_case(503, false, ended(Outcome::Errored); "a bare 503 proves nothing")]
 #[test_case(500, true, ended(Outcome::Errored); "an error may have run")]
 #[test_case(200, false, ended(Outcome::Errored); "a result has no place there")]
-#[test_case(400, false, Reply::Unfit(StatusCode::BAD_REQUEST, Report::default()); "it is the request's fault")]
+#[test_case(400, false, Reply::Unfit(400, Report::default()); "it is the request's fault")]
 fn statuses_prove(status: u16, rejected: bool, expected: Reply) {
     let mut headers = HeaderMap::new();
     let value = HeaderValue::from_static(if rejected { "1" } else { "0" });
@@ -278,8 +279,8 @@
     let headers = [ID, BUDGET, ("x-call-cost", "1500"), ("x-call-info", "slots=1, memory=0.5")];
     let job = block(take_in::job(request(&headers, b"\xff\0"), 3.0)).expect("a job");
     assert_eq!((job.target.as_str(), &job.body[..]), ("/look/a%20b?c=%2F", &b"\xff\0"[..]));
-    assert_eq!((&*job.class, job.budget, job.came), ("look", 0.48, 3.0));
-    assert_eq!((job.hint, job.memory), (Some(0.0015), Some(0.5)));
+    assert_eq!((&*job.call.class, job.call.budget, job.call.came), ("look", 0.48, 3.0));
+    assert_eq!((job.call.hint, job.call.memory), (Some(0.0015), Some(0.5)));
 }
 
 #[test_case(&[BUDGET], 400; "no id")]
@@ -357,28 +358,6 @@
     assert_eq!((written, pace.turn(8), pace.turn(8)), (100, Turn::WrittenAfter(400), Turn::Written));
 }
 
-#[test_case("look", 2.0, 2.0, Ok(0.95); "time that has passed comes off, and the answer's way")]
-#[test_case("look", 1e9, 2.0, Ok(3.95); "nobody waits longer than the operation allows")]
-#[test_case("read", 2.0, 2.0, Err(StatusCode::NOT_FOUND); "an operation that is not known")]
-fn jobs_are_admitted(class: &str, budget: f64, now: f64, expected: Result<f64, StatusCode>) {
-    let names = Names { tenants: Vec::new(), ..config("").names };
-    let told = admit(7, &job("c", class, budget, 1.0), &names, &[5.0, 10.0], now);
-    let told = told.map(|sub| ((sub.timeout * 1e3).round() / 1e3, sub.tenant));
-    let expected = expected.map(|timeout| (timeout, None));
-    assert_eq!(told.map_err(|unfit| unfit.response(true).status()), expected);
-}
-
-#[test_case(Some(0.5), Some(0.5); "as it came")]
-#[test_case(Some(1e15), Some(50.0); "no more than ten timeouts")]
-#[test_case(Some(1e-15), Some(1e-4); "nor nothing")]
-#[test_case(Some(-1.0), None; "nor less")]
-#[test_case(Some(f64::NAN), None; "no number")]
-fn hints_are_kept_sane(came: Option<f64>, expected: Option<f64>) {
-    let odd = Job { hint: came, ..job("c", "look", 2.0, 1.0) };
-    let told = admit(7, &odd, &config("").names, &[5.0, 10.0], 1.0).map(|sub| sub.hint);
-    assert_eq!(told, Ok(expected));
-}
-
 /// Serves on a door with two places and one beyond, and gives what the client makes of it.
 fn visit<T: Send + 'static>(client: impl FnOnce(SocketAddr) -> T + Send + 'static) -> T {
     visited(client).0
@@ -387,9 +366,10 @@
 /// And how much the driver was told.
 fn visited<T: Send + 'static>(client: impl FnOnce(SocketAddr) -> T + Send + 'static) -> (T, usize) {
     block(async {
-        let (clock, life, (events, mut happens)) = (Clock::new(), Rc::new(Life::new()), unbounded_channel());
-        life.step(Step::Ready);
-        let door = Rc::new(Door::new(clock, life, events, (2, 1), 2.0));
+        let (clock, life, (happenings, mut happens)) =
+            (Clock::new(), Rc::new(Life::new()), unbounded_channel());
+        life.set(Phase::Serving);
+        let door = Rc::new(Door::new(clock, life, happenings, (2, 1), 2.0));
         actix_rt::spawn(server::sweep(door.clone()));
         let listener = actix_rt::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let addr = listener.local_addr().expect("an address");
@@ -399,12 +379,12 @@
     })
 }
 
-#[test_case(&[], [true, true, true]; "from a node that serves")]
-#[test_case(&[Step::Told], [true, true, false]; "from one that was told to stop, but for what it gives back")]
-#[test_case(&[Step::Told, Step::Quiet], [false; 3]; "from one that has to finish")]
-fn connections_can_be_used_again(steps: &[Step], kept: [bool; 3]) {
+#[test_case(Phase::Serving, [true, true, true]; "from a node that serves")]
+#[test_case(Phase::Leaving, [true, true, false]; "from one that was told to stop, but for what it gives back")]
+#[test_case(Phase::Closing, [false; 3]; "from one that has to finish")]
+fn connections_can_be_used_again(phase: Phase, kept: [bool; 3]) {
     let life = Rc::new(Life::new());
-    [Step::Ready].iter().chain(steps).for_each(|step| assert!(life.step(*step)));
+    life.set(phase);
     let door = Door::new(Clock::new(), life, unbounded_channel().0, (2, 1), 2.0);
     let throttled = [0.5, 0.0].map(|pause| Answer::Throttled { pause });
     let [later, at_once] = throttled.each_ref().map(|answer| door.keeps(answer));
@@ -474,10 +454,8 @@
 #[test]
 fn entries_that_cannot_be_read_do_not_cost_the_others() {
     let hosts: Hosts = serde_json::from_str(LINE).expect("a list");
-    let (mut roster, mut names) = (Roster::default(), config("").names);
-    let entries = hosts.entries(&mut roster, &mut names);
-    let told: Vec<_> =
-        entries.iter().map(|(e, addr)| (e.standing, e.started, e.cell, addr.is_some())).collect();
+    let hosts = Listing::from(hosts).hosts;
+    let told: Vec<_> = hosts.iter().map(|e| (e.standing, e.started, e.cell, e.addr.is_some())).collect();
     let (gone, odd) = ((Standing::Gone, 0.0, 0, false), (Standing::Draining, 0.0, 0, true));
     assert_eq!(told, [(Standing::Draining, 0.0, 0, false), gone, odd, (Standing::Ready, 1.5, 2, true)]);
 }
@@ -520,13 +498,13 @@
 #[test]
 fn the_signal_to_reload_does_not_end_the_node() {
     block(async {
-        let (events, mut happens) = unbounded_channel();
-        actix_rt::spawn(crate::signals(events, Some("no such file".into())).expect("signals"));
+        let (happenings, mut happens) = unbounded_channel();
+        actix_rt::spawn(crate::signals(happenings, Some("no such file".into())).expect("signals"));
         let told =
             std::process::Command::new("kill").args(["-HUP", &std::process::id().to_string()]).status();
         assert!(told.is_ok_and(|told| told.success()));
         let event = timeout(seconds(9.0), happens.recv()).await;
-        assert!(matches!(event, Ok(Some(Event::Reload(Err(_))))));
+        assert!(matches!(event, Ok(Some(Happening::Reload(Err(_))))));
     });
 }
 
@@ -537,33 +515,3 @@
     assert_eq!(ports(CONFIG), Ok((1, 8500)));
     assert_eq!(ports(&CONFIG.replace("\"discovery\"", "\"elsewhere\"")), Ok((1, 2)));
 }
-
-#[test_case(&[Step::Idle], Phase::Starting; "nothing to end yet")]
-#[test_case(&[Step::Ready, Step::Idle, Step::Quiet], Phase::Serving; "idle is no reason to stop")]
-#[test_case(&[Step::Ready, Step::Reread, Step::Reread], Phase::Reloading; "read anew, and again")]
-#[test_case(&[Step::Ready, Step::Reread, Step::Followed], Phase::Serving; "and followed")]
-#[test_case(&[Step::Reread, Step::Followed], Phase::Starting; "read anew before it began")]
-#[test_case(&[Step::Ready, Step::Told, Step::Reread], Phase::Leaving; "read anew during a stop")]
-#[test_case(&[Step::Told], Phase::Leaving; "stopped before it began")]
-#[test_case(&[Step::Ready, Step::Told, Step::Idle, Step::Told], Phase::Leaving; "the front comes first")]
-#[test_case(&[Step::Ready, Step::Told, Step::Quiet, Step::Idle], Phase::Ended; "finished")]
-#[test_case(&[Step::Told, Step::Quiet, Step::Ready, Step::Late], Phase::Ended; "out of time")]
-fn life_goes_by_its_steps(steps: &[Step], phase: Phase) {
-    let life = Life::new();
-    for step in steps {
-        life.step(*step);
-    }
-    assert_eq!(life.phase(), phase);
-}
-
-#[test]
-fn timers_come_due_in_order() {
-    let (clock, mut timers) = (Clock::new(), Timers::new());
-    let now = Instant::now();
-    for (second, what) in [(2, 'c'), (1, 'a'), (1, 'b'), (9, 'd')] {
-        timers.set(now + Duration::from_secs(second), what);
-    }
-    let due: String = std::iter::from_fn(|| timers.pop(now + Duration::from_secs(2))).collect();
-    assert_eq!((&*due, timers.next()), ("abc", Some(now + Duration::from_secs(9))));
-    assert!(clock.instant(f64::INFINITY) > now && clock.instant(f64::NAN) <= Instant::now());
-}
