An emulator: a world to rehearse failures in, two hosts for one scenario, and its tool

Change: crate coveroute-emu. Workers, clients, discovery, network and 29 kinds of fault as state machines; a referee that sees only what crosses; virtual time with hundreds of engines on one queue, and loopback against real processes with signals and descriptor limits, from one strictly checked TOML file; run, record, replay, diff, compare, search with shrinking, report, load and prove; random, round robin, least in flight, two choices and an oracle behind the engine's decision interface.

--- /dev/null
+++ b/crates/coveroute-emu/src/prove.rs
@@ -0,0 +1,133 @@
+//! Proofs: each prints its figures in one JSON line and fails when one falls short. The short form is for CI, the long
+//! one by hand.
+use std::path::{Path, PathBuf};
+
+use serde::Serialize;
+use serde_json::{json, Value};
+
+use crate::loopback;
+use crate::scenario::Scenario;
+use crate::search::search;
+use crate::trace::Digest;
+use crate::virtual_time::{run, Policy};
+
+/// Figures, and what falls short of what they should be.
+#[derive(Debug, Default, Serialize)]
+pub struct Proof {
+    pub figures: Value,
+    pub short_of: Vec<String>,
+}
+
+impl Proof {
+    pub fn new() -> Self {
+        Proof { figures: json!({}), short_of: Vec::new() }
+    }
+
+    pub fn note(&mut self, name: &str, figure: impl Serialize) {
+        self.figures[name] = json!(figure);
+    }
+
+    pub fn want(&mut self, holds: bool, words: String) {
+        if !holds {
+            self.short_of.push(words);
+        }
+    }
+}
+
+pub const NAMES: [&str; 1] = ["emulator"];
+
+/// Where the scenarios lie; a proof is run from the repository.
+pub struct Place {
+    pub scenarios: PathBuf,
+    pub node: PathBuf,
+    pub long: bool,
+}
+
+pub fn prove(name: &str, place: &Place) -> Result<Proof, String> {
+    match name {
+        "emulator" => emulator(place),
+        other => Err(format!("no proof {other}; there are: {}", NAMES.join(", "))),
+    }
+}
+
+fn spread(figures: &[f64]) -> (f64, f64) {
+    let mean = figures.iter().sum::<f64>() / figures.len().max(1) as f64;
+    let most = figures.iter().copied().fold(f64::NEG_INFINITY, f64::max);
+    let least = figures.iter().copied().fold(f64::INFINITY, f64::min);
+    (mean, (most - least) / mean.max(1e-9))
+}
+
+/// A virtual run twice: its figure and events, and whether both are the same to the byte.
+fn twice(scenario: &Scenario) -> Result<(f64, Digest, bool, u64), String> {
+    let mut digests = [Digest::default(); 2];
+    let (one, _) = run(scenario, scenario.seed, Policy::Node, Some(&mut digests[0]))?;
+    let (two, _) = run(scenario, scenario.seed, Policy::Node, Some(&mut digests[1]))?;
+    Ok((one.figure(), digests[0], digests[0] == digests[1] && one == two, one.broken))
+}
+
+/// The emulator itself: the same from run to run, in virtual time and on sockets alike; no rule broken by search.
+fn emulator(place: &Place) -> Result<Proof, String> {
+    let mut proof = Proof::new();
+    let path = place.scenarios.join(if place.long { "rehearsal.toml" } else { "rehearsal-short.toml" });
+    let scenario = Scenario::read(&path)?;
+    let (figure, digest, same, broken) = twice(&scenario)?;
+    proof.note("virtual", figure);
+    proof.note("events", digest.events);
+    proof.want(same, "two virtual runs of one seed differ".into());
+    proof.want(broken == 0, format!("{broken} rules broken in virtual time"));
+    let runs = if place.long { 5 } else { 1 };
+    let mut figures = Vec::new();
+    for _ in 0..runs {
+        let options = loopback::Options { node: place.node.clone(), logs: None };
+        let (outcome, machines) = loopback::run(&scenario, scenario.seed, options)?;
+        proof.note("machines", machines);
+        proof.want(outcome.broken == 0, format!("loopback: {:?}", outcome.breaches.first()));
+        proof.want(outcome.counts.duplicates == 0, "loopback: a payment ran twice".into());
+        figures.push(outcome.figure());
+    }
+    let (mean, apart) = spread(&figures);
+    proof.note("loopback", &figures);
+    proof.note("loopback_spread", apart);
+    proof.want(apart <= 0.03, format!("loopback runs are {apart:.3} apart, 0.03 wanted"));
+    let off = (mean - figure).abs() / figure;
+    proof.note("loopback_off_virtual", off);
+    proof.want(off <= 0.05, format!("the loopback mean is {off:.3} off virtual time, 0.05 wanted"));
+    for name in SCENARIOS {
+        let scenario = Scenario::read(&place.scenarios.join(name))?;
+        let (figure, _, same, broken) = twice(&scenario)?;
+        proof.note(name, figure);
+        proof.want(same && broken == 0, format!("{name}: the same {same}, {broken} rules broken"));
+    }
+    let seeds = if place.long { 10_000 } else { 300 };
+    let searched = search(1, seeds, 0, false, || {})?;
+    proof.note("searched", seeds);
+    proof.note("search_mean", searched.mean);
+    proof.note("search_seconds", searched.wall);
+    for found in &searched.broken {
+        proof.want(false, format!("seed {}: {}", found.seed, found.words));
+    }
+    if place.long {
+        sizes(&place.scenarios, &mut proof)?;
+    }
+    Ok(proof)
+}
+
+/// Short ones that CI plays in virtual time.
+const SCENARIOS: [&str; 4] =
+    ["silent-worker.toml", "cold-worker.toml", "mass-loss.toml", "rolling-restart.toml"];
+
+/// Speed at size: so many times real time, and events a second.
+fn sizes(scenarios: &Path, proof: &mut Proof) -> Result<(), String> {
+    for (name, times) in [("size-300.toml", Some(20.0)), ("size-1000.toml", None)] {
+        let scenario = Scenario::read(&scenarios.join(name))?;
+        let (outcome, pace) = run(&scenario, scenario.seed, Policy::Node, None)?;
+        let real = pace.seconds / pace.wall;
+        proof.note(name, json!({
+            "figure": outcome.figure(), "times_real": real, "events_a_second": pace.events as f64 / pace.wall,
+            "peak_mb": loopback::taken_by(std::process::id() as i32).peak_mb, "broken": outcome.broken,
+        }));
+        proof.want(times.is_none_or(|times| real >= times), format!("{name}: {real:.1} times real time"));
+        proof.want(outcome.broken == 0, format!("{name}: {:?}", outcome.breaches.first()));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/coveroute-emu/src/scenario.rs
@@ -0,0 +1,691 @@
+//! A scenario: one TOML file, strictly read. A fault in it is told with line, key and what is allowed.
+use std::path::Path;
+
+use serde::{Deserialize, Serialize};
+
+macro_rules! figure {
+    ($name:ident, $words:literal, $fits:expr) => {
+        #[doc = concat!("A figure: ", $words, ".")]
+        #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, PartialOrd, Serialize)]
+        #[serde(try_from = "f64", into = "f64")]
+        pub struct $name(pub f64);
+
+        impl TryFrom<f64> for $name {
+            type Error = String;
+
+            fn try_from(told: f64) -> Result<Self, String> {
+                let fits: fn(f64) -> bool = $fits;
+                if fits(told) {
+                    Ok($name(told))
+                } else {
+                    Err(format!(concat!("{} is not ", $words), told))
+                }
+            }
+        }
+
+        impl From<$name> for f64 {
+            fn from(figure: $name) -> f64 {
+                figure.0
+            }
+        }
+    };
+}
+
+figure!(Span, "a time in seconds, 0 to 86400", |v| (0.0..=86_400.0).contains(&v));
+figure!(Positive, "a number over 0, 1e9 at most", |v| v > 0.0 && v <= 1e9);
+figure!(Amount, "a number of 0 or more, 1e9 at most", |v| (0.0..=1e9).contains(&v));
+figure!(Part, "a part, 0 to 1", |v| (0.0..=1.0).contains(&v));
+
+/// A count, within what a machine can hold.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq, Serialize)]
+#[serde(try_from = "u64", into = "u64")]
+pub struct Count(pub usize);
+
+impl TryFrom<u64> for Count {
+    type Error = String;
+
+    fn try_from(told: u64) -> Result<Self, String> {
+        match usize::try_from(told).ok().filter(|count| *count <= 100_000) {
+            Some(count) => Ok(Count(count)),
+            None => Err(format!("{told} is not a count, 0 to 100000")),
+        }
+    }
+}
+
+impl From<Count> for u64 {
+    fn from(count: Count) -> u64 {
+        count.0 as u64
+    }
+}
+
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    pub name: String,
+    /// What it rehearses, for reports.
+    #[serde(default)]
+    pub about: String,
+    /// How long new invocations come. What is out then is served to its end.
+    pub seconds: Positive,
+    #[serde(default)]
+    pub seed: u64,
+    pub nodes: Nodes,
+    pub workers: Vec<Workers>,
+    pub operations: Vec<Operation>,
+    #[serde(default)]
+    pub tenants: Vec<Tenant>,
+    #[serde(default)]
+    pub clients: Clients,
+    #[serde(default)]
+    pub network: Network,
+    #[serde(default)]
+    pub discovery: Discovery,
+    #[serde(default)]
+    pub platform: Platform,
+    #[serde(default)]
+    pub faults: Vec<Fault>,
+}
+
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Nodes {
+    pub count: Count,
+    /// Dealt out over the zones of the workers unless some are named.
+    #[serde(default)]
+    pub zones: Vec<String>,
+    #[serde(default = "sockets")]
+    pub sockets: Count,
+    #[serde(default = "memory_mb")]
+    pub memory_mb: Count,
+}
+
+fn sockets() -> Count {
+    Count(512)
+}
+
+fn memory_mb() -> Count {
+    Count(128)
+}
+
+/// Workers of one make.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Workers {
+    pub count: Count,
+    pub zone: String,
+    pub kind: String,
+    /// Cells that they are dealt out over.
+    pub cells: Count,
+    /// Jobs that run at a time, and cores that they share.
+    pub slots: Count,
+    pub cores: Positive,
+    /// Of a standard core.
+    pub speed: Positive,
+    /// Memory units; 0 for one a slot.
+    pub memory: Amount,
+    /// Jobs that wait beyond the slots before a further one is turned away.
+    pub queue: Count,
+    /// Connections held at most.
+    pub connections: Count,
+    /// How long a taken job takes to be acknowledged.
+    pub acknowledges: Span,
+}
+
+impl Default for Workers {
+    fn default() -> Self {
+        Workers {
+            count: Count(1),
+            zone: "a".into(),
+            kind: "standard".into(),
+            cells: Count(1),
+            slots: Count(4),
+            cores: Positive(4.0),
+            speed: Positive(1.0),
+            memory: Amount(0.0),
+            queue: Count(8),
+            connections: Count(1000),
+            acknowledges: Span(0.001),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Effect {
+    Idempotent,
+    Deduplicated,
+    NonIdempotent,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Group {
+    #[default]
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Operation {
+    pub name: String,
+    pub effect: Effect,
+    /// Of a deduplicated operation: who drops whose repeats, and for how long.
+    #[serde(default)]
+    pub group: Group,
+    #[serde(default)]
+    pub window: Span,
+    /// Invocations a second, over all nodes.
+    pub rate: Amount,
+    /// Median running time on a standard core, and the spread of its logarithm.
+    pub work: Positive,
+    #[serde(default)]
+    pub spread: Amount,
+    /// Heavy ones: their part, and how many times the work.
+    #[serde(default)]
+    pub heavy: Part,
+    #[serde(default = "ten")]
+    pub heavy_times: Positive,
+    /// In time within this long plus `stretch` times its own running time.
+    pub objective: Positive,
+    #[serde(default)]
+    pub stretch: Amount,
+    /// The client gives up after this long.
+    pub timeout: Positive,
+    #[serde(default = "one")]
+    pub value: Positive,
+    #[serde(default)]
+    pub late_value: Part,
+    /// The machine kind that it needs, if any.
+    #[serde(default)]
+    pub kind: Option<String>,
+    /// Memory units that it takes.
+    #[serde(default)]
+    pub memory: Amount,
+    /// Spread of the logarithm of hints about the work; none are given without it.
+    #[serde(default)]
+    pub hint: Option<Amount>,
+}
+
+fn one() -> Positive {
+    Positive(1.0)
+}
+
+fn ten() -> Positive {
+    Positive(10.0)
+}
+
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tenant {
+    pub name: String,
+    /// Part of all invocations that are its.
+    pub part: Part,
+    /// Invocations a second within its share, over all nodes; 0 for no bound.
+    #[serde(default)]
+    pub share: Amount,
+}
+
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Clients {
+    /// Tries an invocation at most.
+    pub tries: Count,
+    /// Between tries at least, and spread over as much again; a longer pause told by the node is kept to.
+    pub wait: Span,
+    /// The front notices that a node has died after this long.
+    pub notices: Span,
+    /// Part of the clients that leave before their time, midway.
+    pub leave: Part,
+}
+
+impl Default for Clients {
+    fn default() -> Self {
+        Clients { tries: Count(3), wait: Span(0.2), notices: Span(2.0), leave: Part(0.0) }
+    }
+}
+
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Network {
+    /// One way, within a zone and between zones; each message's own spread is half of it.
+    pub latency: Span,
+    pub crossing: Span,
+}
+
+impl Default for Network {
+    fn default() -> Self {
+        Network { latency: Span(0.0005), crossing: Span(0.002) }
+    }
+}
+
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Discovery {
+    /// From a change to its being told; each watch's own spread is as much again.
+    pub lag: Span,
+    /// A drain is told this long before the worker ends.
+    pub drains: Span,
+}
+
+impl Default for Discovery {
+    fn default() -> Self {
+        Discovery { lag: Span(0.5), drains: Span(5.0) }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Reports {
+    #[default]
+    Answers,
+    Probes,
+    Never,
+}
+
+/// What nodes are told of the platform, and what the platform holds them to.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Platform {
+    pub forwards: Count,
+    pub cancelling: bool,
+    pub probing: bool,
+    /// Nodes tell each other what they hold; in virtual time alone.
+    pub peers: bool,
+    pub reports: Reports,
+    /// How old load reports are.
+    pub report_age: Span,
+    /// Interval of progress notes, 0 for none.
+    pub progress: Span,
+    pub tells_start: bool,
+    /// The longest pause that clients honour; 0 for none.
+    pub pause: Span,
+    pub dial: Positive,
+    pub idle: Positive,
+    /// Nothing new goes to a draining or gone worker this long after the node was told.
+    pub grace: Span,
+    /// What is not told counts as told after this long.
+    pub told_latest: Span,
+    /// An answer may be this late.
+    pub slack: Span,
+    pub cold: Cold,
+}
+
+impl Default for Platform {
+    fn default() -> Self {
+        Platform {
+            forwards: Count(4),
+            cancelling: true,
+            probing: true,
+            peers: false,
+            reports: Reports::Answers,
+            report_age: Span(0.0),
+            progress: Span(1.0),
+            tells_start: true,
+            pause: Span(2.0),
+            dial: Positive(0.25),
+            idle: Positive(60.0),
+            grace: Span(0.55),
+            told_latest: Span(6.0),
+            slack: Span(0.05),
+            cold: Cold::default(),
+        }
+    }
+}
+
+/// A worker's first time: its part of capacity at the start, how long it takes to warm up, and the budget that
+/// makes it fall over: so many times its capacity, over so long.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Cold {
+    pub start: Part,
+    pub warm: Positive,
+    pub factor: Positive,
+    pub fall: Positive,
+}
+
+impl Default for Cold {
+    fn default() -> Self {
+        Cold { start: Part(0.3), warm: Positive(9.0), factor: Positive(4.0), fall: Positive(2.0) }
+    }
+}
+
+/// One thing that goes wrong: when, for how long, and where.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    pub at: Span,
+    /// 0 for at once and to the end.
+    #[serde(default, rename = "for")]
+    pub lasts: Span,
+    pub what: What,
+    /// How strongly, where it has a strength: a part (`stolen`, `errors`, `loses`, `gives-back`, `resets-before`,
+    /// `resets-after`), seconds (`late-news`, `slow-acks`, `old-reports`, `latency`, `list-late`) or times
+    /// (`surge`, `heavy`), a count (`connections`).
+    #[serde(default)]
+    pub by: Option<Amount>,
+    /// How many workers or nodes, drawn by the seed among those that the rest of this names; all without it.
+    #[serde(default)]
+    pub count: Option<Count>,
+    #[serde(default)]
+    pub zone: Option<String>,
+    #[serde(default)]
+    pub kind: Option<String>,
+}
+
+/// What goes wrong, and where: workers, the network, discovery, nodes or clients.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum What {
+    /// Takes jobs, runs them and says nothing, then goes on and tells.
+    Silent,
+    /// The same, and dies at the end.
+    SilentThenDies,
+    /// Stands still, then goes on.
+    Pause,
+    /// Another takes this part of its cores.
+    Stolen,
+    /// Answers this part of the jobs at once with an error.
+    Errors,
+    /// Takes this part of the jobs and forgets them.
+    Loses,
+    /// Takes this part of the jobs and gives them back unstarted.
+    GivesBack,
+    LateNews,
+    /// Tells everything twice.
+    DoubledNews,
+    SlowAcks,
+    OldReports,
+    /// Holds so many connections at most.
+    Connections,
+    /// Its process dies and, where it does not last to the end, starts again as new.
+    Dies,
+    /// Its machine vanishes: no more is heard, and nothing is refused.
+    Vanishes,
+    /// Leaves in order: drains, ends, and comes back as new.
+    Drains,
+    /// A new build: each in turn drains and starts again, spread over the time.
+    Release,
+    /// On the way to workers: connections break before the last byte of a job, or after it.
+    ResetsBefore,
+    ResetsAfter,
+    Latency,
+    /// Nothing passes between the zone and the others.
+    Partition,
+    ListDown,
+    ListLate,
+    /// Stays up and tells nothing more.
+    ListStale,
+    /// Forgets everything for a while: its lists are empty.
+    ListEmpty,
+    /// Nodes are killed, and start again at the end.
+    NodesKilled,
+    /// Nodes are asked to stop, and start again at the end.
+    NodesStop,
+    NodesReload,
+    /// So many times the invocations.
+    Surge,
+    /// So many times the work.
+    Heavy,
+}
+
+/// Where a fault strikes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Place {
+    Workers,
+    Network,
+    List,
+    Nodes,
+    Clients,
+}
+
+/// What its strength is counted in.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Strength {
+    None,
+    Part,
+    Seconds,
+    Times,
+    Count,
+}
+
+impl What {
+    pub const ALL: [What; 29] = [
+        What::Silent,
+        What::SilentThenDies,
+        What::Pause,
+        What::Stolen,
+        What::Errors,
+        What::Loses,
+        What::GivesBack,
+        What::LateNews,
+        What::DoubledNews,
+        What::SlowAcks,
+        What::OldReports,
+        What::Connections,
+        What::Dies,
+        What::Vanishes,
+        What::Drains,
+        What::Release,
+        What::ResetsBefore,
+        What::ResetsAfter,
+        What::Latency,
+        What::Partition,
+        What::ListDown,
+        What::ListLate,
+        What::ListStale,
+        What::ListEmpty,
+        What::NodesKilled,
+        What::NodesStop,
+        What::NodesReload,
+        What::Surge,
+        What::Heavy,
+    ];
+
+    pub fn place(self) -> Place {
+        match self {
+            What::ResetsBefore | What::ResetsAfter | What::Latency | What::Partition => Place::Network,
+            What::ListDown | What::ListLate | What::ListStale | What::ListEmpty => Place::List,
+            What::NodesKilled | What::NodesStop | What::NodesReload => Place::Nodes,
+            What::Surge | What::Heavy => Place::Clients,
+            _ => Place::Workers,
+        }
+    }
+
+    pub fn strength(self) -> Strength {
+        match self {
+            What::Stolen | What::Errors | What::Loses | What::GivesBack => Strength::Part,
+            What::ResetsBefore | What::ResetsAfter => Strength::Part,
+            What::LateNews | What::SlowAcks | What::OldReports => Strength::Seconds,
+            What::Latency | What::ListLate => Strength::Seconds,
+            What::Surge | What::Heavy => Strength::Times,
+            What::Connections => Strength::Count,
+            _ => Strength::None,
+        }
+    }
+}
+
+impl Fault {
+    pub fn strength(&self) -> f64 {
+        self.by.map_or(0.0, |by| by.0)
+    }
+
+    /// When it is over: at the end of all, where it lasts.
+    pub fn until(&self) -> f64 {
+        if self.lasts.0 > 0.0 {
+            self.at.0 + self.lasts.0
+        } else {
+            f64::INFINITY
+        }
+    }
+}
+
+impl Scenario {
+    pub fn read(path: &Path) -> Result<Self, String> {
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        Self::parse(&text).map_err(|e| format!("{}: {e}", path.display()))
+    }
+
+    pub fn parse(text: &str) -> Result<Self, String> {
+        let scenario: Scenario = toml::from_str(text).map_err(|e| one_line(text, &e))?;
+        scenario.check().map_err(|(key, nth, words)| match line_of(text, key, nth) {
+            Some(line) => format!("line {line}: {key}: {words}"),
+            None => format!("{key}: {words}"),
+        })?;
+        Ok(scenario)
+    }
+
+    pub fn zones(&self) -> Vec<String> {
+        let mut zones: Vec<String> = Vec::new();
+        let named = self.workers.iter().map(|w| &w.zone).chain(&self.nodes.zones);
+        for zone in named {
+            if !zones.contains(zone) {
+                zones.push(zone.clone());
+            }
+        }
+        zones
+    }
+
+    /// What single values can't show. The key, which of its kind it is, and what is wrong.
+    fn check(&self) -> Result<(), (&'static str, usize, String)> {
+        let fault = |key, nth, words: String| Err((key, nth, words));
+        if self.nodes.count.0 == 0 {
+            return fault("nodes", 0, "count: at least one node".into());
+        }
+        if self.workers.iter().all(|w| w.count.0 == 0) {
+            return fault("workers", 0, "at least one worker in all".into());
+        }
+        for (at, workers) in self.workers.iter().enumerate() {
+            if workers.slots.0 == 0 || workers.cells.0 == 0 || workers.connections.0 == 0 {
+                return fault("workers", at, "slots, cells and connections are 1 or more".into());
+            }
+        }
+        if self.operations.is_empty() {
+            return fault("operations", 0, "at least one operation".into());
+        }
+        for (at, op) in self.operations.iter().enumerate() {
+            let same = |other: &Operation| other.name == op.name;
+            if self.operations[..at].iter().any(same) {
+                return fault("operations", at, format!("name {} stands there twice", op.name));
+            }
+            let plain = |b: u8| b.is_ascii_alphanumeric() || b == b'-';
+            if op.name.is_empty() || !op.name.bytes().all(plain) {
+                return fault(
+                    "operations",
+                    at,
+                    format!("name {:?}: letters, digits and - are allowed", op.name),
+                );
+            }
+            if op.timeout.0 < op.objective.0 {
+                return fault("operations", at, "timeout is not under the objective".into());
+            }
+            let deduplicated = op.effect == Effect::Deduplicated;
+            if deduplicated && op.window.0 <= 0.0 {
+                return fault("operations", at, "a deduplicated operation has a window over 0".into());
+            }
+            let known = |kind: &String| self.workers.iter().any(|w| w.kind == *kind);
+            if let Some(kind) = op.kind.as_ref().filter(|kind| !known(kind)) {
+                return fault("operations", at, format!("kind {kind}: no worker has it"));
+            }
+        }
+        if self.tenants.iter().map(|t| t.part.0).sum::<f64>() > 1.0 + 1e-9 {
+            return fault("tenants", 0, "their parts are 1 at most together".into());
+        }
+        if self.clients.tries.0 == 0 {
+            return fault("clients", 0, "tries: at least one".into());
+        }
+        self.faults.iter().enumerate().try_for_each(|(at, f)| self.check_fault(at, f))
+    }
+
+    fn check_fault(&self, at: usize, f: &Fault) -> Result<(), (&'static str, usize, String)> {
+        let fault = |words: String| Err(("faults", at, words));
+        let fits = match (f.what.strength(), f.by) {
+            (Strength::None, None) => true,
+            (Strength::Part, Some(by)) => by.0 <= 1.0,
+            (Strength::Seconds, Some(by)) => by.0 <= 600.0,
+            (Strength::Times, Some(by)) => by.0 <= 1000.0,
+            (Strength::Count, Some(by)) => by.0.fract() == 0.0,
+            _ => false,
+        };
+        if !fits {
+            let allowed = match f.what.strength() {
+                Strength::None => "none",
+                Strength::Part => "a part, 0 to 1",
+                Strength::Seconds => "seconds, 0 to 600",
+                Strength::Times => "times, 0 to 1000",
+                Strength::Count => "a whole number",
+            };
+            return fault(format!("by: {:?} takes {allowed}", f.what));
+        }
+        if f.at.0 > self.seconds.0 {
+            return fault(format!("at: {} is after the end", f.at.0));
+        }
+        if let Some(zone) = f.zone.as_ref().filter(|zone| !self.zones().contains(zone)) {
+            return fault(format!("zone {zone}: nothing is there"));
+        }
+        if let Some(kind) = f.kind.as_ref().filter(|kind| !self.workers.iter().any(|w| w.kind == **kind)) {
+            return fault(format!("kind {kind}: no worker has it"));
+        }
+        if f.what == What::Partition && f.zone.is_none() {
+            return fault("zone: a partition cuts one zone off".into());
+        }
+        if f.count.is_some() && !matches!(f.what.place(), Place::Workers | Place::Nodes) {
+            return fault(format!("count: {:?} has none", f.what));
+        }
+        Ok(())
+    }
+
+    pub fn text(&self) -> String {
+        toml::to_string_pretty(self).unwrap_or_else(|e| format!("# {e}\n"))
+    }
+}
+
+/// The library's words, on one line, with the line that they speak of.
+fn one_line(text: &str, e: &toml::de::Error) -> String {
+    let line = e.span().map(|span| 1 + text[..span.start.min(text.len())].matches('\n').count());
+    let key = line.and_then(|line| text.lines().nth(line - 1)).and_then(|l| l.split_once('='));
+    let words = e.message().replace('\n', ", ");
+    match (line, key) {
+        (Some(line), Some((key, _))) => format!("line {line}: {}: {words}", key.trim()),
+        (Some(line), None) => format!("line {line}: {words}"),
+        _ => words,
+    }
+}
+
+/// The line of the nth table of that name.
+fn line_of(text: &str, key: &str, nth: usize) -> Option<usize> {
+    let heads = [format!("[[{key}]]"), format!("[{key}]")];
+    let is_head = |line: &str| heads.iter().any(|head| line.trim() == head);
+    text.lines().enumerate().filter(|(_, line)| is_head(line)).nth(nth).map(|(at, _)| at + 1)
+}
+
+#[cfg(test)]
+mod tests {
+    use test_case::test_case;
+
+    use super::*;
+
+    pub const PLAIN: &str = "name = \"p\"\nseconds = 10\n[nodes]\ncount = 1\n[[workers]]\ncount = 2\n\
+        [[operations]]\nname = \"look\"\neffect = \"idempotent\"\nrate = 5\nwork = 0.1\nobjective = 1\ntimeout = 3\n";
+
+    #[test]
+    fn what_is_written_out_reads_the_same() {
+        let scenario = Scenario::parse(PLAIN).expect("fit");
+        assert_eq!(Scenario::parse(&scenario.text()), Ok(scenario));
+    }
+
+    #[test_case("rate = 5", "rat = 5", &["line 10", "rat", "rate"]; "an unknown key")]
+    #[test_case("work = 0.1", "work = -1", &["line 11: work", "over 0"]; "a value out of range")]
+    #[test_case("\"idempotent\"", "\"perhaps\"", &["line 9: effect", "non-idempotent"]; "a word that is none")]
+    #[test_case("timeout = 3", "timeout = 0.5", &["line 7: operations", "objective"]; "a timeout too short")]
+    #[test_case("count = 1", "count = 0", &["line 3: nodes", "at least one"]; "no node")]
+    #[test_case("timeout = 3", "timeout = 3\nkind = \"x\"", &["line 7: operations", "no worker"]; "no such kind")]
+    #[test_case("timeout = 3", "timeout = 3\n[[faults]]\nat = 1\nwhat = \"stolen\"", &["line 14: faults", "a part"]; "no strength")]
+    #[test_case("timeout = 3", "timeout = 3\n[[faults]]\nat = 1\nwhat = \"partition\"", &["line 14", "zone"]; "no zone")]
+    #[test_case("timeout = 3", "timeout = 3\n[[faults]]\nat = 1\nwhat = \"melts\"", &["line 16: what", "silent"]; "no such fault")]
+    fn a_fault_is_told_with_line_key_and_what_is_allowed(old: &str, new: &str, words: &[&str]) {
+        let told = Scenario::parse(&PLAIN.replacen(old, new, 1)).expect_err("a fault");
+        assert!(words.iter().all(|word| told.contains(word)) && !told.contains('\n'), "{told}");
+    }
+}
--- /dev/null
+++ b/crates/coveroute-emu/src/trace.rs
@@ -0,0 +1,148 @@
+//! Recorded runs: a header with the scenario and the seed, then each event in a line. A record plays again to the same
+//! figure, and two records are compared to the first event where they part.
+use std::io::{BufRead, BufReader, BufWriter, Write};
+use std::path::Path;
+
+use serde::{Deserialize, Serialize};
+
+use crate::scenario::Scenario;
+use crate::virtual_time::{run, Policy};
+use crate::world::{NodeId, Outcome};
+
+/// Hears each event of a run.
+pub trait Sink {
+    fn event(&mut self, now: f64, node: NodeId, words: &str);
+}
+
+/// A running hash of all events (FNV-1a), to compare runs to the byte without keeping them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Digest {
+    pub hash: u64,
+    pub events: u64,
+}
+
+impl Default for Digest {
+    fn default() -> Self {
+        Digest { hash: 0xcbf2_9ce4_8422_2325, events: 0 }
+    }
+}
+
+impl Sink for Digest {
+    fn event(&mut self, now: f64, node: NodeId, words: &str) {
+        self.events += 1;
+        let bytes = now.to_bits().to_le_bytes().into_iter().chain((node as u64).to_le_bytes());
+        for byte in bytes.chain(words.bytes()) {
+            self.hash = (self.hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+        }
+    }
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+struct Head {
+    policy: String,
+    seed: u64,
+    scenario: Scenario,
+}
+
+#[derive(Debug, Deserialize, PartialEq, Serialize)]
+struct Tail {
+    figure: f64,
+    broken: u64,
+    events: u64,
+}
+
+fn line(now: f64, node: NodeId, words: &str) -> String {
+    format!("{now:.9} n{node} {words}")
+}
+
+struct Writer<W: Write> {
+    to: W,
+    events: u64,
+    failed: Option<std::io::Error>,
+}
+
+impl<W: Write> Sink for Writer<W> {
+    fn event(&mut self, now: f64, node: NodeId, words: &str) {
+        self.events += 1;
+        if self.failed.is_none() {
+            self.failed = writeln!(self.to, "{}", line(now, node, words)).err();
+        }
+    }
+}
+
+/// Plays a scenario and writes every event down.
+pub fn record(scenario: &Scenario, seed: u64, policy: Policy, path: &Path) -> Result<Outcome, String> {
+    let told = |e: std::io::Error| format!("{}: {e}", path.display());
+    let file = std::fs::File::create(path).map_err(told)?;
+    let mut writer = Writer { to: BufWriter::new(file), events: 0, failed: None };
+    let head = Head { policy: policy.name().into(), seed, scenario: scenario.clone() };
+    let head = serde_json::to_string(&head).map_err(|e| e.to_string())?;
+    writeln!(writer.to, "{head}").map_err(told)?;
+    let (outcome, _) = run(scenario, seed, policy, Some(&mut writer))?;
+    let tail = Tail { figure: outcome.figure(), broken: outcome.broken, events: writer.events };
+    let tail = serde_json::to_string(&tail).map_err(|e| e.to_string())?;
+    writeln!(writer.to, "{tail}").and_then(|()| writer.to.flush()).map_err(told)?;
+    writer.failed.map_or(Ok(outcome), |e| Err(told(e)))
+}
+
+struct Record {
+    head: Head,
+    lines: Vec<String>,
+    tail: Tail,
+}
+
+fn read(path: &Path) -> Result<Record, String> {
+    let told = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
+    let file = std::fs::File::open(path).map_err(|e| told(&e))?;
+    let mut lines = BufReader::new(file).lines().collect::<Result<Vec<_>, _>>().map_err(|e| told(&e))?;
+    if lines.len() < 2 {
+        return Err(told(&"no record: a head and an end are wanted"));
+    }
+    let head: Head = serde_json::from_str(&lines.remove(0)).map_err(|e| told(&format!("line 1: {e}")))?;
+    let last = lines.pop().unwrap_or_default();
+    let tail: Tail = serde_json::from_str(&last).map_err(|e| told(&format!("its end: {e}")))?;
+    Ok(Record { head, lines, tail })
+}
+
+/// Compares each event with a record's.
+struct Checker {
+    lines: Vec<String>,
+    at: usize,
+    parted: Option<(usize, String)>,
+}
+
+impl Sink for Checker {
+    fn event(&mut self, now: f64, node: NodeId, words: &str) {
+        let same = || self.lines.get(self.at) == Some(&line(now, node, words));
+        if self.parted.is_none() && !same() {
+            self.parted = Some((self.at, line(now, node, words)));
+        }
+        self.at += 1;
+    }
+}
+
+/// Plays a record again; its figure, or the first event where the run parts from it.
+pub fn replay(path: &Path) -> Result<Outcome, String> {
+    let Record { head, lines, tail } = read(path)?;
+    let policy = Policy::named(&head.policy).ok_or(format!("no policy {}", head.policy))?;
+    let mut checker = Checker { lines, at: 0, parted: None };
+    let (outcome, _) = run(&head.scenario, head.seed, policy, Some(&mut checker))?;
+    if let Some((at, now)) = checker.parted {
+        let then = checker.lines.get(at).map_or("the record's end", |line| line);
+        return Err(format!("parts at event {}: recorded {then}; now {now}", at + 1));
+    }
+    if checker.at < checker.lines.len() || outcome.figure() != tail.figure {
+        let (events, figure) = (checker.at, outcome.figure());
+        return Err(format!("ends after {events} events with {figure}, recorded {tail:?}"));
+    }
+    Ok(outcome)
+}
+
+/// The first event where two records part, if any.
+pub fn diff(one: &Path, two: &Path) -> Result<Option<(usize, String, String)>, String> {
+    let (one, two) = (read(one)?, read(two)?);
+    let most = one.lines.len().max(two.lines.len());
+    let text = |record: &Record, at: usize| record.lines.get(at).map_or("the end".to_owned(), String::clone);
+    let parted = (0..most).find(|&at| one.lines.get(at) != two.lines.get(at));
+    Ok(parted.map(|at| (at + 1, text(&one, at), text(&two, at))))
+}
--- /dev/null
+++ b/crates/coveroute-emu/src/world/discovery.rs
@@ -0,0 +1,170 @@
+//! The list of executors: what it holds, who watches it, and what it says when. It may be late, down, stale or empty.
+use std::net::SocketAddr;
+
+use coveroute::types::Standing;
+use coveroute_engine::{Host, Listing};
+
+use crate::world::{NodeId, WorkerId};
+
+#[derive(Clone, Debug)]
+struct Entry {
+    host: Host,
+    version: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Watch {
+    number: u64,
+    sent: u64,
+}
+
+#[derive(Debug)]
+pub struct Discovery {
+    entries: Vec<Entry>,
+    version: u64,
+    watches: Vec<Option<Watch>>,
+    pub down: bool,
+    pub stale: bool,
+    pub empty: bool,
+    /// Told so much later than usual.
+    pub late: f64,
+    /// When it last was anything but well.
+    pub ailed: f64,
+    /// Calls for a watch.
+    pub calls: u64,
+}
+
+impl Discovery {
+    pub fn new(hosts: Vec<Host>, nodes: usize) -> Self {
+        let entries = hosts.into_iter().map(|host| Entry { host, version: 1 }).collect();
+        let (down, stale, empty, late, ailed) = (false, false, false, 0.0, f64::NEG_INFINITY);
+        Discovery {
+            entries,
+            version: 1,
+            watches: vec![None; nodes],
+            down,
+            stale,
+            empty,
+            late,
+            ailed,
+            calls: 0,
+        }
+    }
+
+    pub fn is_well(&self) -> bool {
+        !(self.down || self.stale || self.empty || self.late > 0.0)
+    }
+
+    /// Of a worker: whether it is wanted, when it started, and the version of that.
+    pub fn of(&self, worker: WorkerId) -> (Standing, f64, u64) {
+        let Entry { host, version } = &self.entries[worker];
+        (host.standing, host.started, *version)
+    }
+
+    /// A worker's standing changes; the version of the change.
+    pub fn change(&mut self, worker: WorkerId, standing: Standing, started: f64) -> u64 {
+        self.version += 1;
+        let entry = &mut self.entries[worker];
+        (entry.host.standing, entry.host.started, entry.version) = (standing, started, self.version);
+        self.version
+    }
+
+    pub fn moved(&mut self, worker: WorkerId, addr: SocketAddr) {
+        self.entries[worker].host.addr = Some(addr);
+    }
+
+    /// The whole list as it is.
+    pub fn whole(&self) -> Listing {
+        let listed = |entry: &&Entry| entry.host.standing != Standing::Gone && !self.empty;
+        let hosts = self.entries.iter().filter(listed).map(|entry| entry.host.clone()).collect();
+        Listing { version: self.version, full: true, hosts }
+    }
+
+    /// A node begins to watch from after a version: what it is told at once, unless the service is down.
+    pub fn watch(&mut self, node: NodeId, number: u64, from: u64) -> Option<Option<Listing>> {
+        self.calls += 1;
+        self.watches[node] = None;
+        if self.down {
+            return None;
+        }
+        self.watches[node] = Some(Watch { number, sent: from });
+        Some(if self.stale { None } else { self.news(node).map(|told| told.1) })
+    }
+
+    /// What a watch has not been told yet, with the watch's number.
+    pub fn news(&mut self, node: NodeId) -> Option<(u64, Listing)> {
+        if self.down || self.stale {
+            return None;
+        }
+        let watch = self.watches[node]?;
+        if watch.sent >= self.version {
+            return None;
+        }
+        let listing = if watch.sent == 0 || self.empty {
+            self.whole()
+        } else {
+            let changed = |entry: &&Entry| entry.version > watch.sent;
+            let hosts = self.entries.iter().filter(changed).map(|entry| entry.host.clone()).collect();
+            Listing { version: self.version, full: false, hosts }
+        };
+        self.watches[node] = Some(Watch { sent: self.version, ..watch });
+        Some((watch.number, listing))
+    }
+
+    pub fn watched(&self, node: NodeId) -> bool {
+        self.watches[node].is_some()
+    }
+
+    pub fn unwatch(&mut self, node: NodeId) -> Option<u64> {
+        self.watches[node].take().map(|watch| watch.number)
+    }
+
+    /// Its memory is gone, or is back: everyone is told the whole list.
+    pub fn set_empty(&mut self, empty: bool) {
+        (self.empty, self.version) = (empty, self.version + 1);
+        self.watches.iter_mut().flatten().for_each(|watch| watch.sent = 0);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn host(id: &str) -> Host {
+        let (id, zone, kind) = (id.to_owned(), String::new(), String::new());
+        let addr = Some(([127, 0, 0, 1], 1).into());
+        Host { id, addr, zone, kind, cell: 0, started: 0.0, standing: Standing::Ready }
+    }
+
+    fn ids(listing: Option<Listing>) -> Option<(bool, Vec<String>)> {
+        listing.map(|l| (l.full, l.hosts.into_iter().map(|host| host.id).collect()))
+    }
+
+    #[test]
+    fn a_watch_is_told_each_change_once() {
+        let mut list = Discovery::new(vec![host("a"), host("b")], 1);
+        assert_eq!(list.watch(0, 1, 0).map(ids), Some(Some((true, vec!["a".into(), "b".into()]))));
+        assert!(list.news(0).is_none());
+        list.change(1, Standing::Draining, 0.0);
+        assert_eq!(ids(list.news(0).map(|told| told.1)), Some((false, vec!["b".into()])));
+        assert!(list.news(0).is_none());
+    }
+
+    #[test]
+    fn it_ails_in_four_ways() {
+        let mut list = Discovery::new(vec![host("a"), host("b")], 1);
+        list.watch(0, 1, 0);
+        list.change(0, Standing::Gone, 0.0);
+        list.stale = true;
+        assert!(list.news(0).is_none() && list.watch(0, 2, 1) == Some(None));
+        (list.stale, list.down) = (false, true);
+        assert!(list.watch(0, 3, 1).is_none() && !list.watched(0));
+        list.down = false;
+        assert_eq!(list.watch(0, 4, 1).map(ids), Some(Some((false, vec!["a".into()]))));
+        list.set_empty(true);
+        assert_eq!(ids(list.news(0).map(|told| told.1)), Some((true, vec![])));
+        list.set_empty(false);
+        assert_eq!(ids(list.news(0).map(|told| told.1)), Some((true, vec!["b".into()])));
+        assert!(list.is_well());
+    }
+}
