Doubt is held against the better executors; in a fog own forwards count

Change: an executor is doubted below a part of what the better quarter of the ready ones reach. Where these fail too (fog), nothing is taken back for want of a word, reports are not waited for and doubt is set aside for five seconds.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -25,10 +25,16 @@
 ];
 
 impl Executor {
-    fn judge(&mut self, out: &mut Vec<Output>) {
-        const DOUBT: [f64; 2] = [0.65, 0.75]; // Doubtful below this mean, until above that: against wavering.
-        let mean = (1.0 + self.good) / (2.0 + self.good + self.bad);
-        let doubtful = mean < DOUBT[usize::from(self.doubtful)];
+    /// How far it is to be trusted: the mean of what is remembered of it.
+    fn mean(&self) -> f64 {
+        (1.0 + self.good) / (2.0 + self.good + self.bad)
+    }
+
+    /// Guards against a network that breaks to all alike: then doubt tells nothing of one executor, and a node that
+    /// doubts them all sends nothing. So each is held against `level`, what the better ones reach.
+    fn judge(&mut self, level: f64, out: &mut Vec<Output>) {
+        const DOUBT: [f64; 2] = [0.65, 0.75]; // Doubtful below this part, until above that: against wavering.
+        let doubtful = self.mean() < level * DOUBT[usize::from(self.doubtful)];
         let words = if doubtful { "is doubtful" } else { "is trusted again" };
         let news = doubtful != std::mem::replace(&mut self.doubtful, doubtful);
         out.extend(news.then(|| Output::Log(format!("executor {:06x} {words}", self.entry.mark))));
@@ -40,11 +46,11 @@
         self.bad *= if std::mem::take(&mut self.silent) { 0.0 } else { 1.0 };
     }
 
-    fn failed(&mut self, weight: f64, out: &mut Vec<Output>) {
+    fn failed(&mut self, weight: f64, level: f64, out: &mut Vec<Output>) {
         const GOOD_LEFT: f64 = 0.7; // Of remembered successes, after a failure: two in a row outweigh them.
         self.bad += weight;
         self.good *= GOOD_LEFT.powf(weight);
-        self.judge(out);
+        self.judge(level, out);
     }
 }
 
@@ -62,6 +68,10 @@
     beta
 }
 
+const TRUSTED: f64 = 0.8; // The mean of an executor that is as good as it begins: of four successes in four.
+                          // Where the better ones reach no more than this, the way is bad to all alike: held for some rounds of waiting.
+const FOG: f64 = 0.7;
+const FOG_HOLDS: f64 = 5.0;
 const SOLVE_EVERY: f64 = 0.25; // Several times in the shortest running time met.
 const BEFORE_END: f64 = 0.1; // A held invocation is answered this long before its end: several batches.
 
@@ -83,6 +93,7 @@
             tenants: vec![Class::default(); set.quotas.len()],
             peer_heard: vec![0.0; nodes],
             util: 0.5,
+            level: 1.0,
             memory: 0.5,
             counting,
             set,
@@ -267,11 +278,13 @@
         t.memory = if t.held == 0 { 0.0 } else { (t.memory - inv.memory).max(0.0) };
         t.running = t.running.saturating_sub(usize::from(fwd.started));
         match outcome {
-            Outcome::Succeeded => Self::succeeded(now, t, &mut self.classes[op], took / hint, out),
+            Outcome::Succeeded => {
+                Self::succeeded(now, t, &mut self.classes[op], took / hint, self.level, out)
+            }
             Outcome::Full => (t.refused, t.refusals) = (now, t.refusals + 1),
             Outcome::Cancelled | Outcome::Moot => {}
-            Outcome::Unreachable => t.failed(3.0, out), // The next would lose the time of a connect as well.
-            _ => t.failed(if outcome == Outcome::Unfit { 0.25 } else { 1.0 }, out), // It may be right.
+            Outcome::Unreachable => t.failed(3.0, self.level, out), // The next would lose the time of a connect as well.
+            _ => t.failed(if outcome == Outcome::Unfit { 0.25 } else { 1.0 }, self.level, out), // It may be right.
         }
         let (outs, ran, life) = (inv.still_out().count(), inv.anchor().is_some(), inv.life);
         self.tell(tgt, out);
@@ -290,7 +303,14 @@
     }
 
     /// Only answers that succeeded count as latencies: an executor that fails fast must not look fast.
-    fn succeeded(now: f64, t: &mut Executor, class: &mut Class, took: f64, out: &mut Vec<Output>) {
+    fn succeeded(
+        now: f64,
+        t: &mut Executor,
+        class: &mut Class,
+        took: f64,
+        level: f64,
+        out: &mut Vec<Output>,
+    ) {
         const SLOW_NEW: f64 = 0.1; // Weight of a latency in its executor's mean: some ten answers.
         const PACE_NEW: f64 = 0.02; // And in its operation's: some fifty, the first ones evenly.
         const GOOD_MOST: f64 = 8.0; // The most successes that count, so that failures soon outweigh them.
@@ -303,7 +323,7 @@
         t.woke(now);
         (t.sampled, t.refusals) = (now, 0);
         t.good = (t.good + 1.0).min(GOOD_MOST);
-        t.judge(out);
+        t.judge(level, out);
     }
 
     fn alive(&mut self, now: f64, id: InvId, forward: usize) {
@@ -319,10 +339,10 @@
         let Some(inv) = self.invs.get(&id) else { return };
         let fwd = inv.forwards.get(forward).filter(|f| f.fate == Fate::Out && !f.started);
         let Some(tgt) = fwd.map(|f| f.tgt) else { return };
-        let more = self.set.cancelling && inv.forwards.len() < self.set.max_forwards;
+        let more = self.set.cancelling && !self.fogged(now) && inv.forwards.len() < self.set.max_forwards;
         let again = more && self.tgts.iter().any(|t| self.may_go(now, inv, t));
         out.extend(again.then_some(Output::Withdraw { id, forward }));
-        self.tgts[tgt].failed(1.0, out);
+        self.tgts[tgt].failed(1.0, self.level, out);
     }
 
     fn probed(&mut self, now: f64, tgt: Tgt, outcome: Outcome, report: Report, out: &mut Vec<Output>) {
@@ -330,7 +350,7 @@
         match outcome {
             Outcome::Succeeded => return self.report(now, tgt, report),
             Outcome::Full => {}
-            _ => t.failed(0.5, out), // Half: a probe waits beside the work and may be late for small reasons.
+            _ => t.failed(0.5, self.level, out), // Half: a probe waits beside the work and may be late for small reasons.
         }
         (t.refused, t.refusals) = (now, t.refusals.max(1));
     }
@@ -366,7 +386,7 @@
         if self.keeper(t) == Some(self.set.me) && t.slots > 0.0 {
             return Some(t.slots - t.held as f64 - t.elsewhere() - t.promises(now));
         }
-        if self.asks() && self.misled < MISLED {
+        if self.asks() && self.misled < MISLED && !self.fogged(now) {
             if t.asked > t.reported && now - t.asked <= FULL_HOLDS {
                 return (now - t.asked > PROMPT).then_some(0.0);
             }
@@ -377,6 +397,12 @@
         Some(PASS * self.held + 1.0 - t.held as f64)
     }
 
+    /// Guards against a way that is slow or breaks to all: reports that come too late to go by, and work that is
+    /// taken back from one executor only to fare as badly at the next.
+    fn fogged(&self, now: f64) -> bool {
+        now < self.fog
+    }
+
     /// The node that counts what all hold there: this one where all do.
     fn keeper(&self, t: &Executor) -> Option<usize> {
         match self.counting {
@@ -390,7 +416,8 @@
         self.set.probing && self.set.reports != Reports::Never && self.counting != Counting::All
     }
 
-    /// A cold executor takes its budget from nodes in turn. A turn spends half: a span may touch two.
+    /// A cold executor takes its budget from nodes in turn. A turn spends less than half: a span may touch two, and
+    /// work is reckoned at the pace of the mean executor, which may be faster than a new one.
     fn cold_room(&self, now: f64, t: &Executor, load: f64) -> bool {
         let (cold, share) = (&self.set.cold, t.warmth(now, &self.set.cold));
         if share >= 1.0 {
@@ -399,7 +426,7 @@
         let (turn, slots) = (t.turn(now, cold.fall), t.slots.max(1.0));
         let spent = if t.turn == turn { t.spent } else { 0.0 };
         turn % self.set.nodes.max(1) == self.set.me
-            && spent + load <= 0.5 * cold.factor * share * slots * cold.fall
+            && spent + load <= 0.4 * cold.factor * share * slots * cold.fall
             && (t.held as f64) < (share * slots).max(1.0)
     }
 
@@ -422,7 +449,8 @@
     /// May go there, and it is trusted; if not, on the posterior's draw, with what could be sent again.
     fn able(&self, now: f64, inv: &Inv, t: &Executor) -> bool {
         let again = self.set.operations[inv.op].effect != Effect::NonIdempotent;
-        ((!t.doubtful && !t.silent) || (t.trial && again)) && self.may_go(now, inv, t)
+        let trusted = !t.silent && (!t.doubtful || self.fogged(now));
+        (trusted || (t.trial && again)) && self.may_go(now, inv, t)
     }
 
     /// Draws by beta, or evenly while all are zero; in a large fleet from the own zone before `cross`.
@@ -564,6 +592,8 @@
         const PHI_MANY: f64 = 4.0; // Arrivals that phi is smoothed over, and two seconds more.
         let passed = (now - self.solved).max(1e-3);
         self.solved = now;
+        self.level = self.level();
+        self.fog = if self.level < FOG { now + FOG_HOLDS } else { self.fog };
         let new = 1.0 - (-passed / (2.0 + PHI_MANY / self.phi.max(1.0))).exp();
         for class in self.classes.iter_mut().chain(&mut self.tenants) {
             class.rate += new * (std::mem::take(&mut class.arrived) / passed - class.rate);
@@ -582,9 +612,9 @@
             let limit = if self.set.tells_start && t.running == 0 { 2.5 * limit } else { limit };
             if t.held > 0 && now - t.heard > limit {
                 (t.heard, t.silent) = (now, true);
-                t.failed(2.0, out);
+                t.failed(2.0, self.level, out);
             }
-            t.judge(out);
+            t.judge(self.level, out);
         }
         self.solve(now);
         // Each second all that it holds, and once more what has changed, as messages may be lost.
@@ -602,6 +632,17 @@
         out.push(Output::Wake { after, timer: SOLVE });
     }
 
+    /// What the better quarter of the ready executors reach at least: a few bad ones lower it as little as a few
+    /// that have had luck raise it.
+    fn level(&self) -> f64 {
+        const BETTER: usize = 4;
+        let ready = self.tgts.iter().filter(|t| t.entry.standing == Standing::Ready);
+        let mut means: Vec<f64> = ready.map(Executor::mean).collect();
+        means.sort_by(|a, b| b.total_cmp(a));
+        // Without failures it is near one, and what is said of few executors is said as before.
+        means.get(means.len() / BETTER).map_or(1.0, |mean| (mean / TRUSTED).min(1.0))
+    }
+
     /// Rates from own latencies and reports, then COOP, then the order of the pass.
     fn solve(&mut self, now: f64) {
         const DRIFT: f64 = 0.98; // Of an executor's difference from the mean, each interval without outcomes.
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -571,3 +571,42 @@
     node.step(now, ID, Turn::GaveUp, &mut out);
     assert!(matches!(out[..], [Output::Throttle { pause, .. }] if (pause >= 1.0) == paused), "{out:?}");
 }
+
+// Guards against a node that doubts everybody, as the way to all of them breaks: four failures each, or of one.
+#[test_case(8, 8, &[]; "all fail alike: nobody is doubted")]
+#[test_case(1, 8, &[0]; "one fails: it is doubted")]
+#[test_case(4, 8, &[0, 1, 2, 3]; "half of them: the better half tells")]
+fn doubt_is_held_against_the_better_ones(failing: usize, many: usize, doubted: &[Tgt]) {
+    let mut node = node(Effect::Idempotent, many);
+    for t in &mut node.tgts[..failing] {
+        (t.good, t.bad) = (1.0, 4.0);
+    }
+    node.tick(0.3, &mut Vec::new());
+    let found: Vec<Tgt> = (0..many).filter(|&tgt| node.tgts[tgt].doubtful).collect();
+    assert_eq!(found, doubted);
+}
+
+// In a fog nothing is taken back for want of a word, and what waits goes by own forwards: reports would be too late.
+#[test_case(0.0, true, None; "a clear day")]
+#[test_case(9.0, false, Some(1.0); "fog")]
+fn in_a_fog_own_forwards_count(fog: f64, withdrawn: bool, room: Option<f64>) {
+    let mut node = node(Effect::Idempotent, 4);
+    (node.set.cancelling, node.set.probing, node.set.reports) = (true, true, Reports::Answers);
+    node.fog = fog;
+    add(&mut node, Life::Out, &[Fate::Out]);
+    let mut out = Vec::new();
+    node.unheard(2.0, ID, 0, &mut out);
+    assert_eq!(out.contains(&Output::Withdraw { id: ID, forward: 0 }), withdrawn);
+    assert_eq!(node.room(2.0, &node.tgts[1]), room);
+}
+
+#[test]
+fn a_fog_lifts_once_the_better_ones_answer() {
+    let mut node = node(Effect::Idempotent, 4);
+    node.tgts.iter_mut().for_each(|t| (t.good, t.bad) = (1.0, 6.0));
+    node.tick(0.3, &mut Vec::new());
+    assert!(node.fogged(0.4) && node.fogged(5.0));
+    node.tgts.iter_mut().for_each(|t| (t.good, t.bad) = (8.0, 0.5));
+    node.tick(5.2, &mut Vec::new());
+    assert!(!node.fogged(5.4));
+}
--- a/src/types.rs
+++ b/src/types.rs
@@ -473,6 +473,9 @@
     pub(crate) counting: Counting,
     pub(crate) phi: f64,
     pub(crate) util: f64,
+    /// What executors are held against when they are doubted, at most one.
+    pub(crate) level: f64,
+    pub(crate) fog: f64,
     pub(crate) misled: f64,
     /// Mean billed value of an invocation.
     pub(crate) value: f64,
@@ -485,3 +488,12 @@
     pub(crate) leaving: Option<f64>,
     pub(crate) list_lost: u32,
 }
+
+impl Node {
+    /// What each ready executor's share is now, by its mark; for those who watch, no decision reads it.
+    pub fn shares(&self) -> impl Iterator<Item = (u32, f64)> + '_ {
+        let sum: f64 = self.rank.iter().map(|&tgt| self.tgts[tgt].beta).sum();
+        let share = move |&tgt: &Tgt| (self.tgts[tgt].entry.mark, self.tgts[tgt].beta / sum.max(1e-12));
+        self.rank.iter().map(share)
+    }
+}
