--- a/crates/coveroute-emu/src/baseline.rs
+++ b/crates/coveroute-emu/src/baseline.rs
@@ -39,6 +39,19 @@
     }
 }
 
+/// A rule that a baseline breaks on purpose, to show that the referee sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wrong {
+    /// Gives nothing up: who can't be served hears nothing.
+    KeepsSilent,
+    /// Sends again whatever may have run.
+    SendsAgain,
+    /// Sends to whoever was ever listed.
+    SendsToTheGone,
+    /// Sends all to whoever started last.
+    PushesTheCold,
+}
+
 /// What the oracle knows of workers, by mark: seconds until a job that comes now would start there, and its pace;
 /// none for one that would not serve it.
 pub type Truth = Rc<RefCell<BTreeMap<u32, Option<(f64, f64)>>>>;
@@ -74,6 +87,7 @@
     lost: u32,
     truth: Option<Truth>,
     looking: bool,
+    wrong: Option<Wrong>,
 }
 
 const LOOK: u64 = 1;
@@ -96,9 +110,14 @@
             lost: 0,
             truth,
             looking: false,
+            wrong: None,
         }
     }
 
+    pub fn wrong(set: Settings, seed: u64, wrong: Wrong) -> Self {
+        Baseline { wrong: Some(wrong), ..Baseline::new(set, seed, Choice::Random, None) }
+    }
+
     fn list(&mut self, list: List, out: &mut Vec<Output>) {
         let whole = !matches!(list, List::Changes(_));
         let first = matches!(list, List::Kept(_));
@@ -141,13 +160,18 @@
                 now - sent < window && self.workers[tgt].entry.same(group, &worker.entry)
             }
         };
-        worker.entry.standing == Standing::Ready && kind && again
+        let ready = worker.entry.standing == Standing::Ready || self.wrong == Some(Wrong::SendsToTheGone);
+        ready && kind && (again || self.wrong == Some(Wrong::SendsAgain))
     }
 
     /// A cold worker takes from each node its part of half its budget at a time.
     fn bears(&self, now: f64, worker: &Worker) -> bool {
         let started = worker.entry.started;
         let cold = started > 0.0 && now - started < self.set.cold.warm;
+        if self.wrong == Some(Wrong::PushesTheCold) {
+            let last = self.workers.iter().map(|worker| worker.entry.started).fold(0.0, f64::max);
+            return last <= 0.0 || started == last;
+        }
         !cold || ((now - started) as usize % self.set.nodes.max(1) == self.set.me && worker.held == 0)
     }
 
@@ -218,6 +242,9 @@
 
     fn give_up(&mut self, id: InvId, out: &mut Vec<Output>) {
         let Some(job) = self.jobs.remove(&id) else { return };
+        if self.wrong == Some(Wrong::KeepsSilent) {
+            return;
+        }
         let effect = self.set.operations[job.op].effect;
         let harmless = matches!(effect, Effect::Idempotent | Effect::Deduplicated { group: Group::All, .. });
         let pause = self.set.max_pause * (0.5 + 0.5 * self.draw.random::<f64>());
--- a/crates/coveroute-emu/src/trace.rs
+++ b/crates/coveroute-emu/src/trace.rs
@@ -131,7 +131,8 @@
         let then = checker.lines.get(at).map_or("the record's end", |line| line);
         return Err(format!("parts at event {}: recorded {then}; now {now}", at + 1));
     }
-    if checker.at < checker.lines.len() || outcome.figure() != tail.figure {
+    // Text keeps a figure to its last digit but one.
+    if checker.at < checker.lines.len() || (outcome.figure() - tail.figure).abs() > 1e-12 {
         let (events, figure) = (checker.at, outcome.figure());
         return Err(format!("ends after {events} events with {figure}, recorded {tail:?}"));
     }
@@ -146,3 +147,33 @@
     let parted = (0..most).find(|&at| one.lines.get(at) != two.lines.get(at));
     Ok(parted.map(|at| (at + 1, text(&one, at), text(&two, at))))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::search::drawn;
+
+    fn path(name: &str) -> std::path::PathBuf {
+        std::env::temp_dir().join(format!("coveroute-emu-{}-{name}", std::process::id()))
+    }
+
+    #[test]
+    fn a_record_plays_again_and_shows_where_another_parts() {
+        let (one, two) = (path("one"), path("two"));
+        let outcome = record(&drawn(5), 5, Policy::Node, &one).expect("recorded");
+        assert_eq!(replay(&one).map(|again| again.figure()), Ok(outcome.figure()));
+        assert_eq!(diff(&one, &one), Ok(None));
+        record(&drawn(5), 6, Policy::Node, &two).expect("recorded");
+        assert!(matches!(diff(&one, &two), Ok(Some((at, a, b))) if at >= 1 && a != b));
+        // One event that is not as it was is told with its number.
+        let text = std::fs::read_to_string(&one).expect("a record");
+        let mut lines: Vec<String> = text.lines().map(str::to_owned).collect();
+        lines[40] += "!";
+        std::fs::write(&one, lines.join("\n") + "\n").expect("written");
+        let told = replay(&one).expect_err("it parts");
+        assert!(told.contains("event 40"), "{told}");
+        std::fs::write(&one, "nonsense\nmore\n").expect("written");
+        assert!(replay(&one).is_err_and(|told| told.contains("line 1")));
+        let _ = std::fs::remove_file(one).and(std::fs::remove_file(two));
+    }
+}
--- a/crates/coveroute-emu/src/virtual_time.rs
+++ b/crates/coveroute-emu/src/virtual_time.rs
@@ -12,7 +12,7 @@
 };
 use coveroute_shared::mark;
 
-use crate::baseline::{Baseline, Choice, Truth};
+use crate::baseline::{Baseline, Choice, Truth, Wrong};
 use crate::report::Sample;
 use crate::scenario::Scenario;
 use crate::settings;
@@ -29,12 +29,15 @@
 pub enum Policy {
     Node,
     Baseline(Choice),
+    /// One that breaks a rule, to show that it is seen.
+    Wrong(Wrong),
 }
 
 impl Policy {
     pub fn name(self) -> &'static str {
         match self {
             Policy::Node => "coveroute",
+            Policy::Wrong(_) => "wrong",
             Policy::Baseline(choice) => choice.name(),
         }
     }
@@ -325,6 +328,9 @@
     fn mind(&self, setup: &coveroute_engine::Setup) -> Mind {
         match self.policy {
             Policy::Node => Mind::Node(Box::new(Node::new(setup.settings.clone(), setup.seed))),
+            Policy::Wrong(wrong) => {
+                Mind::Baseline(Box::new(Baseline::wrong(setup.settings.clone(), setup.seed, wrong)))
+            }
             Policy::Baseline(choice) => {
                 let baseline = Baseline::new(setup.settings.clone(), setup.seed, choice, self.truth.clone());
                 Mind::Baseline(Box::new(baseline))
@@ -854,3 +860,105 @@
     }
     listing
 }
+
+#[cfg(test)]
+mod tests {
+    use test_case::test_case;
+
+    use super::*;
+    use crate::scenario::{Amount, Count, Effect, Fault, Positive, Span, What};
+    use crate::search::drawn;
+    use crate::trace::Digest;
+    use crate::world::referee::Rule;
+
+    fn fault(at: f64, lasts: f64, what: What, by: Option<f64>, count: Option<usize>) -> Fault {
+        let (by, count) = (by.map(Amount), count.map(Count));
+        Fault { at: Span(at), lasts: Span(lasts), what, by, count, zone: None, kind: None }
+    }
+
+    fn with(faults: Vec<Fault>) -> Scenario {
+        let mut scenario = drawn(4);
+        scenario.faults = faults;
+        scenario.platform.cancelling = true;
+        scenario
+    }
+
+    #[test]
+    fn the_same_seed_gives_the_same_run() {
+        let digest = |seed: u64| {
+            let mut digest = Digest::default();
+            let outcome = run(&drawn(9), seed, Policy::Node, Some(&mut digest)).expect("played").0;
+            (digest, outcome)
+        };
+        assert_eq!(digest(9), digest(9));
+        assert_ne!(digest(9).0, digest(10).0);
+    }
+
+    // The referee sees only what crosses, and each wrong node; the right one, on the same day, breaks nothing.
+    #[test_case(Wrong::SendsAgain, fault(3.0, 8.0, What::ResetsAfter, Some(0.5), None), Rule::NoEffectTwice; "sends again")]
+    #[test_case(Wrong::SendsToTheGone, fault(3.0, 12.0, What::Drains, None, Some(4)), Rule::NothingToTheGone; "to the gone")]
+    #[test_case(Wrong::PushesTheCold, fault(3.0, 2.0, What::Dies, None, Some(1)), Rule::NoColdWorkerPushedOver; "pushes the cold")]
+    fn a_wrong_node_is_caught(wrong: Wrong, strikes: Fault, rule: Rule) {
+        let scenario = with(vec![strikes]);
+        let play = |policy| run(&scenario, 4, policy, None).expect("played").0;
+        let rules: Vec<Rule> = play(Policy::Wrong(wrong)).breaches.iter().map(|breach| breach.rule).collect();
+        assert!(rules.contains(&rule), "{rules:?}");
+        assert_eq!(play(Policy::Node).breaches, []);
+    }
+
+    // What decisions forget is answered by the engine, at the client's end.
+    #[test]
+    fn nobody_is_left_without_an_answer() {
+        let scenario = with(vec![fault(3.0, 18.0, What::Dies, None, None)]);
+        let outcome = run(&scenario, 4, Policy::Wrong(Wrong::KeepsSilent), None).expect("played").0;
+        assert_eq!(outcome.breaches, []);
+        assert!(outcome.service.whole.failed > 100, "{:?}", outcome.service.whole);
+    }
+
+    // Whichever server is chosen, the rules are kept.
+    #[test_case(Choice::Random; "random")]
+    #[test_case(Choice::RoundRobin; "round robin")]
+    #[test_case(Choice::Least; "least in flight")]
+    #[test_case(Choice::Two; "two choices")]
+    #[test_case(Choice::Oracle; "oracle")]
+    fn baselines_keep_the_rules(choice: Choice) {
+        for seed in 0..12 {
+            let outcome = run(&drawn(seed), seed, Policy::Baseline(choice), None).expect("played").0;
+            let cold = |rule: Rule| rule == Rule::NoColdWorkerPushedOver;
+            let broken: Vec<_> = outcome.breaches.iter().filter(|breach| !cold(breach.rule)).collect();
+            assert!(broken.is_empty(), "{seed}: {broken:?}");
+        }
+    }
+
+    // A payment whose connection breaks after its last byte ends errored, and runs once.
+    #[test]
+    fn a_payment_that_may_have_run_is_never_sent_again() {
+        let mut scenario = with(vec![fault(2.0, 20.0, What::ResetsAfter, Some(0.6), None)]);
+        scenario.operations.retain(|op| op.effect == Effect::NonIdempotent);
+        scenario.operations[0].rate = Amount(20.0);
+        let outcome = run(&scenario, 4, Policy::Node, None).expect("played").0;
+        let pay = outcome.service.operations[0].1;
+        assert_eq!((outcome.broken, outcome.counts.duplicates), (0, 0));
+        assert!(pay.failed > 50 && pay.in_time > 50, "{pay:?}");
+    }
+
+    #[test]
+    fn nodes_that_are_killed_lose_what_they_held_and_no_more() {
+        let scenario = with(vec![fault(6.0, 4.0, What::NodesKilled, None, Some(1))]);
+        let outcome = run(&scenario, 4, Policy::Node, None).expect("played").0;
+        assert_eq!((outcome.broken, outcome.counts.duplicates), (0, 0));
+        assert!(outcome.figure() > 0.9, "{}", outcome.figure());
+    }
+
+    // The longer the worker runs slow, the later its work: it is the model that slows down, not the referee.
+    #[test]
+    fn an_ailing_fleet_serves_less() {
+        let served = |faults| run(&with(faults), 4, Policy::Node, None).expect("played").0.figure();
+        let (well, slow) = (served(Vec::new()), served(vec![fault(2.0, 20.0, What::Heavy, Some(4.0), None)]));
+        assert!(well > slow + 0.2, "{well} {slow}");
+        let mut late = with(Vec::new());
+        late.operations.iter_mut().for_each(|op| op.objective = Positive(0.05));
+        late.operations.iter_mut().for_each(|op| op.stretch = Amount(0.0));
+        assert!(run(&late, 4, Policy::Node, None).expect("played").0.figure() < 0.1, "nobody is that fast");
+    }
+}
