--- a/crates/coveroute-emu/src/lib.rs
+++ b/crates/coveroute-emu/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod load;
 pub mod loopback;
 pub mod prove;
+pub mod queue;
 pub mod report;
 pub mod scenario;
 pub mod search;
--- a/crates/coveroute-emu/src/load.rs
+++ b/crates/coveroute-emu/src/load.rs
@@ -131,10 +131,9 @@
     }
     heard.into_iter().for_each(|heard| drop(tokio::spawn(tell(field.clone(), heard))));
     let scenario = scenario(plan)?;
-    let mut world = crate::world::World::new(scenario.clone(), 1, |worker| at(0, worker));
+    let world = crate::world::World::new(scenario.clone(), 1, |worker| at(0, worker));
     let whole = settings::hosts(&world.list.whole(), 0.0);
     tokio::spawn(list_whole(bind(list).await?, format!("{whole}\n")));
-    let _ = &mut world;
     let config = json!({
         "listen": node.to_string(), "discovery": list.to_string(), "seed": "1",
         "limits": { "memory_mb": scenario.nodes.memory_mb.0, "sockets": plan.sockets },
--- a/crates/coveroute-emu/src/loopback.rs
+++ b/crates/coveroute-emu/src/loopback.rs
@@ -203,7 +203,7 @@
     }
     stage.end_all();
     let fault = stage.fault.borrow_mut().take();
-    fault.map_or_else(|| Ok((stage.world.borrow_mut().result(stage.now()), stage.machines.get())), Err)
+    fault.map_or_else(|| Ok((stage.world.borrow_mut().result(), stage.machines.get())), Err)
 }
 
 fn listen(addr: SocketAddr) -> Result<TcpListener, String> {
@@ -578,8 +578,6 @@
         let stage = stage.clone();
         async move { respond(stage, worker, request).await }
     });
-    let idle = Duration::from_secs_f64(stage.world.borrow().scenario.platform.idle.0);
-    let _ = idle;
     let _ = server::Builder::new().serve_connection(TokioIo::new(stream), service).await;
 }
 
--- a/crates/coveroute-emu/src/report.rs
+++ b/crates/coveroute-emu/src/report.rs
@@ -113,8 +113,7 @@
 }
 
 /// Each worker's share of the forwards of the last ten seconds, and of beta, over time.
-fn shares(scenario: &Scenario, samples: &[Sample], worker: usize) -> Vec<(f64, f64, f64)> {
-    let _ = scenario;
+fn shares(samples: &[Sample], worker: usize) -> Vec<(f64, f64, f64)> {
     let share = |at: usize| {
         let (now, then) = (&samples[at], &samples[at.saturating_sub(10)]);
         let of = |worker: usize| (now.forwards[worker] - then.forwards[worker]) as f64;
@@ -138,7 +137,7 @@
     page.push_str("<h2>Share of the forwards of ten seconds (full) and of beta (grey)</h2>");
     let workers = samples.first().map_or(0, |sample| sample.held.len());
     for worker in (0..workers).take(24) {
-        let points = shares(scenario, samples, worker);
+        let points = shares(samples, worker);
         let most = points.iter().map(|p| p.1.max(p.2)).fold(0.01, f64::max);
         let mut plot = Plot::new(scenario.seconds.0, most);
         plot.line(points.iter().map(|p| (p.0, p.2)), "#999", "beta");
--- a/crates/coveroute-emu/src/virtual_time.rs
+++ b/crates/coveroute-emu/src/virtual_time.rs
@@ -1,8 +1,7 @@
 //! Virtual time: many engines and one world on one queue of events. The same scenario and seed give the same run, to
 //! the last event.
 use std::cell::RefCell;
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -13,6 +12,7 @@
 use coveroute_shared::mark;
 
 use crate::baseline::{Baseline, Choice, Truth, Wrong};
+use crate::queue::Queue;
 use crate::report::Sample;
 use crate::scenario::Scenario;
 use crate::settings;
@@ -132,26 +132,11 @@
     Wake,
 }
 
-struct Queued(f64, u64, NodeId, u64, Ev);
-
-impl PartialEq for Queued {
-    fn eq(&self, other: &Self) -> bool {
-        self.cmp(other).is_eq()
-    }
-}
-
-impl Eq for Queued {}
-
-impl PartialOrd for Queued {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Queued {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        self.0.total_cmp(&other.0).then(self.1.cmp(&other.1))
-    }
+/// An event, whose node it is for or from, and the process of it that was there then.
+struct Queued {
+    node: NodeId,
+    process: u64,
+    ev: Ev,
 }
 
 /// A forward that waits for its worker's first answer.
@@ -193,8 +178,7 @@
 pub struct Run<'a> {
     world: World,
     hosts: Vec<Option<Host>>,
-    queue: BinaryHeap<Reverse<Queued>>,
-    set: u64,
+    queue: Queue<Queued>,
     policy: Policy,
     truth: Option<Truth>,
     truth_at: f64,
@@ -248,8 +232,7 @@
     let mut run = Run {
         world,
         hosts: (0..nodes).map(|_| None).collect(),
-        queue: BinaryHeap::new(),
-        set: 0,
+        queue: Queue::new(),
         policy,
         truth,
         truth_at: -1.0,
@@ -269,7 +252,7 @@
         return Err(fault);
     }
     let wall = began.elapsed().as_secs_f64();
-    Ok((run.world.result(now), Pace { events: run.events, seconds: now, wall }))
+    Ok((run.world.result(), Pace { events: run.events, seconds: now, wall }))
 }
 
 impl Run<'_> {
@@ -281,12 +264,12 @@
                 sampled = now.floor() + 1.0;
                 self.sample(now);
             }
-            let mine = self.queue.peek().map(|queued| queued.0 .0);
+            let mine = self.queue.next_at();
             let its = self.world.next_due();
             match (mine, its) {
                 (Some(at), its) if its.is_none_or(|its| at <= its) => {
                     now = at;
-                    let Some(Reverse(queued)) = self.queue.pop() else { break };
+                    let Some((_, queued)) = self.queue.pop() else { break };
                     self.arrives(now, queued);
                 }
                 (_, Some(at)) => {
@@ -320,9 +303,8 @@
     }
 
     fn put(&mut self, at: f64, node: NodeId, ev: Ev) {
-        self.set += 1;
         let process = self.hosts[node].as_ref().map_or(0, |host| host.process);
-        self.queue.push(Reverse(Queued(at, self.set, node, process, ev)));
+        self.queue.push(at, Queued { node, process, ev });
     }
 
     fn mind(&self, setup: &coveroute_engine::Setup) -> Mind {
@@ -474,7 +456,7 @@
     }
 
     fn arrives(&mut self, now: f64, queued: Queued) {
-        let Queued(_, _, node, process, ev) = queued;
+        let Queued { node, process, ev } = queued;
         let here = self.hosts[node].as_ref().is_some_and(|host| host.process == process);
         if let Some(sink) = self.sink.as_deref_mut().filter(|_| !matches!(ev, Ev::Wake)) {
             sink.event(now, node, &format!("{ev:?}"));
--- a/crates/coveroute-emu/src/world/mod.rs
+++ b/crates/coveroute-emu/src/world/mod.rs
@@ -5,8 +5,7 @@
 pub mod referee;
 pub mod worker;
 
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::VecDeque;
 
 use coveroute::types::{Report, Standing};
 use coveroute_engine::{Host, Listing};
@@ -15,6 +14,7 @@
 use rand_pcg::Pcg64Mcg;
 use serde::Serialize;
 
+use crate::queue::Queue;
 use crate::scenario::{Fault, Place, Scenario, What};
 use clients::{AskId, Clients, End, Service, Then};
 use discovery::Discovery;
@@ -141,29 +141,6 @@
     Tidy,
 }
 
-#[derive(Debug)]
-struct Timed(f64, u64, Due);
-
-impl PartialEq for Timed {
-    fn eq(&self, other: &Self) -> bool {
-        self.cmp(other).is_eq()
-    }
-}
-
-impl Eq for Timed {}
-
-impl PartialOrd for Timed {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Timed {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        self.0.total_cmp(&other.0).then(self.1.cmp(&other.1))
-    }
-}
-
 /// A node as the world sees it from outside.
 #[derive(Clone, Debug)]
 pub struct Seen {
@@ -201,8 +178,7 @@
     pub forwards: Vec<u64>,
     /// What each node was last told of the list, for its next start.
     had: Vec<Listing>,
-    due: BinaryHeap<Reverse<Timed>>,
-    set: u64,
+    due: Queue<Due>,
     generations: Vec<u64>,
     /// By fault: whom it strikes now.
     struck: Vec<Vec<usize>>,
@@ -264,8 +240,7 @@
             generations: vec![0; workers.len()],
             struck: vec![Vec::new(); scenario.faults.len()],
             draw: Pcg64Mcg::seed_from_u64(seed ^ 0xfa17),
-            due: BinaryHeap::new(),
-            set: 0,
+            due: Queue::new(),
             said: VecDeque::new(),
             counts: Counts::default(),
             forwards: vec![0; workers.len()],
@@ -300,21 +275,18 @@
 
     /// Moves all that is still to come, before anything has: the time until the nodes are ready is not the scenario's.
     pub fn delay(&mut self, by: f64) {
-        let due = std::mem::take(&mut self.due);
-        self.due =
-            due.into_iter().map(|Reverse(Timed(at, set, due))| Reverse(Timed(at + by, set, due))).collect();
+        self.due.delay(by);
         self.scenario.seconds.0 += by;
         self.scenario.faults.iter_mut().for_each(|fault| fault.at.0 += by);
         self.delayed = by;
     }
 
     fn at(&mut self, at: f64, due: Due) {
-        self.set += 1;
-        self.due.push(Reverse(Timed(at, self.set, due)));
+        self.due.push(at, due);
     }
 
     pub fn next_due(&self) -> Option<f64> {
-        self.due.peek().map(|timed| timed.0 .0)
+        self.due.next_at()
     }
 
     /// Whether all that was asked for has ended, and nothing more comes.
@@ -329,8 +301,8 @@
     }
 
     pub fn advance(&mut self, now: f64, out: &mut Vec<Out>) {
-        while self.due.peek().is_some_and(|timed| timed.0 .0 <= now) {
-            let Some(Reverse(Timed(at, _, due))) = self.due.pop() else { return };
+        while self.due.next_at().is_some_and(|at| at <= now) {
+            let Some((at, due)) = self.due.pop() else { return };
             // What comes next follows from when this was due: a host that is late must not thin arrivals out.
             let now = if matches!(due, Due::Arrival(_)) { at } else { now };
             self.happens(now, due, out);
@@ -343,14 +315,14 @@
             Due::Arrival(op) => self.arrival(now, op, out),
             Due::Attempt(ask) => self.attempt(now, ask, out),
             Due::Deadline(tri) => self.deadline(now, tri, out),
-            Due::Leave(tri) => self.leave(now, tri, out),
+            Due::Leave(tri) => self.leave(tri, out),
             Due::Worker(worker, generation) if generation == self.generations[worker] => {
                 self.work(now, worker)
             }
             Due::Worker(..) => {}
             Due::Ack(worker, node, tri, process) => self.ack(worker, node, tri, process, out),
             Due::News(worker, node, tri, word) => self.news(now, worker, node, tri, word, out),
-            Due::Tell(node) => self.tell(now, node, out),
+            Due::Tell(node) => self.tell(node, out),
             Due::Deem(worker, version, again) => self.deem(now, worker, version, again),
             Due::Begin(fault) => self.begin(now, fault, out),
             Due::Cease(fault) => self.cease(now, fault, out),
@@ -464,12 +436,11 @@
         out.push(Out::Leave { node: self.clients.tries[tri as usize].node, tri });
     }
 
-    fn leave(&mut self, now: f64, tri: TryId, out: &mut Vec<Out>) {
+    fn leave(&mut self, tri: TryId, out: &mut Vec<Out>) {
         let (ask, over) = self.over(tri);
         if over {
             return;
         }
-        let _ = now;
         self.referee.void(tri);
         self.clients.end(&self.scenario, self.delayed, ask, End::Left);
         out.push(Out::Leave { node: self.clients.tries[tri as usize].node, tri });
@@ -680,9 +651,8 @@
         }
     }
 
-    fn tell(&mut self, now: f64, node: NodeId, out: &mut Vec<Out>) {
+    fn tell(&mut self, node: NodeId, out: &mut Vec<Out>) {
         let told = self.list.news(node);
-        let _ = now;
         out.extend(told.map(|(watch, listing)| Out::Listed { node, watch, listing }));
     }
 
@@ -918,11 +888,10 @@
 
     // What is left at the end.
 
-    pub fn result(&mut self, now: f64) -> Outcome {
+    pub fn result(&mut self) -> Outcome {
         for ask in 0..self.clients.asks.len() {
             self.clients.end(&self.scenario, self.delayed, ask, End::Failed);
         }
-        let _ = now;
         self.counts.second_copies = self.referee.second_copies;
         self.counts.watches = self.list.calls;
         Outcome {
