--- a/crates/coveroute-emu/src/virtual_time.rs
+++ b/crates/coveroute-emu/src/virtual_time.rs
@@ -720,22 +720,27 @@
 
     /// A connection to the worker: how long it takes to come up, or none where the node or the worker has no more.
     fn lease(&mut self, node: NodeId, worker: WorkerId) -> Option<f64> {
-        let most = self.world.scenario.nodes.sockets.0 / 3;
-        let total: usize =
-            self.hosts.iter().flatten().filter_map(|h| h.links.get(&worker)).map(|l| l.open).sum();
-        let room = total < self.world.workers[worker].connections();
-        let host = self.hosts[node].as_mut()?;
-        let own: usize = host.links.values().map(|links| links.open).sum();
-        let links = host.links.entry(worker).or_default();
+        let links = self.hosts[node].as_mut()?.links.entry(worker).or_default();
         let idle = links.lent < links.open;
-        if !idle && (own >= most || !room) {
+        // Only a new connection is held against the bounds: counting goes over all nodes.
+        if !idle && !self.may_open(node, worker) {
             return None;
         }
+        let links = self.hosts[node].as_mut()?.links.entry(worker).or_default();
         links.lent += 1;
         links.open = links.open.max(links.lent);
         Some(if idle { 0.0 } else { 2.0 * self.world.scenario.network.latency.0 })
     }
 
+    /// Whether neither the node's bound nor the worker's is reached.
+    fn may_open(&self, node: NodeId, worker: WorkerId) -> bool {
+        let at = |host: &Host| host.links.get(&worker).map_or(0, |links| links.open);
+        let total: usize = self.hosts.iter().flatten().map(at).sum();
+        let own = |host: &Host| host.links.values().map(|links| links.open).sum::<usize>();
+        let own = self.hosts[node].as_ref().map_or(0, own);
+        own < self.world.scenario.nodes.sockets.0 / 3 && total < self.world.workers[worker].connections()
+    }
+
     fn give_back(&mut self, node: NodeId, worker: WorkerId) {
         let links = self.hosts[node].as_mut().and_then(|host| host.links.get_mut(&worker));
         links.into_iter().for_each(|links| links.lent = links.lent.saturating_sub(1));
