--- a/crates/coveroute-engine/src/tests.rs
+++ b/crates/coveroute-engine/src/tests.rs
@@ -72,8 +72,11 @@
 }
 
 fn answers(out: &[Action]) -> Vec<&Answer> {
-    let answer = |action| if let Action::Answer { answer, .. } = action { Some(answer) } else { None };
-    out.iter().filter_map(answer).collect()
+    let answer = |action: &Action| matches!(action, Action::Answer { .. });
+    out.iter()
+        .filter(|a| answer(a))
+        .map(|a| if let Action::Answer { answer, .. } = a { answer } else { unreachable!() })
+        .collect()
 }
 
 fn stages(engine: &mut Engine) -> Option<Vec<Stage>> {
