Blind fleets keep what began at once; job keys draw by shares; promises of a slot end

Change: draw by listed sizes over all zones where nothing is told, first from executors that began the last at once (sticky random routing); a price on taking, raised by late starts and full answers; the draw by shares is the key's own (weighted rendezvous); slots and pace by kind; a cold turn that comes is taken.

--- a/crates/coveroute-drill/src/main.rs
+++ b/crates/coveroute-drill/src/main.rs
@@ -34,6 +34,7 @@
             kind: record.hw.as_deref().unwrap_or(""),
             cell: record.block.unwrap_or(0),
             started: record.started_at.unwrap_or(0.0) / 1e3,
+            size: record.weight.unwrap_or(1.0),
             standing,
         };
         Ok(self.roster.entry(&mut self.names, &listed))
@@ -53,6 +54,7 @@
                 timeout: line.ttl.ok_or("no ttl")? / 1e3,
                 hint: line.hint.map(|hint| hint / 1e3),
                 memory: line.memory,
+                key: line.partition_key.as_deref().and_then(|key| u64::from_str_radix(key, 16).ok()),
             }),
             Event::Settled => Input::Settled(Settled {
                 id: id()?,
--- a/crates/coveroute-drill/src/wire.rs
+++ b/crates/coveroute-drill/src/wire.rs
@@ -41,6 +41,8 @@
     pub terminal: bool,
     pub gauge: Option<Gauge>,
     #[serde(borrow)]
+    pub partition_key: Option<Cow<'a, str>>,
+    #[serde(borrow)]
     pub lane: Option<Cow<'a, str>>,
     #[serde(borrow)]
     pub org: Option<Org<'a>>,
@@ -86,6 +88,7 @@
     pub area: Option<String>,
     pub started_at: Option<f64>,
     pub block: Option<i64>,
+    pub weight: Option<f64>,
     pub hw: Option<String>,
     pub availability: Option<String>,
 }
--- a/crates/coveroute-emu/src/virtual_time.rs
+++ b/crates/coveroute-emu/src/virtual_time.rs
@@ -549,6 +549,7 @@
             budget: ((deadline - sent) * 1e3).floor() / 1e3,
             hint: ask.hint,
             memory: Some(op.memory.0).filter(|memory| *memory > 0.0),
+            key: None,
             came: BASE + now,
         };
         self.tell(now, node, Event::Taken(id, &told));
--- a/crates/coveroute-emu/src/world/mod.rs
+++ b/crates/coveroute-emu/src/world/mod.rs
@@ -224,6 +224,7 @@
             kind: worker.make.kind.clone(),
             cell: worker.cell,
             started: 0.0,
+            size: 1.0,
             standing: Standing::Ready,
         };
         let zones =
--- a/crates/coveroute-engine/src/admit.rs
+++ b/crates/coveroute-engine/src/admit.rs
@@ -17,6 +17,8 @@
     pub budget: f64,
     pub hint: Option<f64>,
     pub memory: Option<f64>,
+    /// What it works on, as a number that is the same at every node.
+    pub key: Option<u64>,
     pub came: f64,
 }
 
@@ -42,5 +44,6 @@
         timeout: call.budget.min(most) - (now - call.came).max(0.0) - ANSWER_TAKES,
         hint: call.hint.filter(|hint| *hint > 0.0).map(|hint| hint.clamp(HINT_LEAST, HINT_MOST * most)),
         memory: call.memory,
+        key: call.key,
     })
 }
--- a/crates/coveroute-engine/src/list.rs
+++ b/crates/coveroute-engine/src/list.rs
@@ -18,6 +18,8 @@
     pub cell: i64,
     /// When its process started, 0 for long ago.
     pub started: f64,
+    /// What the list says of its size, in no unit.
+    pub size: f64,
     pub standing: Standing,
 }
 
@@ -112,8 +114,9 @@
     }
 
     fn entry(&mut self, host: &Host) -> Entry {
-        let Host { id, zone, kind, cell, started, standing, .. } = host;
-        let listed = Listed { id, zone, kind, cell: *cell, started: *started, standing: *standing };
+        let Host { id, zone, kind, cell, started, size, standing, .. } = host;
+        let (cell, started, size) = (*cell, *started, *size);
+        let listed = Listed { id, zone, kind, cell, started, size, standing: *standing };
         self.roster.entry(&mut self.names, &listed)
     }
 
--- a/crates/coveroute-engine/src/tests.rs
+++ b/crates/coveroute-engine/src/tests.rs
@@ -24,7 +24,7 @@
 fn host(at: usize, standing: Standing) -> Host {
     let addr = Some(([127, 0, 0, 1], 9000 + at as u16).into());
     let (id, zone, kind) = (format!("s-{at}"), "a".to_owned(), String::new());
-    Host { id, addr, zone, kind, cell: 0, started: 0.0, standing }
+    Host { id, addr, zone, kind, cell: 0, started: 0.0, size: 1.0, standing }
 }
 
 fn listing(version: u64, full: bool, hosts: Vec<Host>) -> Listing {
@@ -51,7 +51,16 @@
 
 fn call(call: &str, class: &str, budget: f64) -> Call {
     let (call, class) = (call.into(), class.to_owned());
-    Call { call, class, caller: Some("nobody".into()), budget, hint: None, memory: None, came: NOW }
+    Call {
+        call,
+        class,
+        caller: Some("nobody".into()),
+        budget,
+        hint: None,
+        memory: None,
+        key: None,
+        came: NOW,
+    }
 }
 
 /// An invocation whose forwards went to these, and stand so; the decisions have not seen it.
--- a/crates/coveroute-node/src/hosts.rs
+++ b/crates/coveroute-node/src/hosts.rs
@@ -32,6 +32,7 @@
     state: State,
     #[serde(default)]
     started_ms: f64,
+    weight: Option<f64>,
 }
 
 #[derive(Clone, Copy, Debug, Deserialize)]
@@ -68,7 +69,8 @@
             (State::Draining | State::Unknown, _) => Standing::Draining,
             (State::Removed, _) | (State::Up, None) => Standing::Gone,
         };
+        let size = self.weight.filter(|w| w.is_finite() && *w > 0.0).unwrap_or(1.0);
         let (id, zone, kind) = (self.id.into_owned(), self.zone.into_owned(), self.kind.into_owned());
-        engine::Host { id, addr, zone, kind, cell: self.cell, started: self.started_ms / 1e3, standing }
+        engine::Host { id, addr, zone, kind, cell: self.cell, started: self.started_ms / 1e3, size, standing }
     }
 }
--- a/crates/coveroute-shared/src/roster.rs
+++ b/crates/coveroute-shared/src/roster.rs
@@ -14,6 +14,7 @@
     pub cell: i64,
     /// Seconds on the adapter's clock, 0 for long ago.
     pub started: f64,
+    pub size: f64,
     pub standing: Standing,
 }
 
@@ -72,6 +73,7 @@
             cell: listed.cell,
             kind: position(&mut names.kinds, listed.kind),
             started: listed.started,
+            size: listed.size,
             standing: listed.standing,
         }
     }
--- a/crates/coveroute-shared/src/settings.rs
+++ b/crates/coveroute-shared/src/settings.rs
@@ -1,5 +1,5 @@
 //! Reads the settings object once at an instance's start: its words and milliseconds become ours and seconds.
-use coveroute::types::{Cold, Effect, Group, Operation, Reports, Settings};
+use coveroute::types::{Cold, Effect, Group, Operation, Reports, Settings, Sizes};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
@@ -39,6 +39,8 @@
     #[serde(default)]
     value_by: String,
     #[serde(default)]
+    weights: String,
+    #[serde(default)]
     zone: String,
     #[serde(default)]
     zones: Vec<String>,
@@ -183,6 +185,11 @@
             "probe" => Reports::Probes,
             _ => Reports::Never,
         },
+        sizes: match info.weights.as_str() {
+            "nominal" | "rough" => Sizes::Listed,
+            "live" => Sizes::Live,
+            _ => Sizes::Never,
+        },
         progress: info.family_info.progress / 1e3,
         tells_start: info.family_info.tells_start,
     };
--- a/src/chance.rs
+++ b/src/chance.rs
@@ -36,3 +36,20 @@
     };
     shares.scan(0.0, add).collect()
 }
+
+/// A number for what has a name, the same at every node (FNV-1a, mixed once more so that near names lie apart).
+pub fn hash(bytes: &[u8]) -> u64 {
+    mix(bytes.iter().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3)))
+}
+
+/// Mixes all bits (the finaliser of splitmix64).
+pub fn mix(mut x: u64) -> u64 {
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+/// A number over 0 and up to 1 out of one that is mixed.
+pub fn unit(x: u64) -> f64 {
+    ((mix(x) >> 11) + 1) as f64 / (1_u64 << 53) as f64
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,7 +1,7 @@
 //! Every decision of a coveroute node. `Node::new(settings, seed)` once, then `handle(now, input, &mut out)`
 //! for each thing that happens, in order; the caller carries out what is put out, in order. Nothing here
 //! waits or reads a clock. Its interface is `types.rs`; docs/design.md tells why it decides as it does.
-use crate::chance::{sums, Chance};
+use crate::chance::{sums, unit, Chance};
 use crate::types::*;
 
 const SOLVE: u64 = 0; // Timers: the solve,
@@ -144,6 +144,9 @@
     fn entry(&mut self, now: f64, entry: Entry, out: &mut Vec<Output>) {
         const GOOD_AT_START: f64 = 4.0; // Of an unknown executor: two failures in a row make it doubtful.
         self.tgts.extend((self.tgts.len()..=entry.tgt).map(Executor::unheard));
+        self.kinds.resize(self.kinds.len().max(entry.kind + 1), Kind::default());
+        let kind = &mut self.kinds[entry.kind];
+        kind.size = kind.size.max(entry.size);
         let t = &mut self.tgts[entry.tgt];
         let drains = t.entry.standing == Standing::Ready && entry.standing == Standing::Draining;
         out.extend(drains.then(|| Output::Log(format!("executor {:06x} drains", entry.mark))));
@@ -201,9 +204,26 @@
         let (op, cross, end) = (sub.operation, now + dear * spare, self.leaving.unwrap_or(f64::INFINITY));
         let end = end.min(now + sub.timeout);
         let until = (aim.max(now) + late).min(end - BEFORE_END);
-        let inv = Inv { op, worth, aim, until, end, hint, load, memory, cross, ..Inv::default() };
+        let inv = Inv {
+            op,
+            worth,
+            aim,
+            spare,
+            until,
+            end,
+            hint,
+            load,
+            memory,
+            cross,
+            key: sub.key,
+            ..Inv::default()
+        };
         self.invs.insert(sub.id, inv);
         self.queue(now, sub.id);
+        let press = self.invs[&sub.id].press;
+        if press < self.price * self.usual {
+            self.step(now, sub.id, Turn::GaveUp, out);
+        }
     }
 
     /// What it adds to the operators' goal per second of a slot: to the whole, and to a worst operation.
@@ -268,18 +288,23 @@
     fn settled(&mut self, now: f64, settled: Settled, out: &mut Vec<Output>) {
         const MISLED_NEW: f64 = 0.05; // Weight of an outcome in how often reports mislead: some twenty.
         let Settled { id, forward, outcome, took, ended, report } = settled;
+        if outcome == Outcome::Full && self.blind() {
+            self.charge(true);
+        }
         let Some(inv) = self.invs.get_mut(&id) else { return };
         let Some(fwd) = inv.forwards.get_mut(forward).filter(|f| f.fate == Fate::Out) else { return };
         fwd.fate = if outcome.never_ran() { Fate::NotRun } else { Fate::MayHaveRun };
-        let (tgt, op, hint) = (fwd.tgt, inv.op, inv.hint);
+        let (tgt, op, took) = (fwd.tgt, inv.op, (took - fwd.wait.unwrap_or(0.0)) / inv.hint);
         inv.sample.clear();
         let t = &mut self.tgts[tgt];
         t.held = t.held.saturating_sub(1);
         t.memory = if t.held == 0 { 0.0 } else { (t.memory - inv.memory).max(0.0) };
-        t.running = t.running.saturating_sub(usize::from(fwd.started));
+        t.running = t.running.saturating_sub(usize::from(fwd.wait.is_some()));
+        t.kept &= outcome == Outcome::Succeeded;
         match outcome {
             Outcome::Succeeded => {
-                Self::succeeded(now, t, &mut self.classes[op], took / hint, self.level, out)
+                let kind = &mut self.kinds[t.entry.kind].slow;
+                Self::succeeded(now, t, (&mut self.classes[op], kind), took, self.level, out)
             }
             Outcome::Full => (t.refused, t.refusals) = (now, t.refusals + 1),
             Outcome::Cancelled | Outcome::Moot => {}
@@ -289,7 +314,8 @@
         let (outs, ran, life) = (inv.still_out().count(), inv.anchor().is_some(), inv.life);
         self.tell(tgt, out);
         // Guards against connect failures: hundreds of nodes' idle connections fill an executor's table.
-        out.extend((self.tgts[tgt].held == 0 && !self.whole()).then_some(Output::Release(tgt)));
+        let idle = self.tgts[tgt].held == 0 && !self.tgts[tgt].kept;
+        out.extend((idle && !self.whole()).then_some(Output::Release(tgt)));
         // Full beside reported room: the report speaks of another time than now.
         let late = outcome == Outcome::Full && report.free >= Some(ONE) && report.queue < Some(0.5);
         self.misled += MISLED_NEW * (f64::from(u8::from(late)) - self.misled);
@@ -306,7 +332,7 @@
     fn succeeded(
         now: f64,
         t: &mut Executor,
-        class: &mut Class,
+        (class, kind): (&mut Class, &mut f64),
         took: f64,
         level: f64,
         out: &mut Vec<Output>,
@@ -316,9 +342,10 @@
         const GOOD_MOST: f64 = 8.0; // The most successes that count, so that failures soon outweigh them.
         let log = took.max(1e-4).ln();
         let pace = class.pace.get_or_insert(log);
-        let ratio = (log - *pace).clamp(-3.0, 3.0);
+        let ratio = (log - *pace - *kind).clamp(-3.0, 3.0);
         class.answers += 1.0;
         *pace += PACE_NEW.max(1.0 / class.answers) * (ratio - t.slow);
+        *kind += PACE_NEW * (ratio - t.slow);
         t.slow += SLOW_NEW * (ratio - t.slow);
         t.woke(now);
         (t.sampled, t.refusals) = (now, 0);
@@ -327,24 +354,39 @@
     }
 
     fn alive(&mut self, now: f64, id: InvId, forward: usize) {
-        let fwd = self.invs.get_mut(&id).and_then(|inv| inv.forwards.get_mut(forward));
-        let Some(fwd) = fwd.filter(|f| f.fate == Fate::Out) else { return };
-        let t = &mut self.tgts[fwd.tgt];
-        t.running += usize::from(!std::mem::replace(&mut fwd.started, true));
+        let Some(inv) = self.invs.get_mut(&id) else { return };
+        let Some(fwd) = inv.forwards.get_mut(forward).filter(|f| f.fate == Fate::Out) else { return };
+        let late = now - fwd.sent > inv.spare;
+        let (t, wait, first) = (&mut self.tgts[fwd.tgt], now - fwd.sent, fwd.wait.is_none());
+        if first {
+            (t.running, t.kept) = (t.running + 1, wait < AT_ONCE);
+            fwd.wait = Some(if self.set.tells_start { wait } else { 0.0 });
+        }
         t.woke(now);
+        if first && self.blind() {
+            self.charge(late);
+        }
     }
 
     /// Guards against jobs that get lost while others run there: what can be sent again is taken back.
     fn unheard(&mut self, now: f64, id: InvId, forward: usize, out: &mut Vec<Output>) {
         let Some(inv) = self.invs.get(&id) else { return };
-        let fwd = inv.forwards.get(forward).filter(|f| f.fate == Fate::Out && !f.started);
+        let fwd = inv.forwards.get(forward).filter(|f| f.fate == Fate::Out && f.wait.is_none());
         let Some(tgt) = fwd.map(|f| f.tgt) else { return };
-        let more = self.set.cancelling && !self.fogged(now) && inv.forwards.len() < self.set.max_forwards;
-        let again = more && self.tgts.iter().any(|t| self.may_go(now, inv, t));
-        out.extend(again.then_some(Output::Withdraw { id, forward }));
+        out.extend(self.again(now, inv).then_some(Output::Withdraw { id, forward }));
         self.tgts[tgt].failed(1.0, self.level, out);
     }
 
+    fn charge(&mut self, late: bool) {
+        let rate = if late { 0.2 } else { -0.2 * 0.15 };
+        self.price = (self.price * f64::exp(rate)).clamp(0.05, 5.0);
+    }
+
+    fn again(&self, now: f64, inv: &Inv) -> bool {
+        let more = self.set.cancelling && !self.fogged(now) && inv.forwards.len() < self.set.max_forwards;
+        more && self.tgts.iter().any(|t| self.may_go(now, inv, t))
+    }
+
     fn probed(&mut self, now: f64, tgt: Tgt, outcome: Outcome, report: Report, out: &mut Vec<Output>) {
         let Some(t) = self.tgts.get_mut(tgt) else { return };
         match outcome {
@@ -363,7 +405,9 @@
         let busy = report.inflight.zip(report.queue).map(|(inflight, queue)| (inflight - queue).max(0.0));
         // Without the number at work, the most ever seen free or at work is all that is known of the slots.
         let seen = busy.map_or(t.slots.max(t.running as f64), |busy| busy + free);
-        t.slots = if busy.is_some() { seen.round().max(1.0) } else { seen.max(free.round()) };
+        let most = &mut self.kinds[t.entry.kind].slots;
+        *most = if busy.is_some() { 0.0 } else { most.max(seen).max(free.round()) };
+        t.slots = if busy.is_some() { seen.round().max(1.0) } else { *most };
         // Work queued beside free slots waits for memory, and all that is sent after waits too.
         (t.free, t.reported) = (if report.queue.unwrap_or(0.0) >= 0.5 { 0.0 } else { free }, now);
         let others = (report.inflight.unwrap_or(0.0) - t.held as f64).max(0.0) * self.memory;
@@ -412,6 +456,11 @@
         }
     }
 
+    /// Nothing tells of executors but how own forwards fare there.
+    fn blind(&self) -> bool {
+        !self.asks() && self.counting == Counting::Never
+    }
+
     fn asks(&self) -> bool {
         self.set.probing && self.set.reports != Reports::Never && self.counting != Counting::All
     }
@@ -458,6 +507,13 @@
         const TRIES: usize = 8; // Drawn again where one may not go; after that, the first that may is taken.
         let near = now < self.invs[&id].cross && self.near > 0 && !self.whole();
         let many = if near { self.near } else { self.rank.len() };
+        // Guards against queues that nothing tells of: an executor that began at once is drawn again (see AT_ONCE).
+        let kept = |t: &Executor| t.kept && t.held == 0 && self.able(now, &self.invs[&id], t);
+        let known: Vec<Tgt> = self.rank.iter().copied().filter(|&i| kept(&self.tgts[i])).collect();
+        if self.blind() && !known.is_empty() {
+            let at = self.chance.pick(&sums(known.iter().map(|&i| self.tgts[i].beta.max(1e-9))));
+            return known.get(at).copied();
+        }
         let drawn: [usize; TRIES] = std::array::from_fn(|_| self.chance.pick(&self.ends[..many]));
         let (inv, rank) = (&self.invs[&id], &self.rank[..many]);
         let open = |i: &Tgt| self.able(now, inv, &self.tgts[*i]);
@@ -467,7 +523,7 @@
     /// Small enough to be gone through: in a large fleet all nodes would ask and meet at the largest shares.
     fn whole(&self) -> bool {
         const WHOLE: usize = 20; // Asking them all takes some ten rounds, more than there is time for.
-        !self.asks() || self.rank.len() <= WHOLE
+        !self.blind() && self.rank.len() <= WHOLE
     }
 
     /// Where to look: the drawn one, then down the shares, own zone first; in a large fleet two drawn ones.
@@ -479,8 +535,22 @@
             let t = &self.tgts[*i];
             self.able(now, inv, t) && (whole || self.room(now, t).is_none_or(|room| room >= ONE))
         };
+        if let Some(key) = inv.key {
+            // What it works on is kept where it was last: the draw by shares is the key's own, at every node.
+            let lot =
+                |i: Tgt| self.tgts[i].beta.max(1e-9) / -unit(key ^ u64::from(self.tgts[i].entry.mark)).ln();
+            let mut order: Vec<(f64, Tgt)> = self.rank.iter().map(|&i| (lot(i), i)).collect();
+            order.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+            return order.into_iter().map(|o| o.1).collect();
+        }
         let mut sample: Vec<Tgt> = inv.sample.iter().copied().filter(open).collect();
         if sample.is_empty() && (whole || now >= inv.again) {
+            // Guards against a fleet that has grown cold and stands idle: a turn that comes is taken.
+            let mine = |i: &Tgt| {
+                let t = &self.tgts[*i];
+                t.warmth(now, &self.set.cold) < 1.0 && self.cold_room(now, t, inv.load)
+            };
+            sample.extend(self.rank.iter().copied().find(|i| !whole && mine(i) && open(i)));
             (0..if whole { 1 } else { 2 }).for_each(|_| sample.extend(self.draw(now, id)));
             sample.dedup();
             let inv = self.invs.entry(id).or_default();
@@ -508,7 +578,7 @@
         for i in order.into_iter().filter(|&i| able(&self.tgts[i])) {
             let t = &self.tgts[i];
             let fits = t.slots <= 0.0 || t.memory + t.foreign + inv.memory <= t.slots;
-            let first = stale.is_empty() || !self.whole();
+            let first = stale.is_empty() || inv.key.is_none() && !self.whole();
             match self.room(now, t) {
                 None => stale.push(i),
                 Some(room) if room >= ONE && fits && first => return Place::Here(i),
@@ -533,7 +603,7 @@
     fn send(&mut self, now: f64, id: InvId, tgt: Tgt, out: &mut Vec<Output>) {
         let turn = self.tgts[tgt].turn(now, self.set.cold.fall);
         let Some(inv) = self.invs.get_mut(&id) else { return };
-        inv.forwards.push(Fwd { tgt, sent: now, fate: Fate::Out, started: false });
+        inv.forwards.push(Fwd { tgt, sent: now, fate: Fate::Out, wait: None });
         let t = &mut self.tgts[tgt];
         t.memory += inv.memory;
         t.spent = inv.load + if t.turn == turn { t.spent } else { 0.0 };
@@ -601,6 +671,9 @@
         self.phi = self.classes.iter().map(|class| class.rate).sum();
         let usual = |(op, c): (usize, &Class)| c.rate * self.value(op, c.pace.map_or(1.0, f64::exp));
         self.value = self.classes.iter().enumerate().map(usual).sum::<f64>() / self.phi.max(1e-6);
+        let work = self.classes.iter().map(|c| c.rate * c.pace.map_or(1.0, f64::exp)).sum::<f64>();
+        self.usual = self.set.goal_whole / work.max(1e-6);
+        self.price *= (-passed / FORGET).exp();
         // Silent: no sign for one and a half intervals, longer where starts are told and none was (queued).
         let limit = if self.set.progress > 0.0 { 1.5 * self.set.progress + 0.2 } else { 5.0 };
         for t in &mut self.tgts {
@@ -648,12 +721,22 @@
         const DRIFT: f64 = 0.98; // Of an executor's difference from the mean, each interval without outcomes.
         const TRIAL: f64 = 0.02; // Of the mean share, for a zero share: one in fifty keeps its figures alive.
         const UNSAMPLED: f64 = 3.0; // Some invocations' time: so long without an own outcome, it drifts.
+        let blind = self.blind();
         let known: Vec<f64> = self.tgts.iter().map(|t| t.slots).filter(|slots| *slots > 0.0).collect();
         let usual = known.iter().sum::<f64>().max(1.0) / known.len().max(1) as f64;
         for t in &mut self.tgts {
             t.slow *= if now - t.sampled > UNSAMPLED { DRIFT } else { 1.0 };
+            if t.slots <= 0.0 {
+                t.slots = self.kinds[t.entry.kind].slots;
+            }
             let slots = if t.slots > 0.0 { t.slots } else { usual };
-            (t.mu, t.beta) = (slots * t.warmth(now, &self.set.cold) * (-t.slow).exp(), 0.0);
+            let kind = &self.kinds[t.entry.kind];
+            let size = match self.set.sizes {
+                Sizes::Listed => t.entry.size,
+                Sizes::Live => kind.size,
+                Sizes::Never => slots * (-kind.slow).exp(),
+            };
+            (t.mu, t.beta) = (size * t.warmth(now, &self.set.cold) * (-t.slow).exp(), 0.0);
         }
         let mut rank: Vec<Tgt> =
             (0..self.tgts.len()).filter(|&i| self.tgts[i].entry.standing == Standing::Ready).collect();
@@ -671,7 +754,8 @@
             let phi = self.phi * mu.iter().sum::<f64>() / (sum * scale).max(1e-9);
             members.iter().zip(coop(&mu, phi)).for_each(|(&i, beta)| self.tgts[i].beta = beta);
         }
-        let near = |i: Tgt| self.set.cross_zone_price > 0.0 && self.tgts[i].entry.zone == self.set.zone;
+        let near =
+            |i: Tgt| self.set.cross_zone_price > 0.0 && !blind && self.tgts[i].entry.zone == self.set.zone;
         let share = |i: Tgt| self.tgts[i].beta;
         rank.sort_by(|&a, &b| near(b).cmp(&near(a)).then(share(b).total_cmp(&share(a))).then(a.cmp(&b)));
         self.near = rank.iter().take_while(|&&i| near(i)).count();
@@ -700,7 +784,9 @@
             Told::Room => (t.free, t.unseen, t.reported) = (f64::from(count), 0.0, now),
             Told::Asks => {
                 // The next to ask is not promised the same slot.
-                (t.promised, t.promises) = (now, t.promises(now) + f64::from(u8::from(room >= Some(ONE))));
+                if room >= Some(ONE) {
+                    (t.promised, t.promises) = (now, t.promises(now) + 1.0);
+                }
                 let answer = |n: f64| Output::Tell { to: Some(from), told: Told::Room, tgt, count: n as u8 };
                 out.extend(room.map(answer));
                 self.check(now, tgt, out);
@@ -709,6 +795,7 @@
     }
 }
 
+const AT_ONCE: f64 = 0.05; // A forward's way, a new connection and some batches: it waited for nothing.
 const ONE: f64 = 0.9; // One free slot, allowing for noise in reports.
 const PROMPT: f64 = 0.06; // A question's way there and back, and some batches: no answer means no room.
 
--- a/src/types.rs
+++ b/src/types.rs
@@ -47,6 +47,17 @@
     Never,
 }
 
+/// What the list of executors tells of their sizes.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Sizes {
+    #[default]
+    Never,
+    /// The registered size, exactly or roughly.
+    Listed,
+    /// The size less what is held there, some time ago: the same view for all nodes.
+    Live,
+}
+
 /// The limits that keep a cold executor standing.
 #[derive(Clone, Debug, Default)]
 pub struct Cold {
@@ -86,6 +97,7 @@
     pub peers: bool,
     pub max_pause: f64,
     pub reports: Reports,
+    pub sizes: Sizes,
     /// Interval of progress notes, 0 for none.
     pub progress: f64,
     pub tells_start: bool,
@@ -109,6 +121,8 @@
     pub cell: i64,
     pub kind: usize,
     pub started: f64,
+    /// The size that the list gives it, as `Sizes` says.
+    pub size: f64,
     pub standing: Standing,
 }
 
@@ -132,6 +146,8 @@
     pub hint: Option<f64>,
     /// Memory units it needs.
     pub memory: Option<f64>,
+    /// What it works on: an executor keeps that for a while.
+    pub key: Option<u64>,
 }
 
 /// How a forward or a probe ended.
@@ -310,7 +326,8 @@
     pub tgt: Tgt,
     pub sent: f64,
     pub fate: Fate,
-    pub started: bool,
+    /// How long it waited there, once it has given a sign of life.
+    pub wait: Option<f64>,
 }
 
 /// `worth`: the part of its billed value that counts, as its tenant is over its share. In time if sent before
@@ -323,12 +340,15 @@
     pub life: Life,
     pub worth: f64,
     pub aim: f64,
+    /// Half of what it could wait and still be in time.
+    pub spare: f64,
     pub cross: f64,
     pub until: f64,
     pub end: f64,
     pub hint: f64,
     pub load: f64,
     pub memory: f64,
+    pub key: Option<u64>,
     pub press: f64,
     pub late: bool,
     pub sample: Vec<Tgt>,
@@ -371,6 +391,8 @@
     pub memory: f64,
     pub foreign: f64,
     pub running: usize,
+    /// It started the last that it got at once.
+    pub kept: bool,
     pub told: bool,
     pub promised: f64,
     pub promises: f64,
@@ -435,6 +457,15 @@
     pub longest: f64,
 }
 
+/// What is known of one kind of machine: the smoothed log of its latency over what the same operation takes
+/// elsewhere, the most slots seen free, and the largest size listed.
+#[derive(Clone, Debug, Default)]
+pub struct Kind {
+    pub slow: f64,
+    pub slots: f64,
+    pub size: f64,
+}
+
 impl Entry {
     /// Whether both drop the repeats of the other.
     pub fn same(&self, group: Group, other: &Entry) -> bool {
@@ -469,6 +500,7 @@
     pub(crate) invs: BTreeMap<InvId, Inv>,
     pub(crate) classes: Vec<Class>,
     pub(crate) tenants: Vec<Class>,
+    pub(crate) kinds: Vec<Kind>,
     pub(crate) peer_heard: Vec<f64>,
     pub(crate) counting: Counting,
     pub(crate) phi: f64,
@@ -477,6 +509,9 @@
     pub(crate) level: f64,
     pub(crate) fog: f64,
     pub(crate) misled: f64,
+    /// What an invocation must press to be taken, in parts of the usual press.
+    pub(crate) price: f64,
+    pub(crate) usual: f64,
     /// Mean billed value of an invocation.
     pub(crate) value: f64,
     /// Mean own forwards held, at the last solve.
