A key's executors come up one by one; what comes too late is given up; marked repeats

Change: from a key's order one more executor comes up after each fifth of the wait; what comes when its objective is gone is given up; an unmarked try is late by the node's own stall at most; others' memory holds for a second.

--- a/crates/coveroute-drill/src/wire.rs
+++ b/crates/coveroute-drill/src/wire.rs
@@ -47,6 +47,8 @@
     #[serde(borrow)]
     pub org: Option<Org<'a>>,
     pub ttl: Option<f64>,
+    #[serde(default)]
+    pub resent: bool,
     pub hint: Option<f64>,
     pub memory: Option<f64>,
     pub cookie: Option<u64>,
--- a/crates/coveroute-emu/src/virtual_time.rs
+++ b/crates/coveroute-emu/src/virtual_time.rs
@@ -550,6 +550,7 @@
             hint: ask.hint,
             memory: Some(op.memory.0).filter(|memory| *memory > 0.0),
             key: None,
+            again: false,
             came: BASE + now,
         };
         self.tell(now, node, Event::Taken(id, &told));
--- a/crates/coveroute-engine/src/admit.rs
+++ b/crates/coveroute-engine/src/admit.rs
@@ -19,6 +19,8 @@
     pub memory: Option<f64>,
     /// What it works on, as a number that is the same at every node.
     pub key: Option<u64>,
+    /// Whether the client says that it comes back.
+    pub again: bool,
     pub came: f64,
 }
 
@@ -45,5 +47,6 @@
         hint: call.hint.filter(|hint| *hint > 0.0).map(|hint| hint.clamp(HINT_LEAST, HINT_MOST * most)),
         memory: call.memory,
         key: call.key,
+        again: call.again,
     })
 }
--- a/crates/coveroute-engine/src/tests.rs
+++ b/crates/coveroute-engine/src/tests.rs
@@ -58,7 +58,7 @@
         budget,
         hint: None,
         memory: None,
-        key: None,
+        key: None, again: false,
         came: NOW,
     }
 }
--- a/crates/coveroute-node/src/take_in.rs
+++ b/crates/coveroute-node/src/take_in.rs
@@ -64,6 +64,7 @@
         budget,
         hint: number(wire::CALL_COST).map(|us| us / 1e6),
         memory: text(wire::CALL_INFO).and_then(|info| figure(info, "memory")),
+        again: text(wire::AGAIN) == Some("1"),
         key: text(wire::ROUTE_HASH).map(|key| chance::hash(key.as_bytes())),
         came,
     };
--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -45,7 +45,7 @@
     let (headers, method, body) = (HeaderMap::new(), Method::POST, "body".into());
     let (call, class) = (call.into(), class.to_owned());
     let (caller, hint, memory) = (Some("nobody".to_owned()), None, None);
-    let call = Call { call, class, caller, budget, hint, memory, key: None, came };
+    let call = Call { call, class, caller, budget, hint, memory, key: None, again: false, came };
     Job { call, method, target, headers, body }
 }
 
--- a/crates/coveroute-node/src/wire.rs
+++ b/crates/coveroute-node/src/wire.rs
@@ -13,6 +13,7 @@
 pub const CALL_COST: &str = "x-call-cost";
 pub const CALL_INFO: &str = "x-call-info";
 pub const ROUTE_HASH: &str = "x-route-hash";
+pub const AGAIN: &str = "x-again";
 pub const LOAD_REPORT: &str = "x-load-report";
 pub const REJECTED: &str = "x-rejected";
 
--- a/crates/coveroute-shared/src/settings.rs
+++ b/crates/coveroute-shared/src/settings.rs
@@ -19,6 +19,8 @@
 struct Info {
     categories: Vec<Category>,
     #[serde(default)]
+    callers: Callers,
+    #[serde(default)]
     family_info: FamilyInfo,
     #[serde(default)]
     goal: Goal,
@@ -71,6 +73,12 @@
     tells_start: bool,
 }
 
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct Callers {
+    marks_retry: bool,
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Limits {
@@ -180,6 +188,7 @@
         probing: info.limits.probing,
         peers: info.limits.peers,
         max_pause: if info.limits.retry_after { info.limits.max_retry_after / 1e3 } else { 0.0 },
+        marks_again: info.callers.marks_retry,
         reports: match info.report.source.as_str() {
             "answers" => Reports::Answers,
             "probe" => Reports::Probes,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -102,6 +102,9 @@
     }
 
     pub fn handle(&mut self, now: f64, input: Input, out: &mut Vec<Output>) {
+        if now > self.turns[1] {
+            self.turns = [self.turns[1], now];
+        }
         match input {
             Input::List(list) => self.list(now, list, out),
             Input::Submitted(sub) => self.submitted(now, sub, out),
@@ -189,7 +192,9 @@
         let spare = WAIT * (op.objective + (op.stretch - 1.0) * load).max(0.5 * op.objective);
         // A client that comes back has less time left than one that comes first: its objective has run since.
         class.longest = class.longest.max(sub.timeout);
-        let aim = now + spare - (class.longest - sub.timeout);
+        // Where clients say that they come back, one that does not comes late by this node's own stall at most.
+        let stall = if self.set.marks_again && !sub.again { now - self.turns[0] } else { f64::INFINITY };
+        let aim = now + spare - (class.longest - sub.timeout).min(stall);
         // Late work waits behind what is in time only where this node orders most of what waits.
         let late = if op.late_value > 0.0 && whole { op.objective + op.stretch * load } else { 0.0 };
         let tenant = sub.tenant.filter(|&tenant| tenant < self.tenants.len());
@@ -221,7 +226,7 @@
         self.invs.insert(sub.id, inv);
         self.queue(now, sub.id);
         let press = self.invs[&sub.id].press;
-        if press < self.price * self.usual {
+        if press < self.price * self.usual || now > aim + spare && self.set.operations[op].late_value <= 0.0 {
             self.step(now, sub.id, Turn::GaveUp, out);
         }
     }
@@ -412,6 +417,7 @@
         (t.free, t.reported) = (if report.queue.unwrap_or(0.0) >= 0.5 { 0.0 } else { free }, now);
         let others = (report.inflight.unwrap_or(0.0) - t.held as f64).max(0.0) * self.memory;
         t.foreign = report.memory.map_or(others, |spare| (t.slots - spare - t.memory).max(0.0));
+        t.weighed = now;
         t.unseen = if now - t.last_sent < TOO_YOUNG { 1.0 } else { 0.0 };
         let util = report.util.or((t.slots > 0.0).then(|| 1.0 - free / t.slots));
         self.util += UTIL_NEW * (util.unwrap_or(self.util).clamp(0.0, 1.0) - self.util);
@@ -541,7 +547,9 @@
                 |i: Tgt| self.tgts[i].beta.max(1e-9) / -unit(key ^ u64::from(self.tgts[i].entry.mark)).ln();
             let mut order: Vec<(f64, Tgt)> = self.rank.iter().map(|&i| (lot(i), i)).collect();
             order.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
-            return order.into_iter().map(|o| o.1).collect();
+            const SPILL: f64 = 0.2;
+            let many = 1 + ((now - inv.aim + inv.spare) / (SPILL * inv.spare)).max(0.0) as usize;
+            return order.into_iter().map(|o| o.1).filter(|&i| self.able(now, inv, &self.tgts[i])).take(many).collect();
         }
         let mut sample: Vec<Tgt> = inv.sample.iter().copied().filter(open).collect();
         if sample.is_empty() && (whole || now >= inv.again) {
@@ -577,7 +585,8 @@
         let able = |t: &Executor| self.able(now, inv, t) && self.cold_room(now, t, inv.load);
         for i in order.into_iter().filter(|&i| able(&self.tgts[i])) {
             let t = &self.tgts[i];
-            let fits = t.slots <= 0.0 || t.memory + t.foreign + inv.memory <= t.slots;
+            let foreign = if now - t.weighed < 1.0 { t.foreign } else { 0.0 };
+            let fits = t.slots <= 0.0 || t.memory + foreign + inv.memory <= t.slots;
             let first = stale.is_empty() || inv.key.is_none() && !self.whole();
             match self.room(now, t) {
                 None => stale.push(i),
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -61,7 +61,7 @@
 }
 
 fn submit(timeout: f64, operation: usize) -> Submission {
-    Submission { id: ID, operation, tenant: None, timeout, hint: None, memory: None, key: None }
+    Submission { id: ID, operation, tenant: None, timeout, hint: None, memory: None, key: None, again: false }
 }
 
 #[test_case(&[8.0, 5.0, 2.0], 7.0, &[5.0, 2.0, 0.0]; "the paper's example two: the slowest is left out")]
--- a/src/types.rs
+++ b/src/types.rs
@@ -96,6 +96,8 @@
     pub probing: bool,
     pub peers: bool,
     pub max_pause: f64,
+    /// Clients say so when they come back.
+    pub marks_again: bool,
     pub reports: Reports,
     pub sizes: Sizes,
     /// Interval of progress notes, 0 for none.
@@ -148,6 +150,8 @@
     pub memory: Option<f64>,
     /// What it works on: an executor keeps that for a while.
     pub key: Option<u64>,
+    /// Whether the client says that it comes back.
+    pub again: bool,
 }
 
 /// How a forward or a probe ended.
@@ -390,6 +394,8 @@
     pub held: usize,
     pub memory: f64,
     pub foreign: f64,
+    /// When its own last report came.
+    pub weighed: f64,
     pub running: usize,
     /// It started the last that it got at once.
     pub kept: bool,
@@ -518,6 +524,8 @@
     pub(crate) held: f64,
     pub(crate) memory: f64,
     pub(crate) solved: f64,
+    /// When it last had a turn, and the one before.
+    pub(crate) turns: [f64; 2],
     pub(crate) looking: bool,
     /// By when all must be answered, once the node is to stop.
     pub(crate) leaving: Option<f64>,
