A price on taking that rises once a wait; utilisation from waits; cold room told by who counts

Change: a raise only for what was sent after the last one, the price met in part by chance; utilisation from a half up by the part of starts that had to wait; who counts for a cold executor tells of no more room than it has.

--- a/crates/coveroute-engine/src/tests.rs
+++ b/crates/coveroute-engine/src/tests.rs
@@ -58,7 +58,8 @@
         budget,
         hint: None,
         memory: None,
-        key: None, again: false,
+        key: None,
+        again: false,
         came: NOW,
     }
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -156,7 +156,8 @@
         if t.entry.started != entry.started {
             // A new start time is a new process: what was known of the old one says nothing of it.
             let (held, memory, asked) = (t.held, t.memory, f64::NEG_INFINITY);
-            let rest = Executor { good: GOOD_AT_START, turn: usize::MAX, ..Executor::default() };
+            let granted = f64::NEG_INFINITY;
+            let rest = Executor { good: GOOD_AT_START, turn: usize::MAX, granted, ..Executor::default() };
             *t = Executor { held, memory, asked, heard: now, ..rest };
         }
         t.entry = entry;
@@ -226,7 +227,8 @@
         self.invs.insert(sub.id, inv);
         self.queue(now, sub.id);
         let press = self.invs[&sub.id].press;
-        if press < self.price * self.usual || now > aim + spare && self.set.operations[op].late_value <= 0.0 {
+        let least = if self.price > 0.0 { self.price * self.usual * (0.5 + self.chance.draw()) } else { 0.0 };
+        if press < least || now > aim + spare && self.set.operations[op].late_value <= 0.0 {
             self.step(now, sub.id, Turn::GaveUp, out);
         }
     }
@@ -294,7 +296,7 @@
         const MISLED_NEW: f64 = 0.05; // Weight of an outcome in how often reports mislead: some twenty.
         let Settled { id, forward, outcome, took, ended, report } = settled;
         if outcome == Outcome::Full && self.blind() {
-            self.charge(true);
+            self.charge(now, true, now);
         }
         let Some(inv) = self.invs.get_mut(&id) else { return };
         let Some(fwd) = inv.forwards.get_mut(forward).filter(|f| f.fate == Fate::Out) else { return };
@@ -361,7 +363,7 @@
     fn alive(&mut self, now: f64, id: InvId, forward: usize) {
         let Some(inv) = self.invs.get_mut(&id) else { return };
         let Some(fwd) = inv.forwards.get_mut(forward).filter(|f| f.fate == Fate::Out) else { return };
-        let late = now - fwd.sent > inv.spare;
+        let (late, sent) = (now - fwd.sent > 0.5 * inv.spare, fwd.sent);
         let (t, wait, first) = (&mut self.tgts[fwd.tgt], now - fwd.sent, fwd.wait.is_none());
         if first {
             (t.running, t.kept) = (t.running + 1, wait < AT_ONCE);
@@ -369,7 +371,8 @@
         }
         t.woke(now);
         if first && self.blind() {
-            self.charge(late);
+            self.util += 0.05 * (if wait >= AT_ONCE { 1.0 } else { 0.5 } - self.util);
+            self.charge(now, late, sent);
         }
     }
 
@@ -382,9 +385,12 @@
         self.tgts[tgt].failed(1.0, self.level, out);
     }
 
-    fn charge(&mut self, late: bool) {
-        let rate = if late { 0.2 } else { -0.2 * 0.15 };
-        self.price = (self.price * f64::exp(rate)).clamp(0.05, 5.0);
+    fn charge(&mut self, now: f64, late: bool, sent: f64) {
+        if late && sent > self.raised {
+            (self.price, self.raised) = ((self.price * 1.5).clamp(0.25, 5.0), now);
+        } else if !late {
+            self.price *= 0.95;
+        }
     }
 
     fn again(&self, now: f64, inv: &Inv) -> bool {
@@ -434,7 +440,11 @@
             return Some(0.0);
         }
         if self.keeper(t) == Some(self.set.me) && t.slots > 0.0 {
-            return Some(t.slots - t.held as f64 - t.elsewhere() - t.promises(now));
+            let slots = (t.slots * t.warmth(now, &self.set.cold)).max(1.0);
+            return Some(slots - t.held as f64 - t.elsewhere() - t.promises(now));
+        }
+        if self.keeper(t).is_some() && t.warmth(now, &self.set.cold) < 1.0 {
+            return (now - t.granted <= FREE_HOLDS).then_some(t.free - t.unseen);
         }
         if self.asks() && self.misled < MISLED && !self.fogged(now) {
             if t.asked > t.reported && now - t.asked <= FULL_HOLDS {
@@ -478,6 +488,10 @@
         if share >= 1.0 {
             return true;
         }
+        // Who counts for it tells of no more room than it has while cold: all nodes together stay below that.
+        if self.keeper(t).is_some_and(|keeper| keeper != self.set.me || t.slots > 0.0) {
+            return true;
+        }
         let (turn, slots) = (t.turn(now, cold.fall), t.slots.max(1.0));
         let spent = if t.turn == turn { t.spent } else { 0.0 };
         turn % self.set.nodes.max(1) == self.set.me
@@ -543,13 +557,20 @@
         };
         if let Some(key) = inv.key {
             // What it works on is kept where it was last: the draw by shares is the key's own, at every node.
-            let lot =
-                |i: Tgt| self.tgts[i].beta.max(1e-9) / -unit(key ^ u64::from(self.tgts[i].entry.mark)).ln();
+            let lot = |i: Tgt| {
+                self.tgts[i].beta.max(0.1 * self.tgts[i].mu)
+                    / -unit(key ^ u64::from(self.tgts[i].entry.mark)).ln()
+            };
             let mut order: Vec<(f64, Tgt)> = self.rank.iter().map(|&i| (lot(i), i)).collect();
             order.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
             const SPILL: f64 = 0.2;
             let many = 1 + ((now - inv.aim + inv.spare) / (SPILL * inv.spare)).max(0.0) as usize;
-            return order.into_iter().map(|o| o.1).filter(|&i| self.able(now, inv, &self.tgts[i])).take(many).collect();
+            return order
+                .into_iter()
+                .map(|o| o.1)
+                .filter(|&i| self.able(now, inv, &self.tgts[i]))
+                .take(many)
+                .collect();
         }
         let mut sample: Vec<Tgt> = inv.sample.iter().copied().filter(open).collect();
         if sample.is_empty() && (whole || now >= inv.again) {
@@ -790,7 +811,7 @@
         let Some(t) = self.tgts.get_mut(tgt) else { return };
         match told {
             Told::Held => t.hold(from, count),
-            Told::Room => (t.free, t.unseen, t.reported) = (f64::from(count), 0.0, now),
+            Told::Room => (t.free, t.unseen, t.reported, t.granted) = (f64::from(count), 0.0, now, now),
             Told::Asks => {
                 // The next to ask is not promised the same slot.
                 if room >= Some(ONE) {
--- a/src/types.rs
+++ b/src/types.rs
@@ -388,6 +388,8 @@
     pub free: f64,
     pub unseen: f64,
     pub reported: f64,
+    /// When who counts for it last told of room.
+    pub granted: f64,
     pub asked: f64,
     pub refused: f64,
     pub refusals: u32,
@@ -518,6 +520,7 @@
     /// What an invocation must press to be taken, in parts of the usual press.
     pub(crate) price: f64,
     pub(crate) usual: f64,
+    pub(crate) raised: f64,
     /// Mean billed value of an invocation.
     pub(crate) value: f64,
     /// Mean own forwards held, at the last solve.
