--- a/src/policy.rs
+++ b/src/policy.rs
@@ -30,8 +30,8 @@
         (1.0 + self.good) / (2.0 + self.good + self.bad)
     }
 
-    /// Guards against a network that breaks to all alike: then doubt tells nothing of one executor, and a node that
-    /// doubts them all sends nothing. So each is held against `level`, what the better ones reach.
+    /// Guards against a network that breaks to all alike: then doubt tells nothing of one executor. So each is held
+    /// against `level`, what the better ones reach.
     fn judge(&mut self, level: f64, out: &mut Vec<Output>) {
         const DOUBT: [f64; 2] = [0.65, 0.75]; // Doubtful below this part, until above that: against wavering.
         let doubtful = self.mean() < level * DOUBT[usize::from(self.doubtful)];
@@ -77,16 +77,7 @@
 
 impl Node {
     pub fn new(set: Settings, seed: u64) -> Self {
-        const TOLD: f64 = 3.0 * 9.0 / 256.0; // Full messages to each node that a forward takes.
-        const PROBES: f64 = 3.0; // Probes an invocation that asking takes.
         let nodes = set.nodes.max(set.me + 1);
-        // Nodes tell all others what they hold while that costs less than asking, else one node an executor.
-        let told = (nodes as f64 - 1.0) * TOLD * set.peer_price;
-        let counting = match set.peers {
-            false => Counting::Never,
-            true if set.probing && told > PROBES * set.probe_price => Counting::Keepers,
-            true => Counting::All,
-        };
         Node {
             chance: Chance::new(seed),
             classes: vec![Class::default(); set.operations.len()],
@@ -94,8 +85,6 @@
             peer_heard: vec![0.0; nodes],
             util: 0.5,
             level: 1.0,
-            memory: 0.5,
-            counting,
             set,
             ..Node::default()
         }
@@ -140,7 +129,6 @@
         // Guards against an executor that was removed while this node did not hear: absent means gone.
         self.tgts.iter_mut().filter(|_| whole).for_each(|t| t.entry.standing = Standing::Gone);
         entries.into_iter().for_each(|entry| self.entry(now, entry, out));
-        (0..self.tgts.len()).for_each(|tgt| self.check(now, tgt, out));
         self.solve(now);
     }
 
@@ -155,32 +143,16 @@
         out.extend(drains.then(|| Output::Log(format!("executor {:06x} drains", entry.mark))));
         if t.entry.started != entry.started {
             // A new start time is a new process: what was known of the old one says nothing of it.
-            let (held, memory, asked) = (t.held, t.memory, f64::NEG_INFINITY);
-            let granted = f64::NEG_INFINITY;
-            let rest = Executor { good: GOOD_AT_START, turn: usize::MAX, granted, ..Executor::default() };
-            *t = Executor { held, memory, asked, heard: now, ..rest };
+            let (held, memory, never) = (t.held, t.memory, f64::NEG_INFINITY);
+            let rest = Executor { good: GOOD_AT_START, turn: usize::MAX, ..Executor::default() };
+            *t = Executor { held, memory, asked: never, granted: never, heard: now, ..rest };
         }
         t.entry = entry;
     }
 
-    /// Where only probes report, who counts learns slots from what is free, and hangs from no answer.
-    fn check(&mut self, now: f64, tgt: Tgt, out: &mut Vec<Output>) {
-        const PROBE_EVERY: f64 = 2.5; // Four times rarer loses hangs, twice as often no gain.
-        let t = &self.tgts[tgt];
-        let probes = self.set.reports == Reports::Probes && self.set.probing;
-        let here = self.keeper(t) == Some(self.set.me) && t.entry.standing == Standing::Ready;
-        if probes && here && now - t.asked > if t.slots > 0.0 { PROBE_EVERY } else { SOLVE_EVERY } {
-            self.tgts[tgt].asked = now;
-            out.push(Output::Probe(tgt));
-        }
-    }
-
     fn submitted(&mut self, now: f64, sub: Submission, out: &mut Vec<Output>) {
-        const MEMORY_NEW: f64 = 0.02; // Weight of an invocation in the mean memory: some fifty.
         const WAIT: f64 = 0.5; // Of what could be spared on the mean: running times vary as much again.
-
-        let whole = self.whole();
-        // Not sent: an operation of unknown effect, and what comes in a client's last milliseconds.
+                               // Not sent: an operation of unknown effect, and what comes in a client's last milliseconds.
         let op = self.set.operations.get(sub.operation).filter(|_| sub.timeout > BEFORE_END);
         let Some(op) = op else { return out.push(Output::Throttle { id: sub.id, pause: 0.0 }) };
         let class = &mut self.classes[sub.operation];
@@ -188,16 +160,13 @@
         let hint = sub.hint.filter(|h| h.is_finite() && *h > 0.0).unwrap_or(1.0);
         let load = class.pace.map_or(op.objective, |pace| pace.exp() * hint);
         let memory = sub.memory.filter(|m| m.is_finite() && *m > 0.0).unwrap_or(0.0);
-        self.memory += MEMORY_NEW * (memory - self.memory);
         // What it can wait and still be in time, if it then runs as its like do.
         let spare = WAIT * (op.objective + (op.stretch - 1.0) * load).max(0.5 * op.objective);
-        // A client that comes back has less time left than one that comes first: its objective has run since.
+        // A client that comes back has less time left: its objective has run since. Where clients say so, one
+        // that comes first is late by this node's own stall at most.
         class.longest = class.longest.max(sub.timeout);
-        // Where clients say that they come back, one that does not comes late by this node's own stall at most.
         let stall = if self.set.marks_again && !sub.again { now - self.turns[0] } else { f64::INFINITY };
         let aim = now + spare - (class.longest - sub.timeout).min(stall);
-        // Late work waits behind what is in time only where this node orders most of what waits.
-        let late = if op.late_value > 0.0 && whole { op.objective + op.stretch * load } else { 0.0 };
         let tenant = sub.tenant.filter(|&tenant| tenant < self.tenants.len());
         let in_share = tenant.map_or(1.0, |tenant| {
             self.tenants[tenant].arrived += 1.0;
@@ -209,26 +178,13 @@
         let dear = self.set.cross_zone_price * self.value / self.value(sub.operation, load).max(1e-6);
         let (op, cross, end) = (sub.operation, now + dear * spare, self.leaving.unwrap_or(f64::INFINITY));
         let end = end.min(now + sub.timeout);
-        let until = (aim.max(now) + late).min(end - BEFORE_END);
-        let inv = Inv {
-            op,
-            worth,
-            aim,
-            spare,
-            until,
-            end,
-            hint,
-            load,
-            memory,
-            cross,
-            key: sub.key,
-            ..Inv::default()
-        };
-        self.invs.insert(sub.id, inv);
+        let until = aim.max(now).min(end - BEFORE_END);
+        let inv = Inv { op, worth, aim, spare, until, end, hint, load, memory, ..Inv::default() };
+        self.invs.insert(sub.id, Inv { cross, key: sub.key, ..inv });
         self.queue(now, sub.id);
-        let press = self.invs[&sub.id].press;
+        // Met in part by chance: no operation falls out as a whole.
         let least = if self.price > 0.0 { self.price * self.usual * (0.5 + self.chance.draw()) } else { 0.0 };
-        if press < least || now > aim + spare && self.set.operations[op].late_value <= 0.0 {
+        if now > aim + spare || self.invs[&sub.id].press < least {
             self.step(now, sub.id, Turn::GaveUp, out);
         }
     }
@@ -244,8 +200,7 @@
             let usual = self.value(inv.op, class.pace.map_or(1.0, f64::exp));
             part += behind * self.set.goal_worst_operation / (class.rate * usual).max(1e-6);
         }
-        let late = if now > inv.aim { op.late_value } else { 1.0 };
-        part * self.value(inv.op, inv.load) * late * inv.worth / inv.load.max(1e-3)
+        part * self.value(inv.op, inv.load) * inv.worth / inv.load.max(1e-3)
     }
 
     fn value(&self, op: usize, load: f64) -> f64 {
@@ -256,7 +211,7 @@
         let press = self.press(now, &self.invs[&id]);
         let at = self.waiting.partition_point(|other| self.invs.get(other).is_some_and(|o| o.press >= press));
         self.waiting.insert(at, id);
-        self.invs.entry(id).and_modify(|inv| (inv.press, inv.late) = (press, now > inv.aim));
+        self.invs.entry(id).and_modify(|inv| inv.press = press);
     }
 
     fn step(&mut self, now: f64, id: InvId, turn: Turn, out: &mut Vec<Output>) {
@@ -308,21 +263,20 @@
         t.memory = if t.held == 0 { 0.0 } else { (t.memory - inv.memory).max(0.0) };
         t.running = t.running.saturating_sub(usize::from(fwd.wait.is_some()));
         t.kept &= outcome == Outcome::Succeeded;
+        let kind = &mut self.kinds[t.entry.kind].slow;
         match outcome {
-            Outcome::Succeeded => {
-                let kind = &mut self.kinds[t.entry.kind].slow;
-                Self::succeeded(now, t, (&mut self.classes[op], kind), took, self.level, out)
-            }
+            Outcome::Succeeded => Self::succeeded(now, t, &mut self.classes[op], kind, took),
             Outcome::Full => (t.refused, t.refusals) = (now, t.refusals + 1),
             Outcome::Cancelled | Outcome::Moot => {}
-            Outcome::Unreachable => t.failed(3.0, self.level, out), // The next would lose the time of a connect as well.
-            _ => t.failed(if outcome == Outcome::Unfit { 0.25 } else { 1.0 }, self.level, out), // It may be right.
+            Outcome::Unreachable => t.failed(3.0, self.level, out), // The next would lose as much time.
+            _ => t.failed(if outcome == Outcome::Unfit { 0.25 } else { 1.0 }, self.level, out),
         }
+        t.judge(self.level, out);
         let (outs, ran, life) = (inv.still_out().count(), inv.anchor().is_some(), inv.life);
         self.tell(tgt, out);
         // Guards against connect failures: hundreds of nodes' idle connections fill an executor's table.
-        let idle = self.tgts[tgt].held == 0 && !self.tgts[tgt].kept;
-        out.extend((idle && !self.whole()).then_some(Output::Release(tgt)));
+        let idle = self.tgts[tgt].held == 0 && !self.tgts[tgt].kept && !self.whole();
+        out.extend(idle.then_some(Output::Release(tgt)));
         // Full beside reported room: the report speaks of another time than now.
         let late = outcome == Outcome::Full && report.free >= Some(ONE) && report.queue < Some(0.5);
         self.misled += MISLED_NEW * (f64::from(u8::from(late)) - self.misled);
@@ -336,14 +290,7 @@
     }
 
     /// Only answers that succeeded count as latencies: an executor that fails fast must not look fast.
-    fn succeeded(
-        now: f64,
-        t: &mut Executor,
-        (class, kind): (&mut Class, &mut f64),
-        took: f64,
-        level: f64,
-        out: &mut Vec<Output>,
-    ) {
+    fn succeeded(now: f64, t: &mut Executor, class: &mut Class, kind: &mut f64, took: f64) {
         const SLOW_NEW: f64 = 0.1; // Weight of a latency in its executor's mean: some ten answers.
         const PACE_NEW: f64 = 0.02; // And in its operation's: some fifty, the first ones evenly.
         const GOOD_MOST: f64 = 8.0; // The most successes that count, so that failures soon outweigh them.
@@ -357,13 +304,14 @@
         t.woke(now);
         (t.sampled, t.refusals) = (now, 0);
         t.good = (t.good + 1.0).min(GOOD_MOST);
-        t.judge(level, out);
     }
 
     fn alive(&mut self, now: f64, id: InvId, forward: usize) {
+        const WAITED_NEW: f64 = 0.05; // Weight of a start in a utilisation that is not reported: some twenty.
+        const LATE: f64 = 0.5; // Of what it can wait: a start after that tells of too long a queue.
         let Some(inv) = self.invs.get_mut(&id) else { return };
         let Some(fwd) = inv.forwards.get_mut(forward).filter(|f| f.fate == Fate::Out) else { return };
-        let (late, sent) = (now - fwd.sent > 0.5 * inv.spare, fwd.sent);
+        let (late, sent) = (now - fwd.sent > LATE * inv.spare, fwd.sent);
         let (t, wait, first) = (&mut self.tgts[fwd.tgt], now - fwd.sent, fwd.wait.is_none());
         if first {
             (t.running, t.kept) = (t.running + 1, wait < AT_ONCE);
@@ -371,7 +319,7 @@
         }
         t.woke(now);
         if first && self.blind() {
-            self.util += 0.05 * (if wait >= AT_ONCE { 1.0 } else { 0.5 } - self.util);
+            self.util += WAITED_NEW * (if wait >= AT_ONCE { 1.0 } else { 0.5 } - self.util);
             self.charge(now, late, sent);
         }
     }
@@ -381,29 +329,32 @@
         let Some(inv) = self.invs.get(&id) else { return };
         let fwd = inv.forwards.get(forward).filter(|f| f.fate == Fate::Out && f.wait.is_none());
         let Some(tgt) = fwd.map(|f| f.tgt) else { return };
-        out.extend(self.again(now, inv).then_some(Output::Withdraw { id, forward }));
+        let more = self.set.cancelling && !self.fogged(now) && inv.forwards.len() < self.set.max_forwards;
+        let again = more && self.tgts.iter().any(|t| self.may_go(now, inv, t));
+        out.extend(again.then_some(Output::Withdraw { id, forward }));
         self.tgts[tgt].failed(1.0, self.level, out);
     }
 
+    /// Guards against queues that nothing tells of: late starts raise what an invocation must press. What was sent
+    /// before the last raise says nothing of it.
     fn charge(&mut self, now: f64, late: bool, sent: f64) {
-        if late && sent > self.raised {
-            (self.price, self.raised) = ((self.price * 1.5).clamp(0.25, 5.0), now);
-        } else if !late {
-            self.price *= 0.95;
+        const RAISE: f64 = 1.5; // From a half to one and a half of the usual press: hardly any, and most.
+        const FALL: f64 = 0.95; // Twice as fast forgets an overload between two waits.
+        match late {
+            true if sent > self.raised => {
+                (self.price, self.raised) = ((self.price * RAISE).clamp(0.5, 1.5), now);
+            }
+            true => {}
+            false => self.price *= FALL,
         }
     }
 
-    fn again(&self, now: f64, inv: &Inv) -> bool {
-        let more = self.set.cancelling && !self.fogged(now) && inv.forwards.len() < self.set.max_forwards;
-        more && self.tgts.iter().any(|t| self.may_go(now, inv, t))
-    }
-
     fn probed(&mut self, now: f64, tgt: Tgt, outcome: Outcome, report: Report, out: &mut Vec<Output>) {
         let Some(t) = self.tgts.get_mut(tgt) else { return };
         match outcome {
             Outcome::Succeeded => return self.report(now, tgt, report),
             Outcome::Full => {}
-            _ => t.failed(0.5, self.level, out), // Half: a probe waits beside the work and may be late for small reasons.
+            _ => t.failed(0.5, self.level, out), // Half: a probe may be late for small reasons.
         }
         (t.refused, t.refusals) = (now, t.refusals.max(1));
     }
@@ -421,8 +372,7 @@
         t.slots = if busy.is_some() { seen.round().max(1.0) } else { *most };
         // Work queued beside free slots waits for memory, and all that is sent after waits too.
         (t.free, t.reported) = (if report.queue.unwrap_or(0.0) >= 0.5 { 0.0 } else { free }, now);
-        let others = (report.inflight.unwrap_or(0.0) - t.held as f64).max(0.0) * self.memory;
-        t.foreign = report.memory.map_or(others, |spare| (t.slots - spare - t.memory).max(0.0));
+        t.foreign = report.memory.map_or(0.0, |spare| (t.slots - spare - t.memory).max(0.0));
         t.weighed = now;
         t.unseen = if now - t.last_sent < TOO_YOUNG { 1.0 } else { 0.0 };
         let util = report.util.or((t.slots > 0.0).then(|| 1.0 - free / t.slots));
@@ -439,12 +389,13 @@
         if t.refusals > 0 && now - t.refused < REFUSED_HOLDS * f64::from(1 << (t.refusals - 1).min(5)) {
             return Some(0.0);
         }
-        if self.keeper(t) == Some(self.set.me) && t.slots > 0.0 {
-            let slots = (t.slots * t.warmth(now, &self.set.cold)).max(1.0);
-            return Some(slots - t.held as f64 - t.elsewhere() - t.promises(now));
-        }
-        if self.keeper(t).is_some() && t.warmth(now, &self.set.cold) < 1.0 {
-            return (now - t.granted <= FREE_HOLDS).then_some(t.free - t.unseen);
+        let warmth = t.warmth(now, &self.set.cold);
+        match self.keeper(t) {
+            Some(me) if me == self.set.me && t.slots > 0.0 => {
+                return Some((t.slots * warmth).max(1.0) - t.held as f64 - t.elsewhere() - t.promises(now));
+            }
+            Some(_) if warmth < 1.0 => return (now - t.granted <= FREE_HOLDS).then_some(t.free - t.unseen),
+            _ => {}
         }
         if self.asks() && self.misled < MISLED && !self.fogged(now) {
             if t.asked > t.reported && now - t.asked <= FULL_HOLDS {
@@ -457,39 +408,32 @@
         Some(PASS * self.held + 1.0 - t.held as f64)
     }
 
-    /// Guards against a way that is slow or breaks to all: reports that come too late to go by, and work that is
-    /// taken back from one executor only to fare as badly at the next.
+    /// Guards against a way that is slow or breaks to all: reports come too late to go by, and what is taken back
+    /// fares as badly at the next.
     fn fogged(&self, now: f64) -> bool {
         now < self.fog
     }
 
-    /// The node that counts what all hold there: this one where all do.
+    /// The node that counts what all hold there, where they may tell.
     fn keeper(&self, t: &Executor) -> Option<usize> {
-        match self.counting {
-            Counting::Never => None,
-            Counting::All => Some(self.set.me),
-            Counting::Keepers => Some(t.entry.mark as usize % self.peer_heard.len()),
-        }
+        self.set.peers.then_some(t.entry.mark as usize % self.peer_heard.len())
     }
 
     /// Nothing tells of executors but how own forwards fare there.
     fn blind(&self) -> bool {
-        !self.asks() && self.counting == Counting::Never
+        !self.asks() && !self.set.peers
     }
 
     fn asks(&self) -> bool {
-        self.set.probing && self.set.reports != Reports::Never && self.counting != Counting::All
+        self.set.probing && self.set.reports != Reports::Never
     }
 
-    /// A cold executor takes its budget from nodes in turn. A turn spends less than half: a span may touch two, and
-    /// work is reckoned at the pace of the mean executor, which may be faster than a new one.
+    /// A cold executor takes its budget from nodes in turn. A turn spends less than half: a span may touch two,
+    /// and work is reckoned at the pace of the mean executor, which may be faster than a new one.
     fn cold_room(&self, now: f64, t: &Executor, load: f64) -> bool {
         let (cold, share) = (&self.set.cold, t.warmth(now, &self.set.cold));
-        if share >= 1.0 {
-            return true;
-        }
         // Who counts for it tells of no more room than it has while cold: all nodes together stay below that.
-        if self.keeper(t).is_some_and(|keeper| keeper != self.set.me || t.slots > 0.0) {
+        if share >= 1.0 || self.keeper(t).is_some_and(|keeper| keeper != self.set.me || t.slots > 0.0) {
             return true;
         }
         let (turn, slots) = (t.turn(now, cold.fall), t.slots.max(1.0));
@@ -524,20 +468,17 @@
 
     /// Draws by beta, or evenly while all are zero; in a large fleet from the own zone before `cross`.
     fn draw(&mut self, now: f64, id: InvId) -> Option<Tgt> {
-        const TRIES: usize = 8; // Drawn again where one may not go; after that, the first that may is taken.
         let near = now < self.invs[&id].cross && self.near > 0 && !self.whole();
-        let many = if near { self.near } else { self.rank.len() };
-        // Guards against queues that nothing tells of: an executor that began at once is drawn again (see AT_ONCE).
-        let kept = |t: &Executor| t.kept && t.held == 0 && self.able(now, &self.invs[&id], t);
-        let known: Vec<Tgt> = self.rank.iter().copied().filter(|&i| kept(&self.tgts[i])).collect();
-        if self.blind() && !known.is_empty() {
-            let at = self.chance.pick(&sums(known.iter().map(|&i| self.tgts[i].beta.max(1e-9))));
-            return known.get(at).copied();
+        let (many, inv) = (if near { self.near } else { self.rank.len() }, &self.invs[&id]);
+        let able = |i: &Tgt| self.able(now, inv, &self.tgts[*i]);
+        let mut pool: Vec<Tgt> = self.rank[..many].iter().copied().filter(able).collect();
+        // Guards against queues that nothing tells of: an executor that began at once is drawn again.
+        let kept = |i: &Tgt| self.tgts[*i].kept && self.tgts[*i].held == 0;
+        if self.blind() && pool.iter().any(kept) {
+            pool.retain(kept);
         }
-        let drawn: [usize; TRIES] = std::array::from_fn(|_| self.chance.pick(&self.ends[..many]));
-        let (inv, rank) = (&self.invs[&id], &self.rank[..many]);
-        let open = |i: &Tgt| self.able(now, inv, &self.tgts[*i]);
-        drawn.iter().filter_map(|&at| rank.get(at)).chain(rank).copied().find(open)
+        let at = self.chance.pick(&sums(pool.iter().map(|&i| self.tgts[i].share)));
+        pool.get(at).copied()
     }
 
     /// Small enough to be gone through: in a large fleet all nodes would ask and meet at the largest shares.
@@ -546,8 +487,10 @@
         !self.blind() && self.rank.len() <= WHOLE
     }
 
-    /// Where to look: the drawn one, then down the shares, own zone first; in a large fleet two drawn ones.
+    /// Where to look: the drawn one, then down the shares, own zone first; in a large fleet two drawn ones. A key
+    /// that executors keep has draws of its own, the same at every node (weighted rendezvous hashing).
     fn order(&mut self, now: f64, id: InvId) -> Vec<Tgt> {
+        const SPILL: f64 = 0.2; // Of the wait, for one more of a key's order: a tenth fetches more, a third idles.
         const GAP: f64 = 0.005; // About a round trip at first, doubled each time
         const GAP_MOST: f64 = 0.16; // up to this: some six times in half a second.
         let (whole, inv) = (self.whole(), &self.invs[&id]);
@@ -556,21 +499,14 @@
             self.able(now, inv, t) && (whole || self.room(now, t).is_none_or(|room| room >= ONE))
         };
         if let Some(key) = inv.key {
-            // What it works on is kept where it was last: the draw by shares is the key's own, at every node.
-            let lot = |i: Tgt| {
-                self.tgts[i].beta.max(0.1 * self.tgts[i].mu)
-                    / -unit(key ^ u64::from(self.tgts[i].entry.mark)).ln()
-            };
-            let mut order: Vec<(f64, Tgt)> = self.rank.iter().map(|&i| (lot(i), i)).collect();
-            order.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
-            const SPILL: f64 = 0.2;
-            let many = 1 + ((now - inv.aim + inv.spare) / (SPILL * inv.spare)).max(0.0) as usize;
-            return order
-                .into_iter()
-                .map(|o| o.1)
-                .filter(|&i| self.able(now, inv, &self.tgts[i]))
-                .take(many)
-                .collect();
+            let chance = |t: &Executor| unit(key ^ u64::from(t.entry.mark)).ln();
+            let lot = |t: &Executor| t.share / -chance(t);
+            let may = self.rank.iter().copied().filter(|&i| self.able(now, inv, &self.tgts[i]));
+            let mut order: Vec<Tgt> = may.collect();
+            order.sort_by(|&a, &b| lot(&self.tgts[b]).total_cmp(&lot(&self.tgts[a])).then(a.cmp(&b)));
+            let waited = (now - inv.aim + inv.spare) / inv.spare;
+            order.truncate(1 + (waited / SPILL).max(0.0) as usize);
+            return order;
         }
         let mut sample: Vec<Tgt> = inv.sample.iter().copied().filter(open).collect();
         if sample.is_empty() && (whole || now >= inv.again) {
@@ -595,6 +531,7 @@
     }
 
     fn place(&mut self, now: f64, id: InvId, out: &mut Vec<Output>) -> Place {
+        const MEMORY_HOLDS: f64 = 1.0; // Then what others' jobs take of it is unknown: some running times.
         const ASKED: usize = 2; // Executors asked for their state at a time.
         let inv = &self.invs[&id];
         let spent =
@@ -606,7 +543,7 @@
         let able = |t: &Executor| self.able(now, inv, t) && self.cold_room(now, t, inv.load);
         for i in order.into_iter().filter(|&i| able(&self.tgts[i])) {
             let t = &self.tgts[i];
-            let foreign = if now - t.weighed < 1.0 { t.foreign } else { 0.0 };
+            let foreign = if now - t.weighed < MEMORY_HOLDS { t.foreign } else { 0.0 };
             let fits = t.slots <= 0.0 || t.memory + foreign + inv.memory <= t.slots;
             let first = stale.is_empty() || inv.key.is_none() && !self.whole();
             match self.room(now, t) {
@@ -669,15 +606,14 @@
         self.invs.values_mut().for_each(|inv| inv.end = inv.end.min(end));
     }
 
-    /// Puts back what is late now, and gives up what has waited for as long as that can pay.
+    /// Gives up what has waited for as long as that can pay.
     fn review(&mut self, now: f64, out: &mut Vec<Output>) {
         self.looking = false;
         for id in std::mem::take(&mut self.waiting) {
             let inv = &self.invs[&id];
-            match (now >= inv.until.min(inv.end - BEFORE_END), now > inv.aim && !inv.late) {
-                (true, _) => self.step(now, id, Turn::GaveUp, out),
-                (false, true) => self.queue(now, id),
-                (false, false) => self.waiting.push(id),
+            match now >= inv.until.min(inv.end - BEFORE_END) {
+                true => self.step(now, id, Turn::GaveUp, out),
+                false => self.waiting.push(id),
             }
         }
     }
@@ -685,7 +621,7 @@
     fn tick(&mut self, now: f64, out: &mut Vec<Output>) {
         const FORGET: f64 = 8.2; // Seconds in which remembered failures fade to a third: half after six.
         const SOLVE_COST: f64 = 2e-7; // Seconds an executor, tenfold: a tenth of what an invocation may cost.
-        const CPU_USUAL: f64 = 4e-5; // Seconds an invocation, where no tighter limit is set.
+        const CPU_USUAL: f64 = 4e-5; // Seconds an invocation.
         const SOLVE_LATEST: f64 = 5.0; // Before what is known is far out of date.
         const PEER_SILENT: f64 = 6.0; // A peer not heard for longer than from solve to solve holds nothing.
         const TRY_AT: f64 = 0.7; // A doubtful one is tried when the draw is near what trusted ones reach.
@@ -727,16 +663,15 @@
                 self.tell(tgt, out);
                 self.tgts[tgt].told = self.tgts[tgt].held > 0;
             }
-            self.check(now, tgt, out);
         }
         // A node with few invocations solves a large fleet less often: CPU counts by the invocation.
-        let cost = SOLVE_COST * self.rank.len() as f64 / self.set.cpu_limit.min(CPU_USUAL);
+        let cost = SOLVE_COST * self.rank.len() as f64 / CPU_USUAL;
         let after = (cost / self.phi.max(0.5)).clamp(SOLVE_EVERY, SOLVE_LATEST);
         out.push(Output::Wake { after, timer: SOLVE });
     }
 
     /// What the better quarter of the ready executors reach at least: a few bad ones lower it as little as a few
-    /// that have had luck raise it.
+    /// lucky ones raise it.
     fn level(&self) -> f64 {
         const BETTER: usize = 4;
         let ready = self.tgts.iter().filter(|t| t.entry.standing == Standing::Ready);
@@ -751,7 +686,8 @@
         const DRIFT: f64 = 0.98; // Of an executor's difference from the mean, each interval without outcomes.
         const TRIAL: f64 = 0.02; // Of the mean share, for a zero share: one in fifty keeps its figures alive.
         const UNSAMPLED: f64 = 3.0; // Some invocations' time: so long without an own outcome, it drifts.
-        let blind = self.blind();
+                                    // Where nothing tells of room, all zones share alike: a full own one would not show.
+        let dear = self.set.cross_zone_price > 0.0 && !self.blind();
         let known: Vec<f64> = self.tgts.iter().map(|t| t.slots).filter(|slots| *slots > 0.0).collect();
         let usual = known.iter().sum::<f64>().max(1.0) / known.len().max(1) as f64;
         for t in &mut self.tgts {
@@ -784,14 +720,13 @@
             let phi = self.phi * mu.iter().sum::<f64>() / (sum * scale).max(1e-9);
             members.iter().zip(coop(&mu, phi)).for_each(|(&i, beta)| self.tgts[i].beta = beta);
         }
-        let near =
-            |i: Tgt| self.set.cross_zone_price > 0.0 && !blind && self.tgts[i].entry.zone == self.set.zone;
+        let near = |i: Tgt| dear && self.tgts[i].entry.zone == self.set.zone;
         let share = |i: Tgt| self.tgts[i].beta;
         rank.sort_by(|&a, &b| near(b).cmp(&near(a)).then(share(b).total_cmp(&share(a))).then(a.cmp(&b)));
         self.near = rank.iter().take_while(|&&i| near(i)).count();
         let sum: f64 = rank.iter().map(|&i| share(i)).sum();
         let least = if sum > 0.0 { TRIAL * sum / rank.len() as f64 } else { 1.0 };
-        self.ends = sums(rank.iter().map(|&i| share(i).max(least)));
+        rank.iter().for_each(|&i| self.tgts[i].share = self.tgts[i].beta.max(least));
         self.held = rank.iter().map(|&i| self.tgts[i].held as f64).sum::<f64>() / rank.len().max(1) as f64;
         self.rank = rank;
     }
@@ -800,9 +735,9 @@
     fn tell(&mut self, tgt: Tgt, out: &mut Vec<Output>) {
         self.tgts[tgt].told = true;
         let t = &self.tgts[tgt];
-        let to = self.keeper(t).filter(|_| self.counting == Counting::Keepers);
-        let heard = self.counting != Counting::Never && to != Some(self.set.me);
-        out.extend(heard.then_some(Output::Tell { to, told: Told::Held, tgt, count: t.held.min(255) as u8 }));
+        let (to, count) = (self.keeper(t), t.held.min(255) as u8);
+        let other = to.is_some_and(|to| to != self.set.me);
+        out.extend(other.then_some(Output::Tell { to, told: Told::Held, tgt, count }));
     }
 
     fn peer(&mut self, now: f64, from: usize, told: Told, tgt: Tgt, count: u8, out: &mut Vec<Output>) {
@@ -819,7 +754,6 @@
                 }
                 let answer = |n: f64| Output::Tell { to: Some(from), told: Told::Room, tgt, count: n as u8 };
                 out.extend(room.map(answer));
-                self.check(now, tgt, out);
             }
         }
     }
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -84,7 +84,7 @@
     let mut node = node(Effect::Idempotent, beta.len());
     add(&mut node, Life::Waiting, &[]);
     let trial = if beta[0] > 0.0 { 0.02 * beta[0] / beta.len() as f64 } else { 1.0 };
-    node.ends = sums(beta.iter().map(|beta| beta.max(trial)));
+    node.tgts.iter_mut().zip(beta).for_each(|(t, beta)| t.share = beta.max(trial));
     let first = (0..4000).filter(|_| node.draw(2.0, ID) == Some(0)).count() as f64 / 4000.0;
     assert!((least..most).contains(&first), "{first}");
 }
--- a/src/types.rs
+++ b/src/types.rs
@@ -382,6 +382,8 @@
     pub entry: Entry,
     pub mu: f64,
     pub beta: f64,
+    /// What it is drawn by: beta, or a trial share.
+    pub share: f64,
     pub slow: f64,
     pub sampled: f64,
     pub slots: f64,
@@ -500,10 +502,9 @@
     pub(crate) chance: Chance,
     pub(crate) tgts: Vec<Executor>,
     /// Ready executors, where a crossing has a price those of the own zone (`near` of them) first, then by
-    /// share, the largest first; `ends` adds the shares up. Invocations that wait, the most pressing first.
+    /// share, the largest first. Invocations that wait, the most pressing first.
     pub(crate) rank: Vec<Tgt>,
     pub(crate) near: usize,
-    pub(crate) ends: Vec<f64>,
     pub(crate) waiting: Vec<InvId>,
     pub(crate) invs: BTreeMap<InvId, Inv>,
     pub(crate) classes: Vec<Class>,
@@ -525,7 +526,6 @@
     pub(crate) value: f64,
     /// Mean own forwards held, at the last solve.
     pub(crate) held: f64,
-    pub(crate) memory: f64,
     pub(crate) solved: f64,
     /// When it last had a turn, and the one before.
     pub(crate) turns: [f64; 2],
