--- a/crates/coveroute-shared/src/settings.rs
+++ b/crates/coveroute-shared/src/settings.rs
@@ -60,8 +60,6 @@
     on_time: f64,
     aim_stretch: Option<f64>,
     credit: f64,
-    #[serde(default)]
-    late_value: f64,
 }
 
 #[derive(Default, Deserialize)]
@@ -82,8 +80,6 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Limits {
-    #[serde(default)]
-    cpu_us_per_request: f64,
     max_attempts: usize,
     #[serde(default)]
     max_retry_after: f64,
@@ -116,8 +112,6 @@
 #[serde(rename_all = "camelCase", default)]
 struct Penalties {
     cross_zone: f64,
-    peer: f64,
-    probe: f64,
 }
 
 #[derive(Deserialize)]
@@ -152,7 +146,6 @@
         objective: category.on_time / 1e3,
         stretch: stretch.unwrap_or(0.0),
         value: category.credit,
-        late_value: category.late_value,
         kind: family.class_kind.get(at).and_then(|kind| usize::try_from(*kind).ok()),
     })
 }
@@ -173,9 +166,6 @@
         goal_worst_operation: info.goal.worst_class,
         value_by_work: info.value_by == "work",
         cross_zone_price: info.penalties.cross_zone,
-        cpu_limit: Some(info.limits.cpu_us_per_request / 1e6).filter(|l| *l > 0.0).unwrap_or(f64::INFINITY),
-        probe_price: info.penalties.probe,
-        peer_price: info.penalties.peer,
         must_ask: info.registry_mode == "on_request",
         cold: Cold {
             start: info.rules.start_capacity,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -30,8 +30,7 @@
         (1.0 + self.good) / (2.0 + self.good + self.bad)
     }
 
-    /// Guards against a network that breaks to all alike: then doubt tells nothing of one executor. So each is held
-    /// against `level`, what the better ones reach.
+    /// Guards against doubting all where a network breaks to all: `level` is what the better ones reach.
     fn judge(&mut self, level: f64, out: &mut Vec<Output>) {
         const DOUBT: [f64; 2] = [0.65, 0.75]; // Doubtful below this part, until above that: against wavering.
         let doubtful = self.mean() < level * DOUBT[usize::from(self.doubtful)];
@@ -69,20 +68,18 @@
 }
 
 const TRUSTED: f64 = 0.8; // The mean of an executor that is as good as it begins: of four successes in four.
-                          // Where the better ones reach no more than this, the way is bad to all alike: held for some rounds of waiting.
-const FOG: f64 = 0.7;
-const FOG_HOLDS: f64 = 5.0;
+const FOG: f64 = 0.7; // Where the better ones reach no more, the way is slow or breaks to all alike:
+const FOG_HOLDS: f64 = 5.0; // reports come too late to go by, and what is taken back fares as badly again.
 const SOLVE_EVERY: f64 = 0.25; // Several times in the shortest running time met.
 const BEFORE_END: f64 = 0.1; // A held invocation is answered this long before its end: several batches.
 
 impl Node {
     pub fn new(set: Settings, seed: u64) -> Self {
-        let nodes = set.nodes.max(set.me + 1);
         Node {
             chance: Chance::new(seed),
             classes: vec![Class::default(); set.operations.len()],
             tenants: vec![Class::default(); set.quotas.len()],
-            peer_heard: vec![0.0; nodes],
+            peer_heard: vec![0.0; set.nodes.max(set.me + 1)],
             util: 0.5,
             level: 1.0,
             set,
@@ -136,8 +133,7 @@
         const GOOD_AT_START: f64 = 4.0; // Of an unknown executor: two failures in a row make it doubtful.
         self.tgts.extend((self.tgts.len()..=entry.tgt).map(Executor::unheard));
         self.kinds.resize(self.kinds.len().max(entry.kind + 1), Kind::default());
-        let kind = &mut self.kinds[entry.kind];
-        kind.size = kind.size.max(entry.size);
+        self.kinds[entry.kind].size = self.kinds[entry.kind].size.max(entry.size);
         let t = &mut self.tgts[entry.tgt];
         let drains = t.entry.standing == Standing::Ready && entry.standing == Standing::Draining;
         out.extend(drains.then(|| Output::Log(format!("executor {:06x} drains", entry.mark))));
@@ -152,8 +148,8 @@
 
     fn submitted(&mut self, now: f64, sub: Submission, out: &mut Vec<Output>) {
         const WAIT: f64 = 0.5; // Of what could be spared on the mean: running times vary as much again.
-                               // Not sent: an operation of unknown effect, and what comes in a client's last milliseconds.
         let op = self.set.operations.get(sub.operation).filter(|_| sub.timeout > BEFORE_END);
+        // Not sent: an operation of unknown effect, and what comes in a client's last milliseconds.
         let Some(op) = op else { return out.push(Output::Throttle { id: sub.id, pause: 0.0 }) };
         let class = &mut self.classes[sub.operation];
         class.arrived += 1.0;
@@ -170,18 +166,18 @@
         let tenant = sub.tenant.filter(|&tenant| tenant < self.tenants.len());
         let in_share = tenant.map_or(1.0, |tenant| {
             self.tenants[tenant].arrived += 1.0;
-            let (rate, quota) = (self.tenants[tenant].rate, self.set.quotas[tenant] / self.set.nodes as f64);
-            (quota / rate.max(1e-3)).min(1.0)
+            let quota = self.set.quotas[tenant] / self.set.nodes as f64;
+            (quota / self.tenants[tenant].rate.max(1e-3)).min(1.0)
         });
         let worth = in_share + (1.0 - in_share) * self.set.over_share_value;
         // A crossing waits for the part of its spare time that it would cost of the value it serves.
         let dear = self.set.cross_zone_price * self.value / self.value(sub.operation, load).max(1e-6);
-        let (op, cross, end) = (sub.operation, now + dear * spare, self.leaving.unwrap_or(f64::INFINITY));
-        let end = end.min(now + sub.timeout);
+        let (op, cross) = (sub.operation, now + dear * spare);
+        let end = self.leaving.unwrap_or(f64::INFINITY).min(now + sub.timeout);
         let until = aim.max(now).min(end - BEFORE_END);
         let inv = Inv { op, worth, aim, spare, until, end, hint, load, memory, ..Inv::default() };
         self.invs.insert(sub.id, Inv { cross, key: sub.key, ..inv });
-        self.queue(now, sub.id);
+        self.queue(sub.id);
         // Met in part by chance: no operation falls out as a whole.
         let least = if self.price > 0.0 { self.price * self.usual * (0.5 + self.chance.draw()) } else { 0.0 };
         if now > aim + spare || self.invs[&sub.id].press < least {
@@ -190,10 +186,10 @@
     }
 
     /// What it adds to the operators' goal per second of a slot: to the whole, and to a worst operation.
-    fn press(&self, now: f64, inv: &Inv) -> f64 {
+    fn press(&self, inv: &Inv) -> f64 {
         const BEHIND: f64 = 0.25; // So far behind the best served an operation counts fully as the worst.
         let best = self.classes.iter().map(|c| c.timely).fold(0.0, f64::max);
-        let (op, class) = (&self.set.operations[inv.op], &self.classes[inv.op]);
+        let class = &self.classes[inv.op];
         let mut part = self.set.goal_whole / (self.value * self.phi).max(1e-6);
         if class.rate > 0.0 {
             let behind = ((best - class.timely) / BEHIND).clamp(0.0, 1.0);
@@ -207,8 +203,8 @@
         self.set.operations[op].value * if self.set.value_by_work { load } else { 1.0 }
     }
 
-    fn queue(&mut self, now: f64, id: InvId) {
-        let press = self.press(now, &self.invs[&id]);
+    fn queue(&mut self, id: InvId) {
+        let press = self.press(&self.invs[&id]);
         let at = self.waiting.partition_point(|other| self.invs.get(other).is_some_and(|o| o.press >= press));
         self.waiting.insert(at, id);
         self.invs.entry(id).and_modify(|inv| inv.press = press);
@@ -227,7 +223,7 @@
         match (row.3, harmless) {
             (Act::Keep, _) => return,
             (Act::Queue, _) => {
-                self.queue(now, id);
+                self.queue(id);
                 // A time-out at the client's own end leaves time for nothing but the answer.
                 let turn = if now >= end - BEFORE_END { Turn::GaveUp } else { Turn::NotRun };
                 return self.step(now, id, turn, out);
@@ -250,9 +246,7 @@
     fn settled(&mut self, now: f64, settled: Settled, out: &mut Vec<Output>) {
         const MISLED_NEW: f64 = 0.05; // Weight of an outcome in how often reports mislead: some twenty.
         let Settled { id, forward, outcome, took, ended, report } = settled;
-        if outcome == Outcome::Full && self.blind() {
-            self.charge(now, true, now);
-        }
+        self.charge(now, (outcome == Outcome::Full).then_some(true), now);
         let Some(inv) = self.invs.get_mut(&id) else { return };
         let Some(fwd) = inv.forwards.get_mut(forward).filter(|f| f.fate == Fate::Out) else { return };
         fwd.fate = if outcome.never_ran() { Fate::NotRun } else { Fate::MayHaveRun };
@@ -311,17 +305,16 @@
         const LATE: f64 = 0.5; // Of what it can wait: a start after that tells of too long a queue.
         let Some(inv) = self.invs.get_mut(&id) else { return };
         let Some(fwd) = inv.forwards.get_mut(forward).filter(|f| f.fate == Fate::Out) else { return };
-        let (late, sent) = (now - fwd.sent > LATE * inv.spare, fwd.sent);
-        let (t, wait, first) = (&mut self.tgts[fwd.tgt], now - fwd.sent, fwd.wait.is_none());
+        let (t, sent, wait, first) = (&mut self.tgts[fwd.tgt], fwd.sent, now - fwd.sent, fwd.wait.is_none());
+        let late = first.then_some(wait > LATE * inv.spare);
         if first {
             (t.running, t.kept) = (t.running + 1, wait < AT_ONCE);
             fwd.wait = Some(if self.set.tells_start { wait } else { 0.0 });
         }
         t.woke(now);
-        if first && self.blind() {
-            self.util += WAITED_NEW * (if wait >= AT_ONCE { 1.0 } else { 0.5 } - self.util);
-            self.charge(now, late, sent);
-        }
+        let waited = if wait >= AT_ONCE { 1.0 } else { 0.5 };
+        self.util += if first && !self.asks() { WAITED_NEW * (waited - self.util) } else { 0.0 };
+        self.charge(now, late, sent);
     }
 
     /// Guards against jobs that get lost while others run there: what can be sent again is taken back.
@@ -329,24 +322,20 @@
         let Some(inv) = self.invs.get(&id) else { return };
         let fwd = inv.forwards.get(forward).filter(|f| f.fate == Fate::Out && f.wait.is_none());
         let Some(tgt) = fwd.map(|f| f.tgt) else { return };
-        let more = self.set.cancelling && !self.fogged(now) && inv.forwards.len() < self.set.max_forwards;
+        let more = self.set.cancelling && now >= self.fog && inv.forwards.len() < self.set.max_forwards;
         let again = more && self.tgts.iter().any(|t| self.may_go(now, inv, t));
         out.extend(again.then_some(Output::Withdraw { id, forward }));
         self.tgts[tgt].failed(1.0, self.level, out);
     }
 
-    /// Guards against queues that nothing tells of: late starts raise what an invocation must press. What was sent
-    /// before the last raise says nothing of it.
-    fn charge(&mut self, now: f64, late: bool, sent: f64) {
+    /// Guards against queues that nothing tells of: late starts raise what is to be pressed, once a wait.
+    fn charge(&mut self, now: f64, late: Option<bool>, sent: f64) {
         const RAISE: f64 = 1.5; // From a half to one and a half of the usual press: hardly any, and most.
         const FALL: f64 = 0.95; // Twice as fast forgets an overload between two waits.
-        match late {
-            true if sent > self.raised => {
-                (self.price, self.raised) = ((self.price * RAISE).clamp(0.5, 1.5), now);
-            }
-            true => {}
-            false => self.price *= FALL,
+        if late == Some(true) && sent > self.raised && !self.asks() {
+            (self.price, self.raised) = ((self.price * RAISE).clamp(0.5, 1.5), now);
         }
+        self.price *= if late == Some(false) { FALL } else { 1.0 };
     }
 
     fn probed(&mut self, now: f64, tgt: Tgt, outcome: Outcome, report: Report, out: &mut Vec<Output>) {
@@ -373,8 +362,7 @@
         // Work queued beside free slots waits for memory, and all that is sent after waits too.
         (t.free, t.reported) = (if report.queue.unwrap_or(0.0) >= 0.5 { 0.0 } else { free }, now);
         t.foreign = report.memory.map_or(0.0, |spare| (t.slots - spare - t.memory).max(0.0));
-        t.weighed = now;
-        t.unseen = if now - t.last_sent < TOO_YOUNG { 1.0 } else { 0.0 };
+        (t.weighed, t.unseen) = (now, if now - t.last_sent < TOO_YOUNG { 1.0 } else { 0.0 });
         let util = report.util.or((t.slots > 0.0).then(|| 1.0 - free / t.slots));
         self.util += UTIL_NEW * (util.unwrap_or(self.util).clamp(0.0, 1.0) - self.util);
     }
@@ -397,7 +385,7 @@
             Some(_) if warmth < 1.0 => return (now - t.granted <= FREE_HOLDS).then_some(t.free - t.unseen),
             _ => {}
         }
-        if self.asks() && self.misled < MISLED && !self.fogged(now) {
+        if self.asks() && self.misled < MISLED && now >= self.fog {
             if t.asked > t.reported && now - t.asked <= FULL_HOLDS {
                 return (now - t.asked > PROMPT).then_some(0.0);
             }
@@ -408,28 +396,17 @@
         Some(PASS * self.held + 1.0 - t.held as f64)
     }
 
-    /// Guards against a way that is slow or breaks to all: reports come too late to go by, and what is taken back
-    /// fares as badly at the next.
-    fn fogged(&self, now: f64) -> bool {
-        now < self.fog
-    }
-
     /// The node that counts what all hold there, where they may tell.
     fn keeper(&self, t: &Executor) -> Option<usize> {
-        self.set.peers.then_some(t.entry.mark as usize % self.peer_heard.len())
-    }
-
-    /// Nothing tells of executors but how own forwards fare there.
-    fn blind(&self) -> bool {
-        !self.asks() && !self.set.peers
+        (self.set.peers && self.asks()).then_some(t.entry.mark as usize % self.peer_heard.len())
     }
 
+    /// Executors and nodes can be asked; if not, nothing tells of them but how own forwards fare there.
     fn asks(&self) -> bool {
         self.set.probing && self.set.reports != Reports::Never
     }
 
-    /// A cold executor takes its budget from nodes in turn. A turn spends less than half: a span may touch two,
-    /// and work is reckoned at the pace of the mean executor, which may be faster than a new one.
+    /// A cold executor takes its budget from nodes in turn, less than half in each: a span may touch two.
     fn cold_room(&self, now: f64, t: &Executor, load: f64) -> bool {
         let (cold, share) = (&self.set.cold, t.warmth(now, &self.set.cold));
         // Who counts for it tells of no more room than it has while cold: all nodes together stay below that.
@@ -462,7 +439,7 @@
     /// May go there, and it is trusted; if not, on the posterior's draw, with what could be sent again.
     fn able(&self, now: f64, inv: &Inv, t: &Executor) -> bool {
         let again = self.set.operations[inv.op].effect != Effect::NonIdempotent;
-        let trusted = !t.silent && (!t.doubtful || self.fogged(now));
+        let trusted = !t.silent && (!t.doubtful || now < self.fog);
         (trusted || (t.trial && again)) && self.may_go(now, inv, t)
     }
 
@@ -474,7 +451,7 @@
         let mut pool: Vec<Tgt> = self.rank[..many].iter().copied().filter(able).collect();
         // Guards against queues that nothing tells of: an executor that began at once is drawn again.
         let kept = |i: &Tgt| self.tgts[*i].kept && self.tgts[*i].held == 0;
-        if self.blind() && pool.iter().any(kept) {
+        if !self.asks() && pool.iter().any(kept) {
             pool.retain(kept);
         }
         let at = self.chance.pick(&sums(pool.iter().map(|&i| self.tgts[i].share)));
@@ -484,13 +461,13 @@
     /// Small enough to be gone through: in a large fleet all nodes would ask and meet at the largest shares.
     fn whole(&self) -> bool {
         const WHOLE: usize = 20; // Asking them all takes some ten rounds, more than there is time for.
-        !self.blind() && self.rank.len() <= WHOLE
+        self.asks() && self.rank.len() <= WHOLE
     }
 
-    /// Where to look: the drawn one, then down the shares, own zone first; in a large fleet two drawn ones. A key
-    /// that executors keep has draws of its own, the same at every node (weighted rendezvous hashing).
+    /// Where to look: the drawn one, then down the shares, own zone first; in a large fleet two drawn ones.
+    /// A key that executors keep has its own draws, the same at every node (weighted rendezvous hashing).
     fn order(&mut self, now: f64, id: InvId) -> Vec<Tgt> {
-        const SPILL: f64 = 0.2; // Of the wait, for one more of a key's order: a tenth fetches more, a third idles.
+        const SPILL: f64 = 0.2; // Of the wait, for one more of a key's order: a tenth fetches too much.
         const GAP: f64 = 0.005; // About a round trip at first, doubled each time
         const GAP_MOST: f64 = 0.16; // up to this: some six times in half a second.
         let (whole, inv) = (self.whole(), &self.invs[&id]);
@@ -499,8 +476,7 @@
             self.able(now, inv, t) && (whole || self.room(now, t).is_none_or(|room| room >= ONE))
         };
         if let Some(key) = inv.key {
-            let chance = |t: &Executor| unit(key ^ u64::from(t.entry.mark)).ln();
-            let lot = |t: &Executor| t.share / -chance(t);
+            let lot = |t: &Executor| -t.share / unit(key ^ u64::from(t.entry.mark)).ln();
             let may = self.rank.iter().copied().filter(|&i| self.able(now, inv, &self.tgts[i]));
             let mut order: Vec<Tgt> = may.collect();
             order.sort_by(|&a, &b| lot(&self.tgts[b]).total_cmp(&lot(&self.tgts[a])).then(a.cmp(&b)));
@@ -510,12 +486,6 @@
         }
         let mut sample: Vec<Tgt> = inv.sample.iter().copied().filter(open).collect();
         if sample.is_empty() && (whole || now >= inv.again) {
-            // Guards against a fleet that has grown cold and stands idle: a turn that comes is taken.
-            let mine = |i: &Tgt| {
-                let t = &self.tgts[*i];
-                t.warmth(now, &self.set.cold) < 1.0 && self.cold_room(now, t, inv.load)
-            };
-            sample.extend(self.rank.iter().copied().find(|i| !whole && mine(i) && open(i)));
             (0..if whole { 1 } else { 2 }).for_each(|_| sample.extend(self.draw(now, id)));
             sample.dedup();
             let inv = self.invs.entry(id).or_default();
@@ -610,8 +580,7 @@
     fn review(&mut self, now: f64, out: &mut Vec<Output>) {
         self.looking = false;
         for id in std::mem::take(&mut self.waiting) {
-            let inv = &self.invs[&id];
-            match now >= inv.until.min(inv.end - BEFORE_END) {
+            match now >= self.invs[&id].until.min(self.invs[&id].end - BEFORE_END) {
                 true => self.step(now, id, Turn::GaveUp, out),
                 false => self.waiting.push(id),
             }
@@ -670,15 +639,13 @@
         out.push(Output::Wake { after, timer: SOLVE });
     }
 
-    /// What the better quarter of the ready executors reach at least: a few bad ones lower it as little as a few
-    /// lucky ones raise it.
+    /// What the better quarter of the ready executors reach: neither a few bad nor a few lucky ones move it.
     fn level(&self) -> f64 {
-        const BETTER: usize = 4;
         let ready = self.tgts.iter().filter(|t| t.entry.standing == Standing::Ready);
         let mut means: Vec<f64> = ready.map(Executor::mean).collect();
         means.sort_by(|a, b| b.total_cmp(a));
         // Without failures it is near one, and what is said of few executors is said as before.
-        means.get(means.len() / BETTER).map_or(1.0, |mean| (mean / TRUSTED).min(1.0))
+        means.get(means.len() / 4).map_or(1.0, |mean| (mean / TRUSTED).min(1.0))
     }
 
     /// Rates from own latencies and reports, then COOP, then the order of the pass.
@@ -686,17 +653,14 @@
         const DRIFT: f64 = 0.98; // Of an executor's difference from the mean, each interval without outcomes.
         const TRIAL: f64 = 0.02; // Of the mean share, for a zero share: one in fifty keeps its figures alive.
         const UNSAMPLED: f64 = 3.0; // Some invocations' time: so long without an own outcome, it drifts.
-                                    // Where nothing tells of room, all zones share alike: a full own one would not show.
-        let dear = self.set.cross_zone_price > 0.0 && !self.blind();
+        let dear = self.set.cross_zone_price > 0.0 && self.asks(); // Blind, a full own zone would not show.
         let known: Vec<f64> = self.tgts.iter().map(|t| t.slots).filter(|slots| *slots > 0.0).collect();
         let usual = known.iter().sum::<f64>().max(1.0) / known.len().max(1) as f64;
         for t in &mut self.tgts {
             t.slow *= if now - t.sampled > UNSAMPLED { DRIFT } else { 1.0 };
-            if t.slots <= 0.0 {
-                t.slots = self.kinds[t.entry.kind].slots;
-            }
-            let slots = if t.slots > 0.0 { t.slots } else { usual };
             let kind = &self.kinds[t.entry.kind];
+            t.slots = if t.slots > 0.0 { t.slots } else { kind.slots };
+            let slots = if t.slots > 0.0 { t.slots } else { usual };
             let size = match self.set.sizes {
                 Sizes::Listed => t.entry.size,
                 Sizes::Live => kind.size,
@@ -704,16 +668,15 @@
             };
             (t.mu, t.beta) = (size * t.warmth(now, &self.set.cold) * (-t.slow).exp(), 0.0);
         }
-        let mut rank: Vec<Tgt> =
-            (0..self.tgts.len()).filter(|&i| self.tgts[i].entry.standing == Standing::Ready).collect();
+        let ready = |i: &Tgt| self.tgts[*i].entry.standing == Standing::Ready;
+        let mut rank: Vec<Tgt> = (0..self.tgts.len()).filter(ready).collect();
         // Scaled so that this node's arrivals load them as much as they report to be loaded.
         let sum: f64 = rank.iter().map(|&i| self.tgts[i].mu).sum();
         let scale = self.phi.max(1e-3) / self.util.clamp(0.05, 1.0) / sum.max(1e-9);
         rank.iter().for_each(|&i| self.tgts[i].mu *= scale);
         // Kinds are solved apart where an operation needs one, each with its part of phi.
         let apart = self.set.operations.iter().any(|op| op.kind.is_some());
-        let kinds = rank.iter().map(|&i| self.tgts[i].entry.kind + 1).max().filter(|_| apart);
-        for kind in 0..kinds.unwrap_or(1) {
+        for kind in 0..if apart { self.kinds.len() } else { 1 } {
             let one = |i: &Tgt| !apart || self.tgts[*i].entry.kind == kind;
             let members: Vec<Tgt> = rank.iter().copied().filter(one).collect();
             let mu: Vec<f64> = members.iter().map(|&i| self.tgts[i].mu).collect();
@@ -734,10 +697,9 @@
     /// Tells who counts for it what this node holds at an executor.
     fn tell(&mut self, tgt: Tgt, out: &mut Vec<Output>) {
         self.tgts[tgt].told = true;
-        let t = &self.tgts[tgt];
-        let (to, count) = (self.keeper(t), t.held.min(255) as u8);
-        let other = to.is_some_and(|to| to != self.set.me);
-        out.extend(other.then_some(Output::Tell { to, told: Told::Held, tgt, count }));
+        let (t, told) = (&self.tgts[tgt], Told::Held);
+        let (to, count) = (self.keeper(t).filter(|to| *to != self.set.me), t.held.min(255) as u8);
+        out.extend(to.map(|_| Output::Tell { to, told, tgt, count }));
     }
 
     fn peer(&mut self, now: f64, from: usize, told: Told, tgt: Tgt, count: u8, out: &mut Vec<Output>) {
@@ -752,8 +714,8 @@
                 if room >= Some(ONE) {
                     (t.promised, t.promises) = (now, t.promises(now) + 1.0);
                 }
-                let answer = |n: f64| Output::Tell { to: Some(from), told: Told::Room, tgt, count: n as u8 };
-                out.extend(room.map(answer));
+                let (to, told) = (Some(from), Told::Room);
+                out.extend(room.map(|n| Output::Tell { to, told, tgt, count: n as u8 }));
             }
         }
     }
--- a/src/types.rs
+++ b/src/types.rs
@@ -31,9 +31,8 @@
     /// Latency objective: this long plus `stretch` times the invocation's own running time.
     pub objective: f64,
     pub stretch: f64,
-    /// Billed value, and the part of it that an answer after the objective still earns.
+    /// Billed value.
     pub value: f64,
-    pub late_value: f64,
     /// The machine kind it needs, if any.
     pub kind: Option<usize>,
 }
@@ -83,11 +82,6 @@
     pub goal_whole: f64,
     pub goal_worst_operation: f64,
     pub cross_zone_price: f64,
-    /// CPU seconds an invocation may cost, infinite for no limit.
-    pub cpu_limit: f64,
-    /// Of a probe, and of a full message to one node.
-    pub probe_price: f64,
-    pub peer_price: f64,
     /// The list of executors comes only when asked for.
     pub must_ask: bool,
     pub cold: Cold,
@@ -276,16 +270,6 @@
 
 // What the decisions keep between inputs.
 
-/// Who counts what nodes hold at an executor.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub enum Counting {
-    #[default]
-    Never,
-    All,
-    /// One node for each executor.
-    Keepers,
-}
-
 /// Where an invocation stands. `Suspect`: nothing is out, but an earlier forward may have run.
 /// `Again`: out, and an earlier forward may have run or is out too.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -354,7 +338,6 @@
     pub memory: f64,
     pub key: Option<u64>,
     pub press: f64,
-    pub late: bool,
     pub sample: Vec<Tgt>,
     pub again: f64,
     pub gap: f64,
@@ -511,7 +494,6 @@
     pub(crate) tenants: Vec<Class>,
     pub(crate) kinds: Vec<Kind>,
     pub(crate) peer_heard: Vec<f64>,
-    pub(crate) counting: Counting,
     pub(crate) phi: f64,
     pub(crate) util: f64,
     /// What executors are held against when they are doubted, at most one.
