The node takes its shape from its settings: pushed lists, messages, sizes, keys; mixes are refused

Change: registryMode pushed takes lists by POST from discovery's host alone, peers are told by datagrams, a check at start refuses a mix by its key, a reload refuses another way to the list; the words between nodes stand in coveroute-shared for node and simulator alike.

--- a/crates/coveroute-drill/src/main.rs
+++ b/crates/coveroute-drill/src/main.rs
@@ -8,7 +8,7 @@
 use std::panic::{self, AssertUnwindSafe};
 
 use coveroute::types::{Entry, Input, List, Node, Outcome, Output, Settled, Standing, Submission, Tgt, Told};
-use coveroute_shared::{decode, mark, position, Listed, Names, Roster};
+use coveroute_shared::{decode, mark, message, position, words, Listed, Names, Roster};
 use wire::{Event, Line, Record};
 
 type Fault = String;
@@ -130,12 +130,7 @@
             Output::Tell { to, told, tgt, count } => {
                 let mark = mark(self.roster.id(*tgt));
                 let to = to.map_or("null".to_owned(), |to| to.to_string());
-                let sense = match told {
-                    Told::Held => 'h',
-                    Told::Asks => 'q',
-                    Told::Room => 'r',
-                };
-                let words = format!("{sense}{mark:06x}{count:02x}");
+                let words = words(*told, mark, *count);
                 writeln!(reply, r#"{{"what":"TELL","nodeId":{me},"dest":{to},"contents":"{words}"}}"#)
             }
             Output::Follow => writeln!(reply, r#"{{"what":"LISTEN","nodeId":{me},"on":true}}"#),
@@ -147,19 +142,6 @@
     }
 }
 
-/// Reads a message between nodes: a letter for its sense, six hex digits of an executor's mark, two of a
-/// count.
-fn message(text: &str) -> Option<(Told, u32, u8)> {
-    let told = match text.as_bytes().first()? {
-        b'h' => Told::Held,
-        b'q' => Told::Asks,
-        b'r' => Told::Room,
-        _ => return None,
-    };
-    let number = u32::from_str_radix(text.get(1..9)?, 16).ok()?;
-    Some((told, number >> 8, number as u8))
-}
-
 fn outcome(verdict: Option<&str>) -> Result<Outcome, Fault> {
     Ok(match verdict.ok_or("no verdict")? {
         "Ok" => Outcome::Succeeded,
--- a/crates/coveroute-emu/src/loopback.rs
+++ b/crates/coveroute-emu/src/loopback.rs
@@ -301,8 +301,11 @@
             world.node_began(node);
             world.listed(now, node, &Listing { full: false, ..known.clone() });
             let (zone, scenario) = (world.nodes[node].zone.clone(), &world.scenario);
+            let all = 0..scenario.nodes.count.0;
+            let peers: Vec<String> = all.map(|node| node_addr(self.block, node).to_string()).collect();
             let config = json!({
                 "name": format!("n{node}"),
+                "peers": scenario.platform.peers.then_some(peers),
                 "listen": node_addr(self.block, node).to_string(),
                 "discovery": list_addr(self.block, node).to_string(),
                 "seed": format!("{:x}", world.seed.wrapping_mul(7919).wrapping_add(node as u64) & 0xffff_ffff),
--- a/crates/coveroute-node/src/config.rs
+++ b/crates/coveroute-node/src/config.rs
@@ -1,9 +1,9 @@
 //! What the node is told at its start: the platform's variables and the configuration file.
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::time::Duration;
 
-use coveroute::types::Settings;
+use coveroute::types::{Reports, Settings};
 use coveroute_engine::Listing;
 use coveroute_shared::{decode, Names};
 use serde::Deserialize;
@@ -25,6 +25,8 @@
     #[serde(default)]
     limits: Limits,
     known: Option<Hosts>,
+    /// The addresses of all nodes, by their numbers, where they may tell each other.
+    peers: Option<Vec<SocketAddr>>,
     settings: Box<RawValue>,
 }
 
@@ -43,9 +45,19 @@
 
 /// What only a node on sockets reads of the settings, in milliseconds.
 #[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
 struct Sockets {
     limits: SocketLimits,
     categories: Vec<Category>,
+    registry_mode: String,
+    #[serde(default)]
+    weights: Option<String>,
+    report: Report,
+}
+
+#[derive(Deserialize)]
+struct Report {
+    source: String,
 }
 
 #[derive(Deserialize)]
@@ -68,6 +80,7 @@
     pub sockets: usize,
     pub memory_mb: usize,
     pub known: Option<Listing>,
+    pub peers: Option<Vec<SocketAddr>>,
     pub settings: Settings,
     pub names: Names,
     /// Executors close a connection that has stood idle for so long.
@@ -92,6 +105,11 @@
         Self::load(path, |text| Self::parse_again(text, told(LISTEN), told(DISCOVERY)))
     }
 
+    /// Whose lists are taken unasked.
+    pub fn pushed_by(&self) -> Option<IpAddr> {
+        (!self.settings.must_ask).then_some(self.discovery.ip())
+    }
+
     fn load(path: Option<PathBuf>, parse: impl Fn(&str) -> Result<Self, String>) -> Result<Self, String> {
         let path = path.or_else(|| std::env::var_os(PATH).map(PathBuf::from));
         let path = path.ok_or(format!("no configuration: name a file or set {PATH}"))?;
@@ -119,11 +137,10 @@
 impl File {
     fn config(self) -> Result<Config, String> {
         let file = self;
-        let (mut settings, names) = decode(&file.settings)?;
+        let (settings, names) = decode(&file.settings)?;
         let sockets: Sockets =
             serde_json::from_str(file.settings.get()).map_err(|e| format!("settings: {e}"))?;
-        // On sockets the list has to be watched everywhere, and no address of another node is told.
-        (settings.must_ask, settings.peers) = (true, false);
+        shape(&sockets, &settings, file.peers.as_deref())?;
         let seed = if file.seed.is_empty() { "0" } else { &file.seed };
         Ok(Config {
             listen: address("listen", file.listen)?,
@@ -132,6 +149,7 @@
             sockets: file.limits.sockets,
             memory_mb: file.limits.memory_mb,
             known: file.known.map(Listing::from),
+            peers: file.peers,
             settings,
             names,
             idle: seconds(sockets.limits.conn_idle / 1e3),
@@ -141,6 +159,47 @@
     }
 }
 
+/// Refuses what mixes shapes of deployment, or would leave a node without a word of its executors, by the key.
+fn shape(sockets: &Sockets, settings: &Settings, peers: Option<&[SocketAddr]>) -> Result<(), String> {
+    let one_of = |key, told: &str, words: &[&str]| match words.contains(&told) {
+        true => Ok(()),
+        false => Err(format!("settings.{key}: {told} is none of {}", words.join(", "))),
+    };
+    one_of("registryMode", &sockets.registry_mode, &["on_request", "pushed"])?;
+    one_of("report.source", &sockets.report.source, &["answers", "probe", "none"])?;
+    one_of("weights", sockets.weights.as_deref().unwrap_or("none"), &["none", "nominal", "rough", "live"])?;
+    let (told, nodes) = (settings.reports != Reports::Never, settings.nodes);
+    let mixed = [
+        (settings.me >= nodes, format!("settings.me: {} is not one of {nodes} nodes", settings.me)),
+        (
+            told && !settings.probing,
+            "settings.report.source: reports are gone by only where settings.limits.probing allows to ask"
+                .into(),
+        ),
+        (
+            !told && settings.probing,
+            "settings.limits.probing: with settings.report.source none there is nothing to ask for".into(),
+        ),
+        (
+            !told && !settings.tells_start,
+            "settings.familyInfo.tellsStart: without reports only starts tell of queues".into(),
+        ),
+        (
+            settings.peers && !settings.probing,
+            "settings.limits.peers: who counts must also ask executors, see settings.limits.probing".into(),
+        ),
+        (
+            settings.peers != peers.is_some(),
+            format!("peers: all nodes' addresses go with settings.limits.peers, which is {}", settings.peers),
+        ),
+        (
+            peers.is_some_and(|peers| peers.len() != nodes),
+            format!("peers: {} addresses for {nodes} nodes", peers.map_or(0, <[_]>::len)),
+        ),
+    ];
+    mixed.into_iter().find(|mixed| mixed.0).map_or(Ok(()), |mixed| Err(mixed.1))
+}
+
 fn address(what: &str, told: Option<String>) -> Result<SocketAddr, String> {
     let told = told.ok_or(format!("no address for {what}"))?;
     told.parse().map_err(|_| format!("{what}: {told} is not an address and a port"))
--- a/crates/coveroute-node/src/discovery.rs
+++ b/crates/coveroute-node/src/discovery.rs
@@ -22,7 +22,7 @@
 /// For a connection to come up, which on the platform's network takes milliseconds.
 const DIAL_WITHIN: Duration = Duration::from_secs(1);
 /// The longest line: a whole list of some thousands of executors.
-const LINE_MOST: usize = 2 * 1024 * 1024;
+pub const LINE_MOST: usize = 2 * 1024 * 1024;
 
 /// The watch on changes; one runs at a time.
 pub struct Discovery {
--- a/crates/coveroute-node/src/driver.rs
+++ b/crates/coveroute-node/src/driver.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use actix_rt::task::JoinHandle;
-use coveroute::types::{InvId, Outcome, Report, Reports, Tgt};
+use coveroute::types::{InvId, Outcome, Report, Reports, Tgt, Told};
 use coveroute_engine::{Action, Engine, Event, News, Phase, Reply, Setup, Watched};
 use log::{error, info};
 use tokio::sync::{mpsc, oneshot};
@@ -14,6 +14,7 @@
 use crate::config::Config;
 use crate::discovery::Discovery;
 use crate::executors::{give_up, probe, Links};
+use crate::peers::Peers;
 use crate::phase::Life;
 use crate::relay::Answer;
 use crate::send;
@@ -30,6 +31,13 @@
     News(News),
     Probed(Tgt, Outcome, Report),
     Watch(u64, Watched),
+    /// Another node's message.
+    Heard {
+        from: usize,
+        told: Told,
+        mark: u32,
+        count: u8,
+    },
     /// The operators ask for the configuration to be read anew: what it says, or why it is not fit.
     Reload(Result<Box<Config>, String>),
     /// The platform asks the node to stop.
@@ -55,14 +63,28 @@
     /// What sends a forward; stopped when it is given up before an answer, which closes the connection.
     sending: HashMap<(InvId, usize), JoinHandle<()>>,
     reports: bool,
+    /// Where nodes may tell each other.
+    peers: Option<Peers>,
     happenings: Happenings,
     /// Kept for the next event's actions.
     actions: Vec<Action>,
 }
 
 impl Driver {
-    pub fn new(config: Config, clock: Clock, life: Rc<Life>, links: Links, happenings: Happenings) -> Self {
-        let Config { settings, names, seed, timeouts, known, discovery, .. } = config;
+    pub fn new(
+        config: Config,
+        clock: Clock,
+        life: Rc<Life>,
+        links: Links,
+        happenings: Happenings,
+    ) -> Result<Self, String> {
+        life.take_lists_from(config.pushed_by());
+        let Config { settings, names, seed, timeouts, known, discovery, peers, .. } = config;
+        let listen = |addrs: Vec<SocketAddr>| {
+            let me = addrs[settings.me];
+            Peers::new(settings.me, addrs, happenings.clone()).map_err(|e| format!("peers: {me}: {e}"))
+        };
+        let peers = peers.map(listen).transpose()?;
         let reports = settings.reports != Reports::Never;
         let setup = Setup { settings, names, seed, timeouts, known };
         let mut actions = Vec::new();
@@ -75,11 +97,12 @@
             held: HashMap::new(),
             sending: HashMap::new(),
             reports,
+            peers,
             happenings,
             actions,
         };
         driver.carry_out();
-        driver
+        Ok(driver)
     }
 
     /// Runs until the node's life has ended.
@@ -112,7 +135,7 @@
         self.carry_out();
     }
 
-    fn happened(&mut self, happening: Happening) {
+    pub fn happened(&mut self, happening: Happening) {
         match happening {
             Happening::Taken(id, job, answer) => {
                 let job: Rc<Job> = job.into();
@@ -132,13 +155,26 @@
             Happening::News(news) => self.tell(Event::News(news)),
             Happening::Probed(tgt, outcome, report) => self.tell(Event::Probed(tgt, outcome, report)),
             Happening::Watch(watch, watched) => self.tell(Event::Watch(watch, watched)),
-            Happening::Reload(Ok(config)) => self.reload(config.discovery),
+            Happening::Heard { from, told, mark, count } => {
+                self.tell(Event::Heard { from, told, mark, count });
+            }
+            Happening::Reload(Ok(config)) => self.reload(&config),
             Happening::Reload(Err(words)) => error!("not reloaded, all stays as it is: {words}"),
             Happening::Stop => self.tell(Event::Stop),
         }
     }
 
-    fn reload(&mut self, discovery: SocketAddr) {
+    /// Another way to the list counts from the next start on: it would leave this one with two, or none.
+    fn reload(&mut self, config: &Config) {
+        let discovery = config.discovery;
+        match (self.life.lists_from(), config.pushed_by()) {
+            (None, None) => {}
+            (Some(_), Some(who)) => {
+                info!("takes the list from {who}");
+                return self.life.take_lists_from(Some(who));
+            }
+            _ => return error!("not reloaded: settings.registryMode counts from the next start on"),
+        }
         if self.engine.phase().is_up() || self.engine.phase() == Phase::Starting {
             info!("follows the list at {discovery}");
             self.discovery.move_to(discovery);
@@ -183,8 +219,9 @@
             Action::At(tgt, addr) => self.links.listed(tgt, addr),
             Action::Gone(tgt) => self.links.gone(tgt),
             Action::Follow { watch, version } => self.discovery.follow(watch, version),
-            // No node is told another's address.
-            Action::Tell { .. } => {}
+            Action::Tell { to, told, mark, count } => {
+                self.peers.iter().for_each(|peers| peers.tell(to, told, mark, count));
+            }
         }
         None
     }
--- a/crates/coveroute-node/src/main.rs
+++ b/crates/coveroute-node/src/main.rs
@@ -9,6 +9,7 @@
 mod guest;
 mod hosts;
 mod logger;
+mod peers;
 mod phase;
 mod relay;
 mod send;
@@ -118,7 +119,7 @@
     let links = Links::new(executors, config.dial, config.idle);
     let door =
         Rc::new(Door::new(clock, life.clone(), happenings.clone(), clients, config.settings.max_pause));
-    let driver = Driver::new(config, clock, life, links, happenings);
+    let driver = Driver::new(config, clock, life, links, happenings)?;
     actix_rt::spawn(server::accept(listener, door.clone()));
     actix_rt::spawn(server::sweep(door));
     driver.run(happens).await;
--- /dev/null
+++ b/crates/coveroute-node/src/peers.rs
@@ -0,0 +1,61 @@
+//! Short messages between nodes, one datagram each from listening address to listening address: they may be lost,
+//! and nobody waits for them. What comes from another address than a node's is passed over.
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use coveroute::types::Told;
+use coveroute_shared::{message, words};
+use log::debug;
+use tokio::net::UdpSocket;
+
+use crate::driver::{Happening, Happenings};
+
+pub struct Peers {
+    /// For what is told; it never blocks. What is heard comes by a task.
+    socket: std::net::UdpSocket,
+    /// Of all nodes, by their numbers.
+    addrs: Rc<[SocketAddr]>,
+    me: usize,
+}
+
+impl Peers {
+    /// Listens from now on, in a task of its own.
+    pub fn new(me: usize, addrs: Vec<SocketAddr>, happenings: Happenings) -> io::Result<Self> {
+        let socket = std::net::UdpSocket::bind(addrs[me])?;
+        socket.set_nonblocking(true)?;
+        let (ear, addrs) = (UdpSocket::from_std(socket.try_clone()?)?, Rc::from(addrs));
+        actix_rt::spawn(hear(ear, Rc::clone(&addrs), happenings));
+        Ok(Peers { socket, addrs, me })
+    }
+
+    /// To one node, or to all others.
+    pub fn tell(&self, to: Option<usize>, told: Told, mark: u32, count: u8) {
+        let words = words(told, mark, count);
+        let whom = |at: &usize| *at != self.me && to.is_none_or(|to| to == *at);
+        for at in (0..self.addrs.len()).filter(whom) {
+            if let Err(e) = self.socket.send_to(words.as_bytes(), self.addrs[at]) {
+                debug!("not told to node {at}: {e}");
+            }
+        }
+    }
+}
+
+async fn hear(socket: UdpSocket, addrs: Rc<[SocketAddr]>, happenings: Happenings) {
+    const MOST: usize = 256; // The longest message that deployments allow.
+    let mut buffer = [0; MOST];
+    loop {
+        // An error here is of an earlier message that did not arrive: it may be lost.
+        let Ok((many, whose)) = socket.recv_from(&mut buffer).await else { continue };
+        let from = addrs.iter().position(|addr| *addr == whose);
+        let read = std::str::from_utf8(&buffer[..many]).ok().and_then(message);
+        match from.zip(read) {
+            Some((from, (told, mark, count))) => {
+                if happenings.send(Happening::Heard { from, told, mark, count }).is_err() {
+                    return;
+                }
+            }
+            None => debug!("a message from {whose} is none of ours"),
+        }
+    }
+}
--- a/crates/coveroute-node/src/phase.rs
+++ b/crates/coveroute-node/src/phase.rs
@@ -1,5 +1,6 @@
 //! What all units read of the node: its phase, which the driver moves on with the engine, and what is in hand.
 use std::cell::Cell;
+use std::net::IpAddr;
 use std::rc::Rc;
 
 use coveroute_engine::Phase;
@@ -8,6 +9,8 @@
 pub struct Life {
     phase: Cell<Phase>,
     held: Cell<usize>,
+    /// Whose lists of executors are taken unasked, if anybody's.
+    lists_from: Cell<Option<IpAddr>>,
 }
 
 /// A request in hand, from its head to its answer.
@@ -21,7 +24,15 @@
 
 impl Life {
     pub fn new() -> Self {
-        Life { phase: Cell::new(Phase::Starting), held: Cell::new(0) }
+        Life { phase: Cell::new(Phase::Starting), held: Cell::new(0), lists_from: Cell::new(None) }
+    }
+
+    pub fn lists_from(&self) -> Option<IpAddr> {
+        self.lists_from.get()
+    }
+
+    pub fn take_lists_from(&self, who: Option<IpAddr>) {
+        self.lists_from.set(who);
     }
 
     pub fn phase(&self) -> Phase {
--- a/crates/coveroute-node/src/server.rs
+++ b/crates/coveroute-node/src/server.rs
@@ -11,16 +11,17 @@
 use actix_rt::time::{sleep, timeout};
 use actix_service::{fn_service, Service, ServiceFactory};
 use coveroute::types::InvId;
-use coveroute_engine::Phase;
+use coveroute_engine::{Phase, Watched};
 use log::{debug, warn};
 use tokio::sync::{oneshot, Notify};
 
 use crate::clock::Clock;
 use crate::driver::{Happening, Happenings};
 use crate::guest::{Claim, Doing, Guest, Stream};
+use crate::hosts::Hosts;
 use crate::phase::Life;
 use crate::relay::Answer;
-use crate::{callbacks, take_in, wire};
+use crate::{callbacks, discovery, take_in, wire};
 
 /// A connection that stands idle is closed then, whether or not others want its place.
 const IDLE_MOST: Duration = Duration::from_secs(120);
@@ -124,6 +125,7 @@
                     .map_or_else(|unfit| unfit, |body| self.news(&body))
             }
             (wire::NEWS, _) => Answer::Unfit(StatusCode::METHOD_NOT_ALLOWED, "news come by POST"),
+            (wire::HOSTS, _) => self.pushed(request).await,
             _ => match take_in::job(request, came).await {
                 Ok(job) => {
                     guest.iter().for_each(|guest| guest.waits());
@@ -135,6 +137,33 @@
         (answer, Next::Asks)
     }
 
+    /// A list that comes unasked. Guards against clients that push one: it is taken from discovery's host alone.
+    async fn pushed(&self, mut request: Request) -> Answer {
+        let unfit = |words| Answer::Unfit(StatusCode::BAD_REQUEST, words);
+        let peer = request.peer_addr().map(|peer| peer.ip());
+        if peer.is_none() || peer != self.life.lists_from() {
+            return Answer::Unfit(StatusCode::FORBIDDEN, "the list is not taken from there");
+        }
+        if request.method() != Method::POST {
+            return Answer::Unfit(StatusCode::METHOD_NOT_ALLOWED, "lists come by POST");
+        }
+        let payload = request.take_payload();
+        match take_in::bounded(payload, &request.head().headers, discovery::LINE_MOST).await {
+            Err(answer) => answer,
+            Ok(body) => match serde_json::from_slice::<Hosts>(&body) {
+                Ok(hosts) => {
+                    let listed = Watched::Listed(hosts.into());
+                    let _ = self.happenings.send(Happening::Watch(0, listed));
+                    Answer::Succeeded("".into())
+                }
+                Err(e) => {
+                    warn!("a list that can't be read: {e}");
+                    unfit("can't be read")
+                }
+            },
+        }
+    }
+
     fn news(&self, body: &[u8]) -> Answer {
         match callbacks::parse(body) {
             Ok(news) => {
--- a/crates/coveroute-node/src/take_in.rs
+++ b/crates/coveroute-node/src/take_in.rs
@@ -73,17 +73,22 @@
 
 /// Reads a body up to the most that one may hold; none of one that says to hold more. How long it may take is
 /// seen to at the door.
-pub async fn body(mut payload: Payload, headers: &HeaderMap) -> Result<Bytes, Answer> {
+pub async fn body(payload: Payload, headers: &HeaderMap) -> Result<Bytes, Answer> {
+    bounded(payload, headers, wire::BODY_MOST).await
+}
+
+/// The same up to another bound.
+pub async fn bounded(mut payload: Payload, headers: &HeaderMap, most: usize) -> Result<Bytes, Answer> {
     let too_large = || Err(Answer::Unfit(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
     let told =
         headers.get(CONTENT_LENGTH).and_then(|length| length.to_str().ok()?.trim().parse::<usize>().ok());
-    if told > Some(wire::BODY_MOST) {
+    if told > Some(most) {
         return too_large();
     }
     let mut body = BytesMut::with_capacity(told.unwrap_or(0));
     while let Some(chunk) = payload.next().await {
         let chunk = chunk.map_err(|_| Answer::Unfit(StatusCode::BAD_REQUEST, "the body broke off"))?;
-        if body.len() + chunk.len() > wire::BODY_MOST {
+        if body.len() + chunk.len() > most {
             return too_large();
         }
         body.extend_from_slice(&chunk);
--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -10,7 +10,7 @@
 use actix_http::test::TestRequest;
 use actix_http::{Method, Payload, StatusCode};
 use actix_rt::time::timeout;
-use coveroute::types::{Outcome, Report, Standing};
+use coveroute::types::{Outcome, Report, Sizes, Standing, Told};
 use coveroute_engine::{Call, Listing, Phase, Reply, Word};
 use test_case::test_case;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
@@ -24,6 +24,7 @@
 use crate::guest::{Claim, Doing, Guest};
 use crate::hosts::Hosts;
 use crate::logger::{Pace, Turn};
+use crate::peers::Peers;
 use crate::phase::Life;
 use crate::relay::Answer;
 use crate::send;
@@ -96,7 +97,7 @@
     let (config, clock, life) = (config(&entries.join(",")), Clock::new(), Rc::new(Life::new()));
     let (events, happens) = unbounded_channel();
     let links = Links::new(64, config.dial, config.idle);
-    (Driver::new(config, clock, life.clone(), links, events), happens, life)
+    (Driver::new(config, clock, life.clone(), links, events).expect("a driver"), happens, life)
 }
 
 fn links(addr: SocketAddr) -> Links {
@@ -515,3 +516,135 @@
     assert_eq!(ports(CONFIG), Ok((1, 8500)));
     assert_eq!(ports(&CONFIG.replace("\"discovery\"", "\"elsewhere\"")), Ok((1, 2)));
 }
+
+/// The example's configuration with one text in place of another.
+fn other(pairs: &[(&str, &str)]) -> String {
+    pairs.iter().fold(CONFIG.to_owned(), |text, (old, new)| {
+        assert!(text.contains(old), "{old}");
+        text.replace(old, new)
+    })
+}
+
+const PUSHED: (&str, &str) = ("\"registryMode\": \"on_request\"", "\"registryMode\": \"pushed\"");
+const BLIND: [(&str, &str); 3] = [
+    ("\"source\": \"answers\"", "\"source\": \"none\""),
+    ("\"probing\": true,", "\"probing\": false,"),
+    (
+        "\"report\":",
+        "\"weights\": \"nominal\", \"familyInfo\": {\"tellsStart\": true, \"progress\": 1000}, \"report\":",
+    ),
+];
+const TELLS: (&str, &str) = ("\"probing\": true,", "\"probing\": true, \"peers\": true,");
+const ALL: (&str, &str) = ("\"seed\":", "\"peers\": [\"127.0.0.1:9000\"], \"seed\":");
+
+#[test_case(&[("on_request", "sometimes")], "settings.registryMode: sometimes"; "no such way to the list")]
+#[test_case(&[("\"source\": \"answers\"", "\"source\": \"rumours\"")], "settings.report.source: rumours"; "no such reports")]
+#[test_case(&[("\"report\":", "\"weights\": \"heavy\", \"report\":")], "settings.weights: heavy"; "no such weights")]
+#[test_case(&BLIND[..1], "settings.limits.probing"; "probes where nothing reports")]
+#[test_case(&BLIND[1..2], "settings.report.source"; "reports that can't be asked for")]
+#[test_case(&BLIND[..2], "settings.familyInfo.tellsStart"; "neither reports nor starts")]
+#[test_case(&[BLIND[0], BLIND[1], BLIND[2], ("\"cancelling\"", "\"peers\": true, \"cancelling\"")], "settings.limits.peers"; "who counts can't ask")]
+#[test_case(&[TELLS], "peers: all nodes' addresses"; "messages to nobody")]
+#[test_case(&[ALL], "peers: all nodes' addresses"; "addresses for no messages")]
+#[test_case(&[TELLS, ("\"seed\":", "\"peers\": [], \"seed\":")], "peers: 0 addresses for 1 nodes"; "not all addresses")]
+#[test_case(&[("\"me\": 0", "\"me\": 3")], "settings.me: 3"; "not one of the nodes")]
+fn a_mix_of_shapes_is_refused_by_its_key(pairs: &[(&str, &str)], words: &str) {
+    let told = Config::parse(&other(pairs), None, None).expect_err("a mix");
+    assert!(told.starts_with(words) && !told.contains('\n'), "{told}");
+}
+
+#[test_case(&[], (true, false, true, Sizes::Never); "the list asked for, reports and probes")]
+#[test_case(&[PUSHED, BLIND[0], BLIND[1], BLIND[2]], (false, false, false, Sizes::Listed); "pushed, blind")]
+#[test_case(&[PUSHED, TELLS, ALL], (false, true, true, Sizes::Never); "pushed, nodes that tell")]
+fn one_build_serves_each_shape(pairs: &[(&str, &str)], expected: (bool, bool, bool, Sizes)) {
+    let config = Config::parse(&other(pairs), None, None).expect("fit");
+    let set = &config.settings;
+    assert_eq!((set.must_ask, set.peers, set.probing, set.sizes), expected);
+    assert_eq!(config.pushed_by().is_some(), !set.must_ask);
+}
+
+const PUSH: &str = "{\"version\":1,\"full\":true,\"servers\":[{\"id\":\"s\",\"addr\":\"127.0.0.1:1\",\"state\":\"up\",\"weight\":3.5}]}";
+
+/// A node to which the list is to be pushed by `discovery`: how it answers a list, whether it serves then.
+fn pushed(discovery: &str, method: &'static str, list: &'static str) -> (String, bool) {
+    let text = other(&[PUSHED, ("127.0.0.1:8500", discovery)]);
+    block(async move {
+        let (config, clock, life) =
+            (Config::parse(&text, None, None).expect("fit"), Clock::new(), Rc::new(Life::new()));
+        let (happenings, mut happens) = unbounded_channel();
+        let links = Links::new(64, config.dial, config.idle);
+        let door = Rc::new(Door::new(clock, life.clone(), happenings.clone(), (2, 1), 2.0));
+        let mut driver = Driver::new(config, clock, life.clone(), links, happenings).expect("a driver");
+        let listener = actix_rt::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        actix_rt::spawn(server::accept(listener, door));
+        let request = format!(
+            "{method} /discovery/hosts HTTP/1.1\r\nHost: n\r\nContent-Length: {}\r\n\r\n{list}",
+            list.len()
+        );
+        let answer = actix_rt::task::spawn_blocking(move || ask(addr, &request)).await.expect("an answer");
+        std::iter::from_fn(|| happens.try_recv().ok()).for_each(|what| driver.happened(what));
+        (answer, life.phase() == Phase::Serving)
+    })
+}
+
+#[test_case("127.0.0.1:1", "POST", PUSH, "200", true; "taken from discovery's host")]
+#[test_case("127.0.0.9:1", "POST", PUSH, "403", false; "from nobody else")]
+#[test_case("127.0.0.1:1", "GET", PUSH, "405", false; "it comes by POST")]
+#[test_case("127.0.0.1:1", "POST", "{\"version\":", "400", false; "and whole")]
+fn a_list_comes_unasked(
+    discovery: &str,
+    method: &'static str,
+    list: &'static str,
+    status: &str,
+    serves: bool,
+) {
+    let (answer, serving) = pushed(discovery, method, list);
+    assert!(answer.starts_with(&format!("HTTP/1.1 {status}")) && serving == serves, "{answer}");
+}
+
+#[test]
+fn where_the_list_is_asked_for_none_is_taken_unasked() {
+    let life = Life::new();
+    let config = Config::parse(CONFIG, None, None).expect("fit");
+    life.take_lists_from(config.pushed_by());
+    assert_eq!(life.lists_from(), None);
+}
+
+#[test]
+fn sizes_keys_and_repeats_are_read() {
+    let hosts: Hosts = serde_json::from_str(PUSH).expect("a list");
+    assert_eq!(Listing::from(hosts).hosts[0].size, 3.5);
+    let told = |extra: &[(&'static str, &'static str)]| {
+        let headers = [&[ID, BUDGET], extra].concat();
+        let job = block(take_in::job(request(&headers, b""), 0.0)).expect("fit");
+        (job.call.key, job.call.again)
+    };
+    let [one, same, another] =
+        ["track-7", "track-7", "track-8"].map(|key| told(&[("x-route-hash", key), ("x-again", "1")]));
+    assert!(one == same && one.0 != another.0 && one.1);
+    assert_eq!(told(&[]), (None, false));
+}
+
+#[test]
+fn nodes_tell_each_other_and_nobody_else() {
+    block(async {
+        // Ports that are free now: another process may still take one, and the test then says so.
+        let sockets: Vec<_> =
+            (0..3).map(|_| std::net::UdpSocket::bind("127.0.0.1:0").expect("a port")).collect();
+        let addrs: Vec<SocketAddr> = sockets.iter().map(|s| s.local_addr().expect("an address")).collect();
+        drop(sockets);
+        let nodes = addrs[..2].to_vec();
+        let ((happenings, mut happens), other) = (unbounded_channel(), unbounded_channel().0);
+        let first = Peers::new(0, nodes.clone(), happenings).expect("a port");
+        let second = Peers::new(1, nodes, other).expect("a port");
+        let stranger = std::net::UdpSocket::bind(addrs[2]).expect("a port");
+        stranger.send_to(b"h00000109", addrs[0]).expect("sent");
+        second.tell(None, Told::Held, 0xab, 4);
+        second.tell(Some(1), Told::Held, 0xab, 5);
+        let heard = timeout(seconds(9.0), happens.recv()).await.expect("in time");
+        assert!(matches!(heard, Some(Happening::Heard { from: 1, told: Told::Held, mark: 0xab, count: 4 })));
+        assert!(timeout(seconds(0.1), happens.recv()).await.is_err(), "not of a stranger, nor to oneself");
+        drop(first);
+    });
+}
--- a/crates/coveroute-shared/src/lib.rs
+++ b/crates/coveroute-shared/src/lib.rs
@@ -2,9 +2,11 @@
 //! the list of executors, and load reports. No I/O, no decision.
 mod roster;
 mod settings;
+mod words;
 
 pub use roster::{mark, Listed, Roster};
 pub use settings::{decode, Names};
+pub use words::{message, words};
 
 use coveroute::types::Report;
 use serde::Deserialize;
