--- a/src/policy.rs
+++ b/src/policy.rs
@@ -471,18 +471,19 @@
         const GAP: f64 = 0.005; // About a round trip at first, doubled each time
         const GAP_MOST: f64 = 0.16; // up to this: some six times in half a second.
         let (whole, inv) = (self.whole(), &self.invs[&id]);
-        let open = |i: &Tgt| {
-            let t = &self.tgts[*i];
-            self.able(now, inv, t) && (whole || self.room(now, t).is_none_or(|room| room >= ONE))
-        };
+        let full = |i: &Tgt| self.room(now, &self.tgts[*i]).is_some_and(|room| room < ONE);
+        let open = |i: &Tgt| self.able(now, inv, &self.tgts[*i]) && (whole || !full(i));
         if let Some(key) = inv.key {
-            let lot = |t: &Executor| -t.share / unit(key ^ u64::from(t.entry.mark)).ln();
-            let may = self.rank.iter().copied().filter(|&i| self.able(now, inv, &self.tgts[i]));
-            let mut order: Vec<Tgt> = may.collect();
-            order.sort_by(|&a, &b| lot(&self.tgts[b]).total_cmp(&lot(&self.tgts[a])).then(a.cmp(&b)));
-            let waited = (now - inv.aim + inv.spare) / inv.spare;
-            order.truncate(1 + (waited / SPILL).max(0.0) as usize);
-            return order;
+            let lot = |i: &Tgt| -self.tgts[*i].share / unit(key ^ u64::from(self.tgts[*i].entry.mark)).ln();
+            if inv.sample.is_empty() {
+                let mut order = self.rank.clone();
+                order.sort_by_cached_key(|i| std::cmp::Reverse(lot(i).to_bits()));
+                self.invs.entry(id).and_modify(|inv| inv.sample = order);
+            }
+            let inv = &self.invs[&id];
+            let many = 1 + ((now - inv.aim + inv.spare) / (SPILL * inv.spare)).max(0.0) as usize;
+            let able = |i: &Tgt| self.able(now, inv, &self.tgts[*i]);
+            return inv.sample.iter().copied().filter(able).take(many).collect();
         }
         let mut sample: Vec<Tgt> = inv.sample.iter().copied().filter(open).collect();
         if sample.is_empty() && (whole || now >= inv.again) {
