--- a/src/policy.rs
+++ b/src/policy.rs
@@ -88,9 +88,7 @@
     }
 
     pub fn handle(&mut self, now: f64, input: Input, out: &mut Vec<Output>) {
-        if now > self.turns[1] {
-            self.turns = [self.turns[1], now];
-        }
+        self.turns = if now > self.turns[1] { [self.turns[1], now] } else { self.turns };
         match input {
             Input::List(list) => self.list(now, list, out),
             Input::Submitted(sub) => self.submitted(now, sub, out),
@@ -164,11 +162,9 @@
         let stall = if self.set.marks_again && !sub.again { now - self.turns[0] } else { f64::INFINITY };
         let aim = now + spare - (class.longest - sub.timeout).min(stall);
         let tenant = sub.tenant.filter(|&tenant| tenant < self.tenants.len());
-        let in_share = tenant.map_or(1.0, |tenant| {
-            self.tenants[tenant].arrived += 1.0;
-            let quota = self.set.quotas[tenant] / self.set.nodes as f64;
-            (quota / self.tenants[tenant].rate.max(1e-3)).min(1.0)
-        });
+        tenant.iter().for_each(|&tenant| self.tenants[tenant].arrived += 1.0);
+        let quota = |t: usize| self.set.quotas[t] / self.set.nodes as f64 / self.tenants[t].rate.max(1e-3);
+        let in_share = tenant.map_or(1.0, quota).min(1.0);
         let worth = in_share + (1.0 - in_share) * self.set.over_share_value;
         // A crossing waits for the part of its spare time that it would cost of the value it serves.
         let dear = self.set.cross_zone_price * self.value / self.value(sub.operation, load).max(1e-6);
@@ -302,7 +298,6 @@
 
     fn alive(&mut self, now: f64, id: InvId, forward: usize) {
         const WAITED_NEW: f64 = 0.05; // Weight of a start in a utilisation that is not reported: some twenty.
-        const LATE: f64 = 0.5; // Of what it can wait: a start after that tells of too long a queue.
         let Some(inv) = self.invs.get_mut(&id) else { return };
         let Some(fwd) = inv.forwards.get_mut(forward).filter(|f| f.fate == Fate::Out) else { return };
         let (t, sent, wait, first) = (&mut self.tgts[fwd.tgt], fwd.sent, now - fwd.sent, fwd.wait.is_none());
@@ -340,11 +335,11 @@
 
     fn probed(&mut self, now: f64, tgt: Tgt, outcome: Outcome, report: Report, out: &mut Vec<Output>) {
         let Some(t) = self.tgts.get_mut(tgt) else { return };
-        match outcome {
-            Outcome::Succeeded => return self.report(now, tgt, report),
-            Outcome::Full => {}
-            _ => t.failed(0.5, self.level, out), // Half: a probe may be late for small reasons.
+        if outcome == Outcome::Succeeded {
+            return self.report(now, tgt, report);
         }
+        // Half: a probe may be late for small reasons.
+        t.failed(if outcome == Outcome::Full { 0.0 } else { 0.5 }, self.level, out);
         (t.refused, t.refusals) = (now, t.refusals.max(1));
     }
 
@@ -590,8 +585,7 @@
 
     fn tick(&mut self, now: f64, out: &mut Vec<Output>) {
         const FORGET: f64 = 8.2; // Seconds in which remembered failures fade to a third: half after six.
-        const SOLVE_COST: f64 = 2e-7; // Seconds an executor, tenfold: a tenth of what an invocation may cost.
-        const CPU_USUAL: f64 = 4e-5; // Seconds an invocation.
+        const SOLVE_COST: f64 = 5e-3; // Tenfold, an executor, in invocations: solves take a tenth of the CPU.
         const SOLVE_LATEST: f64 = 5.0; // Before what is known is far out of date.
         const PEER_SILENT: f64 = 6.0; // A peer not heard for longer than from solve to solve holds nothing.
         const TRY_AT: f64 = 0.7; // A doubtful one is tried when the draw is near what trusted ones reach.
@@ -610,6 +604,11 @@
         let work = self.classes.iter().map(|c| c.rate * c.pace.map_or(1.0, f64::exp)).sum::<f64>();
         self.usual = self.set.goal_whole / work.max(1e-6);
         self.price *= (-passed / FORGET).exp();
+        let late =
+            |f: &&Fwd, inv: &Inv| f.fate == Fate::Out && f.wait.is_none() && now - f.sent > LATE * inv.spare;
+        let queued = self.invs.values().filter_map(|inv| inv.forwards.last().filter(|f| late(f, inv)));
+        let sent = queued.map(|f| f.sent).fold(0.0, f64::max);
+        self.charge(now, (self.set.tells_start && sent > 0.0).then_some(true), sent);
         // Silent: no sign for one and a half intervals, longer where starts are told and none was (queued).
         let limit = if self.set.progress > 0.0 { 1.5 * self.set.progress + 0.2 } else { 5.0 };
         for t in &mut self.tgts {
@@ -635,7 +634,7 @@
             }
         }
         // A node with few invocations solves a large fleet less often: CPU counts by the invocation.
-        let cost = SOLVE_COST * self.rank.len() as f64 / CPU_USUAL;
+        let cost = SOLVE_COST * self.rank.len() as f64;
         let after = (cost / self.phi.max(0.5)).clamp(SOLVE_EVERY, SOLVE_LATEST);
         out.push(Output::Wake { after, timer: SOLVE });
     }
@@ -722,6 +721,7 @@
     }
 }
 
+const LATE: f64 = 0.5; // Of what it can wait: without a start until then the queue is too long.
 const AT_ONCE: f64 = 0.05; // A forward's way, a new connection and some batches: it waited for nothing.
 const ONE: f64 = 0.9; // One free slot, allowing for noise in reports.
 const PROMPT: f64 = 0.06; // A question's way there and back, and some batches: no answer means no room.
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -741,3 +741,16 @@
     node.handle(4.1, Input::Timer(LOOK), &mut out);
     assert_eq!(sent(&out), 2);
 }
+
+#[test]
+fn what_has_not_started_in_time_raises_the_price_before_it_starts() {
+    // Guards against queues of several seconds: by the time that starts tell of them, prices have faded again.
+    let mut node = blind(Effect::Idempotent, 3);
+    add(&mut node, Life::Out, &[Fate::Out]);
+    node.invs.entry(ID).and_modify(|inv| inv.spare = 0.4);
+    let prices = [1.1, 1.3, 1.5].map(|now| {
+        node.tick(now, &mut Vec::new());
+        node.price
+    });
+    assert!(prices[0] == 0.0 && prices[1] == 0.5 && prices[2] < 0.5, "{prices:?}");
+}
