--- a/src/policy.rs
+++ b/src/policy.rs
@@ -301,14 +301,14 @@
         let Some(inv) = self.invs.get_mut(&id) else { return };
         let Some(fwd) = inv.forwards.get_mut(forward).filter(|f| f.fate == Fate::Out) else { return };
         let (t, sent, wait, first) = (&mut self.tgts[fwd.tgt], fwd.sent, now - fwd.sent, fwd.wait.is_none());
-        let late = first.then_some(wait > LATE * inv.spare);
+        let late = (first && self.set.tells_start).then_some(wait > LATE * inv.spare);
         if first {
             (t.running, t.kept) = (t.running + 1, wait < AT_ONCE);
             fwd.wait = Some(if self.set.tells_start { wait } else { 0.0 });
         }
         t.woke(now);
         let waited = if wait >= AT_ONCE { 1.0 } else { 0.5 };
-        self.util += if first && !self.asks() { WAITED_NEW * (waited - self.util) } else { 0.0 };
+        self.util += if late.is_some() && !self.asks() { WAITED_NEW * (waited - self.util) } else { 0.0 };
         self.charge(now, late, sent);
     }
 
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -754,3 +754,13 @@
     });
     assert!(prices[0] == 0.0 && prices[1] == 0.5 && prices[2] < 0.5, "{prices:?}");
 }
+
+#[test]
+fn a_first_progress_note_is_no_late_start() {
+    // Guards against a price on taking where starts are not told: progress comes a second after the start at best.
+    let mut node = blind(Effect::Idempotent, 3);
+    node.set.tells_start = false;
+    add(&mut node, Life::Out, &[Fate::Out]);
+    node.alive(3.0, ID, 0);
+    assert_eq!((node.price, node.util, node.invs[&ID].forwards[0].wait), (0.0, 0.5, Some(0.0)));
+}
