Review: only what is out is charged, messages go to one node, bodies are read in one place

Found by reading the whole change. A full answer raised the price before it was checked that the forward is out (late or double ends; test added). The emulator forced settings that decode now gives. New tests: a pause with what is given up, reload across shapes, a list that is pushed where it is asked for.

--- a/crates/coveroute-drill/src/main.rs
+++ b/crates/coveroute-drill/src/main.rs
@@ -129,7 +129,6 @@
             }
             Output::Tell { to, told, tgt, count } => {
                 let mark = mark(self.roster.id(*tgt));
-                let to = to.map_or("null".to_owned(), |to| to.to_string());
                 let words = words(*told, mark, *count);
                 writeln!(reply, r#"{{"what":"TELL","nodeId":{me},"dest":{to},"contents":"{words}"}}"#)
             }
--- a/crates/coveroute-emu/src/settings.rs
+++ b/crates/coveroute-emu/src/settings.rs
@@ -99,8 +99,7 @@
 ) -> Result<Setup, String> {
     let text = settings(scenario, node, zone).to_string();
     let raw: Box<RawValue> = serde_json::from_str(&text).map_err(|e| e.to_string())?;
-    let (mut settings, names) = decode(&raw)?;
-    (settings.must_ask, settings.peers) = (true, scenario.platform.peers);
+    let (settings, names) = decode(&raw)?;
     let timeouts = scenario.operations.iter().map(|op| op.timeout.0).collect();
     Ok(Setup { settings, names, seed, timeouts, known: Some(known) })
 }
--- a/crates/coveroute-emu/src/virtual_time.rs
+++ b/crates/coveroute-emu/src/virtual_time.rs
@@ -706,9 +706,7 @@
             }
             Action::Follow { watch, version } => self.put(now + latency, node, Ev::Follow { watch, version }),
             Action::Tell { to, told, mark, count } => {
-                let all = self.hosts.len();
-                let nodes: Vec<NodeId> = to.map_or_else(|| (0..all).collect(), |to| vec![to]);
-                for to in nodes.into_iter().filter(|&to| to != node && to < all) {
+                if to != node && to < self.hosts.len() {
                     self.put(now + latency, to, Ev::Heard { from: node, told, mark, count });
                 }
             }
--- a/crates/coveroute-engine/src/engine.rs
+++ b/crates/coveroute-engine/src/engine.rs
@@ -164,9 +164,9 @@
         watch: u64,
         version: u64,
     },
-    /// Tell one node, or all others, of the executor with this mark.
+    /// Tell another node of the executor with this mark.
     Tell {
-        to: Option<usize>,
+        to: usize,
         told: Told,
         mark: u32,
         count: u8,
--- a/crates/coveroute-node/src/peers.rs
+++ b/crates/coveroute-node/src/peers.rs
@@ -29,14 +29,10 @@
         Ok(Peers { socket, addrs, me })
     }
 
-    /// To one node, or to all others.
-    pub fn tell(&self, to: Option<usize>, told: Told, mark: u32, count: u8) {
-        let words = words(told, mark, count);
-        let whom = |at: &usize| *at != self.me && to.is_none_or(|to| to == *at);
-        for at in (0..self.addrs.len()).filter(whom) {
-            if let Err(e) = self.socket.send_to(words.as_bytes(), self.addrs[at]) {
-                debug!("not told to node {at}: {e}");
-            }
+    pub fn tell(&self, to: usize, told: Told, mark: u32, count: u8) {
+        let Some(addr) = self.addrs.get(to).filter(|_| to != self.me) else { return };
+        if let Err(e) = self.socket.send_to(words(told, mark, count).as_bytes(), addr) {
+            debug!("not told to node {to}: {e}");
         }
     }
 }
--- a/crates/coveroute-node/src/server.rs
+++ b/crates/coveroute-node/src/server.rs
@@ -119,10 +119,8 @@
             (wire::UP, &Method::GET | &Method::HEAD) if self.life.is_up() => Answer::Succeeded("up\n".into()),
             (wire::UP, _) => Answer::Throttled { pause: 0.0 },
             (wire::NEWS, &Method::POST) => {
-                let payload = request.take_payload();
-                take_in::body(payload, &request.head().headers)
-                    .await
-                    .map_or_else(|unfit| unfit, |body| self.news(&body))
+                let news = |body: &[u8]| callbacks::parse(body).map(Happening::News);
+                self.told(&mut request, wire::BODY_MOST, "news", news).await
             }
             (wire::NEWS, _) => Answer::Unfit(StatusCode::METHOD_NOT_ALLOWED, "news come by POST"),
             (wire::HOSTS, _) => self.pushed(request).await,
@@ -139,7 +137,6 @@
 
     /// A list that comes unasked. Guards against clients that push one: it is taken from discovery's host alone.
     async fn pushed(&self, mut request: Request) -> Answer {
-        let unfit = |words| Answer::Unfit(StatusCode::BAD_REQUEST, words);
         let peer = request.peer_addr().map(|peer| peer.ip());
         if peer.is_none() || peer != self.life.lists_from() {
             return Answer::Unfit(StatusCode::FORBIDDEN, "the list is not taken from there");
@@ -147,31 +144,33 @@
         if request.method() != Method::POST {
             return Answer::Unfit(StatusCode::METHOD_NOT_ALLOWED, "lists come by POST");
         }
-        let payload = request.take_payload();
-        match take_in::bounded(payload, &request.head().headers, discovery::LINE_MOST).await {
-            Err(answer) => answer,
-            Ok(body) => match serde_json::from_slice::<Hosts>(&body) {
-                Ok(hosts) => {
-                    let listed = Watched::Listed(hosts.into());
-                    let _ = self.happenings.send(Happening::Watch(0, listed));
-                    Answer::Succeeded("".into())
-                }
-                Err(e) => {
-                    warn!("a list that can't be read: {e}");
-                    unfit("can't be read")
-                }
-            },
-        }
+        let list = |body: &[u8]| {
+            let hosts = serde_json::from_slice::<Hosts>(body).map_err(|e| e.to_string())?;
+            Ok(Happening::Watch(0, Watched::Listed(hosts.into())))
+        };
+        self.told(&mut request, discovery::LINE_MOST, "a list", list).await
     }
 
-    fn news(&self, body: &[u8]) -> Answer {
-        match callbacks::parse(body) {
-            Ok(news) => {
-                let _ = self.happenings.send(Happening::News(news));
+    /// Passes on what a body of at most so many bytes tells; `what` it is goes into the log if it can't be read.
+    async fn told(
+        &self,
+        request: &mut Request,
+        most: usize,
+        what: &str,
+        parse: impl Fn(&[u8]) -> Result<Happening, String>,
+    ) -> Answer {
+        let payload = request.take_payload();
+        let body = match take_in::body(payload, &request.head().headers, most).await {
+            Ok(body) => body,
+            Err(unfit) => return unfit,
+        };
+        match parse(&body) {
+            Ok(happening) => {
+                let _ = self.happenings.send(happening);
                 Answer::Succeeded("".into())
             }
             Err(e) => {
-                warn!("news that can't be read: {e}");
+                warn!("{what} that can't be read: {e}");
                 Answer::Unfit(StatusCode::BAD_REQUEST, "can't be read")
             }
         }
--- a/crates/coveroute-node/src/take_in.rs
+++ b/crates/coveroute-node/src/take_in.rs
@@ -56,7 +56,7 @@
     if text(wire::CALL_CLASS).is_some_and(|told| told != class) {
         return Err(unfit("X-Call-Class is not the first part of the path"));
     }
-    let body = body(payload, &headers).await?;
+    let body = body(payload, &headers, wire::BODY_MOST).await?;
     let call = Call {
         call: call.into(),
         class: class.to_owned(),
@@ -71,14 +71,9 @@
     Ok(Job { call, method: head.method.clone(), target, headers, body })
 }
 
-/// Reads a body up to the most that one may hold; none of one that says to hold more. How long it may take is
+/// Reads a body up to `most`; none of one that says to hold more. How long it may take is
 /// seen to at the door.
-pub async fn body(payload: Payload, headers: &HeaderMap) -> Result<Bytes, Answer> {
-    bounded(payload, headers, wire::BODY_MOST).await
-}
-
-/// The same up to another bound.
-pub async fn bounded(mut payload: Payload, headers: &HeaderMap, most: usize) -> Result<Bytes, Answer> {
+pub async fn body(mut payload: Payload, headers: &HeaderMap, most: usize) -> Result<Bytes, Answer> {
     let too_large = || Err(Answer::Unfit(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
     let told =
         headers.get(CONTENT_LENGTH).and_then(|length| length.to_str().ok()?.trim().parse::<usize>().ok());
--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -305,10 +305,10 @@
 fn bodies_are_bound(size: usize, fits: bool) {
     let payload = TestRequest::default().set_payload(vec![0; size]).finish().into_parts().1;
     let mut headers = HeaderMap::new();
-    assert_eq!(block(take_in::body(payload, &headers)).is_ok(), fits);
+    assert_eq!(block(take_in::body(payload, &headers, wire::BODY_MOST)).is_ok(), fits);
     // Told before it comes: nothing of it is waited for.
     headers.insert(CONTENT_LENGTH, HeaderValue::from(size));
-    assert_eq!(block(take_in::body(Payload::None, &headers)).is_ok(), fits);
+    assert_eq!(block(take_in::body(Payload::None, &headers, wire::BODY_MOST)).is_ok(), fits);
 }
 
 const MS: Duration = Duration::from_millis(1);
@@ -565,9 +565,9 @@
 
 const PUSH: &str = "{\"version\":1,\"full\":true,\"servers\":[{\"id\":\"s\",\"addr\":\"127.0.0.1:1\",\"state\":\"up\",\"weight\":3.5}]}";
 
-/// A node to which the list is to be pushed by `discovery`: how it answers a list, whether it serves then.
-fn pushed(discovery: &str, method: &'static str, list: &'static str) -> (String, bool) {
-    let text = other(&[PUSHED, ("127.0.0.1:8500", discovery)]);
+/// A node of this way to the list, whose `discovery` is there: how it answers a list, whether it serves then.
+fn pushed(mode: &str, discovery: &str, method: &'static str, list: &'static str) -> (String, bool) {
+    let text = other(&[("on_request", mode), ("127.0.0.1:8500", discovery)]);
     block(async move {
         let (config, clock, life) =
             (Config::parse(&text, None, None).expect("fit"), Clock::new(), Rc::new(Life::new()));
@@ -588,27 +588,37 @@
     })
 }
 
-#[test_case("127.0.0.1:1", "POST", PUSH, "200", true; "taken from discovery's host")]
-#[test_case("127.0.0.9:1", "POST", PUSH, "403", false; "from nobody else")]
-#[test_case("127.0.0.1:1", "GET", PUSH, "405", false; "it comes by POST")]
-#[test_case("127.0.0.1:1", "POST", "{\"version\":", "400", false; "and whole")]
+#[test_case("pushed", "127.0.0.1:1", "POST", PUSH, "200", true; "taken from discovery's host")]
+#[test_case("pushed", "127.0.0.9:1", "POST", PUSH, "403", false; "from nobody else")]
+#[test_case("pushed", "127.0.0.1:1", "GET", PUSH, "405", false; "it comes by POST")]
+#[test_case("pushed", "127.0.0.1:1", "POST", "{\"version\":", "400", false; "and whole")]
+#[test_case("on_request", "127.0.0.1:1", "POST", PUSH, "403", false; "not where it is asked for")]
 fn a_list_comes_unasked(
+    mode: &str,
     discovery: &str,
     method: &'static str,
     list: &'static str,
     status: &str,
     serves: bool,
 ) {
-    let (answer, serving) = pushed(discovery, method, list);
+    let (answer, serving) = pushed(mode, discovery, method, list);
     assert!(answer.starts_with(&format!("HTTP/1.1 {status}")) && serving == serves, "{answer}");
 }
 
-#[test]
-fn where_the_list_is_asked_for_none_is_taken_unasked() {
-    let life = Life::new();
-    let config = Config::parse(CONFIG, None, None).expect("fit");
-    life.take_lists_from(config.pushed_by());
-    assert_eq!(life.lists_from(), None);
+#[test_case(&[PUSHED, ("127.0.0.1:8500", "127.0.0.9:8500")], [127, 0, 0, 9]; "another host may push from now on")]
+#[test_case(&[], [127, 0, 0, 1]; "another way to the list counts from the next start on")]
+fn a_reload_moves_who_may_push_and_nothing_else(pairs: &[(&str, &str)], expected: [u8; 4]) {
+    block(async {
+        let parse = |pairs: &[(&str, &str)]| Config::parse(&other(pairs), None, None).expect("fit");
+        let (config, clock, life) = (parse(&[PUSHED]), Clock::new(), Rc::new(Life::new()));
+        let (happenings, _happens) = unbounded_channel();
+        let links = Links::new(64, config.dial, config.idle);
+        let mut driver = Driver::new(config, clock, life.clone(), links, happenings).expect("a driver");
+        driver.happened(Happening::Reload(Err("settings.weights: heavy is none of ...".into())));
+        assert_eq!(life.lists_from(), Some([127, 0, 0, 1].into()), "a file that is not fit");
+        driver.happened(Happening::Reload(Ok(Box::new(parse(pairs)))));
+        assert_eq!((life.lists_from(), life.phase()), (Some(expected.into()), Phase::Starting));
+    });
 }
 
 #[test]
@@ -640,8 +650,8 @@
         let second = Peers::new(1, nodes, other).expect("a port");
         let stranger = std::net::UdpSocket::bind(addrs[2]).expect("a port");
         stranger.send_to(b"h00000109", addrs[0]).expect("sent");
-        second.tell(None, Told::Held, 0xab, 4);
-        second.tell(Some(1), Told::Held, 0xab, 5);
+        second.tell(0, Told::Held, 0xab, 4);
+        second.tell(1, Told::Held, 0xab, 5);
         let heard = timeout(seconds(9.0), happens.recv()).await.expect("in time");
         assert!(matches!(heard, Some(Happening::Heard { from: 1, told: Told::Held, mark: 0xab, count: 4 })));
         assert!(timeout(seconds(0.1), happens.recv()).await.is_err(), "not of a stranger, nor to oneself");
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -242,7 +242,6 @@
     fn settled(&mut self, now: f64, settled: Settled, out: &mut Vec<Output>) {
         const MISLED_NEW: f64 = 0.05; // Weight of an outcome in how often reports mislead: some twenty.
         let Settled { id, forward, outcome, took, ended, report } = settled;
-        self.charge(now, (outcome == Outcome::Full).then_some(true), now);
         let Some(inv) = self.invs.get_mut(&id) else { return };
         let Some(fwd) = inv.forwards.get_mut(forward).filter(|f| f.fate == Fate::Out) else { return };
         fwd.fate = if outcome.never_ran() { Fate::NotRun } else { Fate::MayHaveRun };
@@ -271,6 +270,7 @@
         let late = outcome == Outcome::Full && report.free >= Some(ONE) && report.queue < Some(0.5);
         self.misled += MISLED_NEW * (f64::from(u8::from(late)) - self.misled);
         self.report(now, tgt, report);
+        self.charge(now, (outcome == Outcome::Full).then_some(true), now);
         match (ended || outcome == Outcome::Succeeded, outs) {
             (_, 0) if life == Life::Ended => drop(self.invs.remove(&id)),
             (true, _) => self.step(now, id, Turn::Finished, out),
@@ -528,7 +528,7 @@
     fn ask(&mut self, now: f64, tgt: Tgt, out: &mut Vec<Output>) {
         let t = &self.tgts[tgt];
         let keeper = self.keeper(t).filter(|&k| k != self.set.me && t.asked <= t.reported);
-        let question = |to| Output::Tell { to: Some(to), told: Told::Asks, tgt, count: 0 };
+        let question = |to| Output::Tell { to, told: Told::Asks, tgt, count: 0 };
         out.push(keeper.map_or(Output::Probe(tgt), question));
         self.tgts[tgt].asked = now;
     }
@@ -699,7 +699,7 @@
         self.tgts[tgt].told = true;
         let (t, told) = (&self.tgts[tgt], Told::Held);
         let (to, count) = (self.keeper(t).filter(|to| *to != self.set.me), t.held.min(255) as u8);
-        out.extend(to.map(|_| Output::Tell { to, told, tgt, count }));
+        out.extend(to.map(|to| Output::Tell { to, told, tgt, count }));
     }
 
     fn peer(&mut self, now: f64, from: usize, told: Told, tgt: Tgt, count: u8, out: &mut Vec<Output>) {
@@ -714,8 +714,8 @@
                 if room >= Some(ONE) {
                     (t.promised, t.promises) = (now, t.promises(now) + 1.0);
                 }
-                let (to, told) = (Some(from), Told::Room);
-                out.extend(room.map(|n| Output::Tell { to, told, tgt, count: n as u8 }));
+                let told = Told::Room;
+                out.extend(room.map(|n| Output::Tell { to: from, told, tgt, count: n as u8 }));
             }
         }
     }
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -410,7 +410,7 @@
     for from in [1, 2] {
         node.peer(1.0, from, Told::Asks, 4, 0, &mut out);
     }
-    let answer = |to, count| Output::Tell { to: Some(to), told: Told::Room, tgt: 4, count };
+    let answer = |to, count| Output::Tell { to, told: Told::Room, tgt: 4, count };
     assert_eq!(out, [answer(1, 1), answer(2, 0)]);
     assert_eq!(node.room(1.2, &node.tgts[4]), Some(1.0), "nobody came");
 }
@@ -446,7 +446,7 @@
     assert_eq!(node.room(1.1, &node.tgts[1]), Some(0.0), "for so long");
     node.ask(2.0, 1, &mut out);
     node.ask(2.0, 0, &mut out);
-    let question = Output::Tell { to: Some(1), told: Told::Asks, tgt: 1, count: 0 };
+    let question = Output::Tell { to: 1, told: Told::Asks, tgt: 1, count: 0 };
     assert_eq!(out, [question, Output::Probe(1), Output::Probe(0)]);
 }
 
@@ -635,6 +635,13 @@
     let mut out = Vec::new();
     node.submitted(5.0, submit(9.0, 0), &mut out);
     assert_eq!(out, [Output::Throttle { id: ID, pause: 0.0 }], "answered at once");
+    node.set.max_pause = 2.0;
+    out.clear();
+    node.submitted(5.0, submit(9.0, 0), &mut out);
+    assert!(
+        matches!(out[..], [Output::Throttle { pause: 1.0..=2.0, .. }]),
+        "where allowed with a pause: {out:?}"
+    );
     (0..99).for_each(|_| node.charge(6.0, Some(false), 5.0));
     assert!(node.price < 0.01);
     node.set.reports = Reports::Answers;
@@ -764,3 +771,15 @@
     node.alive(3.0, ID, 0);
     assert_eq!((node.price, node.util, node.invs[&ID].forwards[0].wait), (0.0, 0.5, Some(0.0)));
 }
+
+#[test]
+fn a_full_answer_raises_the_price_once() {
+    // Guards against late, double or unknown ends: what is not out changes nothing.
+    let mut node = blind(Effect::Idempotent, 3);
+    settle(&mut node, 1.5, Outcome::Full);
+    assert_eq!(node.price, 0.0, "of nothing that is held");
+    add(&mut node, Life::Out, &[Fate::Out]);
+    settle(&mut node, 2.0, Outcome::Full);
+    settle(&mut node, 2.5, Outcome::Full);
+    assert_eq!(node.price, 0.5);
+}
--- a/src/types.rs
+++ b/src/types.rs
@@ -257,9 +257,9 @@
     Probe(Tgt),
     /// Close idle connections.
     Release(Tgt),
-    /// To one node or to all others.
+    /// To another node.
     Tell {
-        to: Option<usize>,
+        to: usize,
         told: Told,
         tgt: Tgt,
         count: u8,
