--- a/src/policy.rs
+++ b/src/policy.rs
@@ -25,11 +25,6 @@
 ];
 
 impl Executor {
-    /// How far it is to be trusted: the mean of what is remembered of it.
-    fn mean(&self) -> f64 {
-        (1.0 + self.good) / (2.0 + self.good + self.bad)
-    }
-
     /// Guards against doubting all where a network breaks to all: `level` is what the better ones reach.
     fn judge(&mut self, level: f64, out: &mut Vec<Output>) {
         const DOUBT: [f64; 2] = [0.65, 0.75]; // Doubtful below this part, until above that: against wavering.
@@ -39,12 +34,6 @@
         out.extend(news.then(|| Output::Log(format!("executor {:06x} {words}", self.entry.mark))));
     }
 
-    /// A sign of life: what it was blamed for while silent is forgiven, as it works off what it holds.
-    fn woke(&mut self, now: f64) {
-        self.heard = now;
-        self.bad *= if std::mem::take(&mut self.silent) { 0.0 } else { 1.0 };
-    }
-
     fn failed(&mut self, weight: f64, level: f64, out: &mut Vec<Output>) {
         const GOOD_LEFT: f64 = 0.7; // Of remembered successes, after a failure: two in a row outweigh them.
         self.bad += weight;
@@ -367,7 +356,6 @@
         const FREE_HOLDS: f64 = 0.1; // A report of room holds while few others can have sent there.
         const FULL_HOLDS: f64 = 0.25; // One of none a little longer: it errs only by waiting.
         const REFUSED_HOLDS: f64 = 0.2; // After a full answer, whatever reports say; doubled by each more.
-        const MISLED: f64 = 0.07; // Two of the last twenty forwards misled: reports are too late to go by.
         const PASS: f64 = 1.5; // Without reports: yields above this multiple of the mean held, and one.
         if t.refusals > 0 && now - t.refused < REFUSED_HOLDS * f64::from(1 << (t.refusals - 1).min(5)) {
             return Some(0.0);
@@ -380,7 +368,7 @@
             Some(_) if warmth < 1.0 => return (now - t.granted <= FREE_HOLDS).then_some(t.free - t.unseen),
             _ => {}
         }
-        if self.asks() && self.misled < MISLED && now >= self.fog {
+        if self.told(now) {
             if t.asked > t.reported && now - t.asked <= FULL_HOLDS {
                 return (now - t.asked > PROMPT).then_some(0.0);
             }
@@ -391,6 +379,12 @@
         Some(PASS * self.held + 1.0 - t.held as f64)
     }
 
+    /// Reports can be asked for, and are prompt enough to go by.
+    fn told(&self, now: f64) -> bool {
+        const MISLED: f64 = 0.07; // Two of the last twenty forwards misled: reports are too late to go by.
+        self.asks() && self.misled < MISLED && now >= self.fog
+    }
+
     /// The node that counts what all hold there, where they may tell.
     fn keeper(&self, t: &Executor) -> Option<usize> {
         (self.set.peers && self.asks()).then_some(t.entry.mark as usize % self.peer_heard.len())
@@ -401,7 +395,9 @@
         self.set.probing && self.set.reports != Reports::Never
     }
 
-    /// A cold executor takes its budget from nodes in turn, less than half in each: a span may touch two.
+    /// Guards against a cold executor that all nodes push over, and one that is left idle until it is warm. Where
+    /// reports are prompt, its free slots show what all hold there: no more than its cold part of them is used.
+    /// Elsewhere it takes its budget from nodes in turn, less than half in each: a span may touch two.
     fn cold_room(&self, now: f64, t: &Executor, load: f64) -> bool {
         let (cold, share) = (&self.set.cold, t.warmth(now, &self.set.cold));
         // Who counts for it tells of no more room than it has while cold: all nodes together stay below that.
@@ -410,9 +406,12 @@
         }
         let (turn, slots) = (t.turn(now, cold.fall), t.slots.max(1.0));
         let spent = if t.turn == turn { t.spent } else { 0.0 };
-        turn % self.set.nodes.max(1) == self.set.me
-            && spent + load <= 0.4 * cold.factor * share * slots * cold.fall
-            && (t.held as f64) < (share * slots).max(1.0)
+        let part = (share * slots).max(1.0).ceil();
+        let open = match self.told(now) {
+            true => self.room(now, t).is_none_or(|room| room >= slots - part + ONE),
+            false => turn % self.set.nodes.max(1) == self.set.me,
+        };
+        open && spent + load <= 0.4 * cold.factor * share * slots * cold.fall && (t.held as f64) < part
     }
 
     fn may_go(&self, now: f64, inv: &Inv, t: &Executor) -> bool {
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -211,6 +211,19 @@
     assert_eq!(node.cold_room(10.0 + age, &node.tgts[0], load), room);
 }
 
+#[test_case(2.0, 0.0, true; "both slots are free, and the cold part is one")]
+#[test_case(2.0, 1.0, true; "and later, in no turn of this node's")]
+#[test_case(1.0, 1.0, false; "others hold its cold part")]
+#[test_case(1.0, 6.0, true; "which has grown")]
+fn a_cold_executor_is_used_by_any_node_while_its_report_has_room(free: f64, age: f64, room: bool) {
+    // Guards against a release in a large fleet: few of hundreds of nodes have a turn before it is warm.
+    let mut node = node(Effect::Idempotent, 1);
+    (node.set.nodes, node.set.me, node.set.probing, node.set.reports) = (300, 200, true, Reports::Answers);
+    (node.tgts[0].entry.started, node.tgts[0].slots) = (10.0, 2.0);
+    (node.tgts[0].free, node.tgts[0].reported) = (free, 10.0 + age);
+    assert_eq!(node.cold_room(10.0 + age, &node.tgts[0], 0.5), room);
+}
+
 #[test_case(Outcome::Errored, 3; "errors")]
 #[test_case(Outcome::Reset, 3; "resets")]
 #[test_case(Outcome::TimedOut, 3; "time outs")]
--- a/src/types.rs
+++ b/src/types.rs
@@ -418,6 +418,17 @@
         (cold.start + (1.0 - cold.start) * age / cold.warm).min(1.0)
     }
 
+    /// How far it is to be trusted: the mean of what is remembered of it.
+    pub fn mean(&self) -> f64 {
+        (1.0 + self.good) / (2.0 + self.good + self.bad)
+    }
+
+    /// A sign of life: what it was blamed for while silent is forgiven, as it works off what it holds.
+    pub fn woke(&mut self, now: f64) {
+        self.heard = now;
+        self.bad *= if std::mem::take(&mut self.silent) { 0.0 } else { 1.0 };
+    }
+
     /// Slots that those who asked just now were told of.
     pub fn promises(&self, now: f64) -> f64 {
         const HOLD: f64 = 0.06; // By then who asked has sent there, and said so, or has not.
