--- a/crates/coveroute-engine/src/engine.rs
+++ b/crates/coveroute-engine/src/engine.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use coveroute::types::{
-    Input, InvId, List, Node, Outcome, Output, Report, Settings, Settled, Submission, Tgt, Told,
+    Input, InvId, List, Node, Outcome, Output, Report, Settings, Settled, Standing, Submission, Tgt, Told,
 };
 use coveroute_shared::Names;
 use log::{debug, error, info};
@@ -523,6 +523,10 @@
         out: &mut Vec<Action>,
     ) {
         self.version = listing.version;
+        let (version, many) = (listing.version, listing.hosts.len());
+        info!("list {version}: {many} {}", if listing.full { "executors" } else { "changes" });
+        let drains = listing.hosts.iter().filter(|host| host.standing == Standing::Draining);
+        drains.for_each(|host| info!("executor {:06x} drains", coveroute_shared::mark(&host.id)));
         let (told, moves) = self.fleet.listed(now, listing);
         if !listing.hosts.is_empty() {
             self.step(Step::Ready);
--- a/crates/coveroute-engine/src/tests.rs
+++ b/crates/coveroute-engine/src/tests.rs
@@ -31,7 +31,7 @@
     Listing { version, full, hosts }
 }
 
-/// An engine that knows two executors, and what it asks for at its start.
+/// An engine that knows two executors, and what it asks for at its start: the list, within its part of a spread.
 fn engine() -> (Engine, Vec<Action>) {
     let settings = Settings {
         nodes: 1,
@@ -46,7 +46,9 @@
     let known = Some(listing(1, true, (0..2).map(|at| host(at, Standing::Ready)).collect()));
     let setup = Setup { settings, names: names(), seed: 1, timeouts: vec![5.0, 10.0], known };
     let mut out = Vec::new();
-    (Engine::new(NOW, setup, &mut out), out)
+    let mut engine = Engine::new(NOW - 0.1, setup, &mut out);
+    engine.advance(NOW, &mut out);
+    (engine, out)
 }
 
 fn call(call: &str, class: &str, budget: f64) -> Call {
--- a/crates/coveroute-node/src/discovery.rs
+++ b/crates/coveroute-node/src/discovery.rs
@@ -8,7 +8,7 @@
 use bytes::BytesMut;
 use coveroute_engine::{Listing, Watched};
 use futures_util::StreamExt;
-use log::debug;
+use log::info;
 
 use crate::driver::{Happening, Happenings};
 use crate::hosts::Hosts;
@@ -46,7 +46,7 @@
         let watch = actix_rt::spawn(async move {
             let tell = |watched| drop(happenings.send(Happening::Watch(number, watched)));
             let ended = watch(&client, &uri, tell).await;
-            debug!("watch ended: {ended}");
+            info!("watch {number} ended: {ended}");
             tell(Watched::Lost);
         });
         if let Some(old) = self.watch.replace(watch) {
--- a/src/chance.rs
+++ b/src/chance.rs
@@ -5,8 +5,9 @@
 pub struct Chance(u64);
 
 impl Chance {
+    /// Mixed first. Guards against near seeds, counted up over a fleet, whose first draws are all but the same.
     pub fn new(seed: u64) -> Self {
-        Chance((seed % 0x7fff_ffff_ffff) | 1)
+        Chance((mix(seed ^ 0x9e37_79b9_7f4a_7c15) % 0x7fff_ffff_ffff) | 1)
     }
 
     pub fn draw(&mut self) -> f64 {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -97,33 +97,36 @@
 
     fn list(&mut self, now: f64, list: List, out: &mut Vec<Output>) {
         const ASK_AGAIN: f64 = 0.5; // Doubled up to three times: inside what a silent node is held to know.
+        const CALL: f64 = 0.05; // A node's part of the list's service, which takes some tens of calls a second,
+        const LATEST: f64 = 5.0; // up to a span in which the list that is held seldom gets far out of date.
+                                 // Guards against calls that all make at once: those that came too late are worked off before the next.
+        let part = (CALL * self.set.nodes as f64).min(LATEST);
         let (whole, first) = (!matches!(list, List::Changes(_)), matches!(list, List::Kept(_)));
         let (List::Changes(entries) | List::Whole(entries) | List::Kept(entries)) = list else {
             self.list_lost += 1;
-            out.extend((self.list_lost == 2).then(|| Output::Log("list of executors out of reach".into())));
-            let wait = ASK_AGAIN * f64::from(1 << (self.list_lost - 1).min(3));
-            return out.push(Output::Wake { after: wait * (0.5 + self.chance.draw()), timer: ASK });
+            let wait = part.max(ASK_AGAIN) * f64::from(1 << (self.list_lost - 1).min(3));
+            let after = wait.min(2.0 * LATEST) * (0.5 + self.chance.draw());
+            return out.push(Output::Wake { after, timer: ASK });
         };
-        self.list_lost = 0;
+        self.list_lost = u32::from(first && self.set.must_ask);
         if first {
             self.solved = now;
             out.push(Output::Wake { after: SOLVE_EVERY, timer: SOLVE });
-            out.extend(self.set.must_ask.then_some(Output::Follow));
+            let after = if entries.is_empty() { 0.0 } else { part * self.chance.draw() };
+            out.extend(self.set.must_ask.then_some(Output::Wake { after, timer: ASK }));
         }
         // Guards against an executor that was removed while this node did not hear: absent means gone.
         self.tgts.iter_mut().filter(|_| whole).for_each(|t| t.entry.standing = Standing::Gone);
-        entries.into_iter().for_each(|entry| self.entry(now, entry, out));
+        entries.into_iter().for_each(|entry| self.entry(now, entry));
         self.solve(now);
     }
 
-    fn entry(&mut self, now: f64, entry: Entry, out: &mut Vec<Output>) {
+    fn entry(&mut self, now: f64, entry: Entry) {
         const GOOD_AT_START: f64 = 4.0; // Of an unknown executor: two failures in a row make it doubtful.
         self.tgts.extend((self.tgts.len()..=entry.tgt).map(Executor::unheard));
         self.kinds.resize(self.kinds.len().max(entry.kind + 1), Kind::default());
         self.kinds[entry.kind].size = self.kinds[entry.kind].size.max(entry.size);
         let t = &mut self.tgts[entry.tgt];
-        let drains = t.entry.standing == Standing::Ready && entry.standing == Standing::Draining;
-        out.extend(drains.then(|| Output::Log(format!("executor {:06x} drains", entry.mark))));
         if t.entry.started != entry.started {
             // A new start time is a new process: what was known of the old one says nothing of it.
             let (held, memory, never) = (t.held, t.memory, f64::NEG_INFINITY);
@@ -159,9 +162,9 @@
         let dear = self.set.cross_zone_price * self.value / self.value(sub.operation, load).max(1e-6);
         let (op, cross) = (sub.operation, now + dear * spare);
         let end = self.leaving.unwrap_or(f64::INFINITY).min(now + sub.timeout);
-        let until = aim.max(now).min(end - BEFORE_END);
-        let inv = Inv { op, worth, aim, spare, until, end, hint, load, memory, ..Inv::default() };
-        self.invs.insert(sub.id, Inv { cross, key: sub.key, ..inv });
+        let (until, key) = (aim.max(now).min(end - BEFORE_END), sub.key);
+        let inv = Inv { op, worth, aim, spare, until, end, hint, load, memory, cross, key, ..Inv::default() };
+        self.invs.insert(sub.id, inv);
         self.queue(sub.id);
         // Met in part by chance: no operation falls out as a whole.
         let least = if self.price > 0.0 { self.price * self.usual * (0.5 + self.chance.draw()) } else { 0.0 };
@@ -454,8 +457,7 @@
 
     /// Small enough to be gone through: in a large fleet all nodes would ask and meet at the largest shares.
     fn whole(&self) -> bool {
-        const WHOLE: usize = 20; // Asking them all takes some ten rounds, more than there is time for.
-        self.asks() && self.rank.len() <= WHOLE
+        self.asks() && self.rank.len() <= 20 // Asking more takes above ten rounds, longer than there is time for.
     }
 
     /// Where to look: the drawn one, then down the shares, own zone first; in a large fleet two drawn ones.
@@ -574,12 +576,10 @@
     /// Gives up what has waited for as long as that can pay.
     fn review(&mut self, now: f64, out: &mut Vec<Output>) {
         self.looking = false;
-        for id in std::mem::take(&mut self.waiting) {
-            match now >= self.invs[&id].until.min(self.invs[&id].end - BEFORE_END) {
-                true => self.step(now, id, Turn::GaveUp, out),
-                false => self.waiting.push(id),
-            }
-        }
+        let over = |id: &InvId| now >= self.invs[id].until.min(self.invs[id].end - BEFORE_END);
+        let (over, waiting): (Vec<InvId>, _) = std::mem::take(&mut self.waiting).into_iter().partition(over);
+        self.waiting = waiting;
+        over.into_iter().for_each(|id| self.step(now, id, Turn::GaveUp, out));
     }
 
     fn tick(&mut self, now: f64, out: &mut Vec<Output>) {
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -193,11 +193,33 @@
     assert!(waits.len() == 6 && waits[0] < 0.8 && waits[5] > 2.0 && waits[5] < 6.1, "{waits:?}");
 }
 
+#[test_case(1, 1, 0.0, 0.05; "one alone asks at once")]
+#[test_case(100, 1, 4.0, 5.0; "a fleet that starts together is spread over seconds")]
+#[test_case(500, 1, 4.0, 5.0; "and a larger one no further")]
+#[test_case(100, 0, 0.0, 0.0; "but not who knows of nobody")]
+fn a_fleet_that_starts_together_does_not_ask_together(nodes: usize, kept: usize, least: f64, most: f64) {
+    // Guards against calls beyond what the list's service can answer: 60 of 100 nodes had no list for 10 s.
+    let first = |seed| {
+        let set = Settings { nodes, must_ask: true, ..Settings::default() };
+        let (mut node, mut out) = (Node::new(set, seed), Vec::new());
+        let list = (0..kept).map(|tgt| entry(tgt, Standing::Ready, 0.0)).collect();
+        node.handle(0.0, Input::List(List::Kept(list)), &mut out);
+        assert!(!out.contains(&Output::Follow), "not at once");
+        let wait = |o: &Output| if let Output::Wake { after, timer: ASK } = o { Some(*after) } else { None };
+        out.iter().find_map(wait).expect("it asks")
+    };
+    let waits: Vec<f64> = (1..=100).map(first).collect();
+    let last = waits.iter().copied().fold(0.0, f64::max);
+    assert!((least..=most).contains(&last), "{last}");
+    let busiest = (0..5).map(|s| waits.iter().filter(|w| w.floor() as usize == s).count()).max();
+    assert!(least == 0.0 || busiest < Some(40), "{waits:?}");
+}
+
 #[test]
 fn a_new_start_forgets_the_old_process_but_not_what_is_out() {
-    let (mut node, mut out) = (node(Effect::Idempotent, 1), Vec::new());
+    let mut node = node(Effect::Idempotent, 1);
     (node.tgts[0].bad, node.tgts[0].held, node.tgts[0].slow) = (9.0, 2, 1.0);
-    node.entry(5.0, entry(0, Standing::Ready, 4.0), &mut out);
+    node.entry(5.0, entry(0, Standing::Ready, 4.0));
     assert_eq!((node.tgts[0].bad, node.tgts[0].held, node.tgts[0].slow), (0.0, 2, 0.0));
 }
 
