--- a/src/policy.rs
+++ b/src/policy.rs
@@ -95,11 +95,11 @@
         self.look(now, out);
     }
 
+    /// Guards against calls of all at once: the list's service works off what came too late before the next.
     fn list(&mut self, now: f64, list: List, out: &mut Vec<Output>) {
         const ASK_AGAIN: f64 = 0.5; // Doubled up to three times: inside what a silent node is held to know.
-        const CALL: f64 = 0.05; // A node's part of the list's service, which takes some tens of calls a second,
+        const CALL: f64 = 0.05; // A node's part of the list's service: it takes some tens of calls a second;
         const LATEST: f64 = 5.0; // up to a span in which the list that is held seldom gets far out of date.
-                                 // Guards against calls that all make at once: those that came too late are worked off before the next.
         let part = (CALL * self.set.nodes as f64).min(LATEST);
         let (whole, first) = (!matches!(list, List::Changes(_)), matches!(list, List::Kept(_)));
         let (List::Changes(entries) | List::Whole(entries) | List::Kept(entries)) = list else {
@@ -330,8 +330,7 @@
         if outcome == Outcome::Succeeded {
             return self.report(now, tgt, report);
         }
-        // Half: a probe may be late for small reasons.
-        t.failed(if outcome == Outcome::Full { 0.0 } else { 0.5 }, self.level, out);
+        t.failed(if outcome == Outcome::Full { 0.0 } else { 0.5 }, self.level, out); // It may just be late.
         (t.refused, t.refusals) = (now, t.refusals.max(1));
     }
 
@@ -382,10 +381,9 @@
         Some(PASS * self.held + 1.0 - t.held as f64)
     }
 
-    /// Reports can be asked for, and are prompt enough to go by.
+    /// Reports can be asked for, and are prompt enough to go by: fewer than two of the last twenty misled.
     fn told(&self, now: f64) -> bool {
-        const MISLED: f64 = 0.07; // Two of the last twenty forwards misled: reports are too late to go by.
-        self.asks() && self.misled < MISLED && now >= self.fog
+        self.asks() && self.misled < 0.07 && now >= self.fog
     }
 
     /// The node that counts what all hold there, where they may tell.
@@ -398,9 +396,8 @@
         self.set.probing && self.set.reports != Reports::Never
     }
 
-    /// Guards against a cold executor that all nodes push over, and one that is left idle until it is warm. Where
-    /// reports are prompt, its free slots show what all hold there: no more than its cold part of them is used.
-    /// Elsewhere it takes its budget from nodes in turn, less than half in each: a span may touch two.
+    /// Guards against a cold executor that all push over, or leave idle. Where reports are prompt, all use but its
+    /// cold part of the slots; elsewhere nodes take turns, each less than half: a span may touch two.
     fn cold_room(&self, now: f64, t: &Executor, load: f64) -> bool {
         let (cold, share) = (&self.set.cold, t.warmth(now, &self.set.cold));
         // Who counts for it tells of no more room than it has while cold: all nodes together stay below that.
@@ -440,12 +437,18 @@
         (trusted || (t.trial && again)) && self.may_go(now, inv, t)
     }
 
+    /// Able, and in a large fleet, where a draw is dear, not known to be full or closed to so much work.
+    fn open(&self, now: f64, inv: &Inv, t: &Executor) -> bool {
+        let full = || self.room(now, t).is_some_and(|room| room < ONE);
+        self.able(now, inv, t) && (self.whole() || self.cold_room(now, t, inv.load) && !full())
+    }
+
     /// Draws by beta, or evenly while all are zero; in a large fleet from the own zone before `cross`.
     fn draw(&mut self, now: f64, id: InvId) -> Option<Tgt> {
         let near = now < self.invs[&id].cross && self.near > 0 && !self.whole();
         let (many, inv) = (if near { self.near } else { self.rank.len() }, &self.invs[&id]);
-        let able = |i: &Tgt| self.able(now, inv, &self.tgts[*i]);
-        let mut pool: Vec<Tgt> = self.rank[..many].iter().copied().filter(able).collect();
+        let open = |i: &Tgt| self.open(now, inv, &self.tgts[*i]);
+        let mut pool: Vec<Tgt> = self.rank[..many].iter().copied().filter(open).collect();
         // Guards against queues that nothing tells of: an executor that began at once is drawn again.
         let kept = |i: &Tgt| self.tgts[*i].kept && self.tgts[*i].held == 0;
         if !self.asks() && pool.iter().any(kept) {
@@ -455,9 +458,9 @@
         pool.get(at).copied()
     }
 
-    /// Small enough to be gone through: in a large fleet all nodes would ask and meet at the largest shares.
+    /// Small enough to be gone through: more take over ten rounds, and all would meet at the same ones.
     fn whole(&self) -> bool {
-        self.asks() && self.rank.len() <= 20 // Asking more takes above ten rounds, longer than there is time for.
+        self.asks() && self.rank.len() <= 20
     }
 
     /// Where to look: the drawn one, then down the shares, own zone first; in a large fleet two drawn ones.
@@ -467,8 +470,7 @@
         const GAP: f64 = 0.005; // About a round trip at first, doubled each time
         const GAP_MOST: f64 = 0.16; // up to this: some six times in half a second.
         let (whole, inv) = (self.whole(), &self.invs[&id]);
-        let full = |i: &Tgt| self.room(now, &self.tgts[*i]).is_some_and(|room| room < ONE);
-        let open = |i: &Tgt| self.able(now, inv, &self.tgts[*i]) && (whole || !full(i));
+        let open = |i: &Tgt| self.open(now, inv, &self.tgts[*i]);
         if let Some(key) = inv.key {
             let lot = |i: &Tgt| -self.tgts[*i].share / unit(key ^ u64::from(self.tgts[*i].entry.mark)).ln();
             if inv.sample.is_empty() {
@@ -643,7 +645,6 @@
         let ready = self.tgts.iter().filter(|t| t.entry.standing == Standing::Ready);
         let mut means: Vec<f64> = ready.map(Executor::mean).collect();
         means.sort_by(|a, b| b.total_cmp(a));
-        // Without failures it is near one, and what is said of few executors is said as before.
         means.get(means.len() / 4).map_or(1.0, |mean| (mean / TRUSTED).min(1.0))
     }
 
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -505,6 +505,19 @@
     );
 }
 
+#[test]
+fn a_draw_is_not_wasted_on_who_is_known_to_be_full() {
+    // Guards against jobs that find no room where there is some: each node looks at few of a large fleet.
+    let (mut node, mut out) = (node(Effect::Idempotent, 30), Vec::new());
+    (node.set.probing, node.set.reports) = (true, Reports::Answers);
+    add(&mut node, Life::Waiting, &[]);
+    node.invs.entry(ID).and_modify(|inv| inv.load = 30.0);
+    (0..28).for_each(|i| node.tgts[i].reported = 2.0);
+    (node.tgts[28].entry.started, node.tgts[28].slots) = (1.0, 2.0); // Cold: not for so much work.
+    node.place(2.0, ID, &mut out);
+    assert_eq!((out, node.invs[&ID].sample.clone()), (vec![Output::Probe(29)], vec![29]));
+}
+
 #[test_case(10, SOLVE_EVERY; "a small fleet")]
 #[test_case(300, 3.0; "a large one, with few invocations")]
 fn solves_of_large_fleets_are_rarer(many: usize, expected: f64) {
