--- a/src/policy.rs
+++ b/src/policy.rs
@@ -396,7 +396,7 @@
         self.set.probing && self.set.reports != Reports::Never
     }
 
-    /// Guards against a cold executor that all push over, or leave idle. Where reports are prompt, all use just
+    /// Guards against a cold executor that all push over, or leave idle. Where reports are prompt, all use
     /// its cold part of the slots; elsewhere nodes take turns, each less than half: a span may touch two.
     fn cold_room(&self, now: f64, t: &Executor, load: f64) -> bool {
         let (cold, share) = (&self.set.cold, t.warmth(now, &self.set.cold));
