--- a/crates/coveroute-emu/src/settings.rs
+++ b/crates/coveroute-emu/src/settings.rs
@@ -114,7 +114,7 @@
             let state = match host.standing {
                 Standing::Ready => "up",
                 Standing::Draining => "draining",
-                Standing::Gone => "removed",
+                Standing::Missing | Standing::Gone => "removed",
             };
             let started = if host.started > 0.0 { millis(base + host.started).round() } else { 0.0 };
             json!({
--- a/crates/coveroute-engine/src/engine.rs
+++ b/crates/coveroute-engine/src/engine.rs
@@ -227,7 +227,7 @@
             timers: Timers::new(),
             phase: Phase::Starting,
             route: Route::new(decide),
-            fleet: Fleet::new(setup.names),
+            fleet: Fleet::new(setup.names, setup.settings.only_draining),
             book: Book::default(),
             watch: 0,
             version: 0,
--- a/crates/coveroute-engine/src/list.rs
+++ b/crates/coveroute-engine/src/list.rs
@@ -56,11 +56,13 @@
     addrs: Vec<Option<SocketAddr>>,
     /// Executors that are not listed any more, and since when.
     gone: BTreeMap<Tgt, f64>,
+    /// Where only a drain binds, who is not listed any more may still be sent to: its address is kept.
+    keeps: bool,
 }
 
 impl Fleet {
-    pub fn new(names: Names) -> Self {
-        Fleet { names, roster: Roster::default(), addrs: Vec::new(), gone: BTreeMap::new() }
+    pub fn new(names: Names, keeps: bool) -> Self {
+        Fleet { names, roster: Roster::default(), addrs: Vec::new(), gone: BTreeMap::new(), keeps }
     }
 
     pub fn names(&self) -> &Names {
@@ -103,7 +105,7 @@
         for (entry, addr) in entries {
             match (entry.standing, addr) {
                 (Standing::Gone, _) => self.leave(now, entry.tgt, &mut moves),
-                (Standing::Ready | Standing::Draining, addr) => {
+                (Standing::Ready | Standing::Missing | Standing::Draining, addr) => {
                     self.gone.remove(&entry.tgt);
                     addr.into_iter().for_each(|addr| self.settle(entry.tgt, addr, &mut moves));
                 }
@@ -130,6 +132,10 @@
     }
 
     fn leave(&mut self, now: f64, tgt: Tgt, moves: &mut Vec<Move>) {
+        if self.keeps {
+            self.gone.entry(tgt).or_insert(now);
+            return;
+        }
         self.addrs.iter_mut().skip(tgt).take(1).for_each(|addr| *addr = None);
         self.gone.insert(tgt, now);
         moves.push(Move::Gone(tgt));
@@ -143,6 +149,7 @@
         let old: Vec<Tgt> = self.gone.iter().filter(|gone| long(gone.1)).map(|gone| *gone.0).collect();
         let blank = |&tgt: &Tgt| {
             self.gone.remove(&tgt);
+            self.addrs.iter_mut().skip(tgt).take(1).for_each(|addr| *addr = None);
             self.roster.retire(tgt);
             Entry { tgt, started: f64::NAN, ..Entry::default() }
         };
--- a/crates/coveroute-engine/src/tests.rs
+++ b/crates/coveroute-engine/src/tests.rs
@@ -254,6 +254,17 @@
     assert_eq!((engine.fleet().known("s-9"), engine.fleet().addr(1).is_some()), (Some(number), true));
 }
 
+#[test]
+fn where_only_a_drain_binds_an_address_outlives_the_list() {
+    let names = Names { operations: Vec::new(), tenants: Vec::new(), zones: Vec::new(), kinds: Vec::new() };
+    let mut fleet = crate::list::Fleet::new(names, true);
+    fleet.listed(NOW, &listing(1, true, vec![host(0, Standing::Ready)]));
+    let (_, moves) = fleet.listed(NOW, &listing(2, true, Vec::new()));
+    assert!(moves.is_empty() && fleet.addr(0).is_some(), "it may still be sent to");
+    fleet.listed(NOW + 700.0, &listing(3, false, Vec::new()));
+    assert!(fleet.addr(0).is_none(), "but not for ever");
+}
+
 #[test]
 fn what_a_whole_list_lacks_is_gone() {
     let mut engine = engine().0;
--- a/crates/coveroute-shared/src/settings.rs
+++ b/crates/coveroute-shared/src/settings.rs
@@ -126,6 +126,8 @@
     warm_up: f64,
     overload_factor: f64,
     fall: f64,
+    #[serde(default)]
+    only_draining_binds: bool,
 }
 
 fn operation(at: usize, category: &Category, family: &FamilyInfo) -> Result<Operation, String> {
@@ -167,6 +169,7 @@
         value_by_work: info.value_by == "work",
         cross_zone_price: info.penalties.cross_zone,
         must_ask: info.registry_mode == "on_request",
+        only_draining: info.rules.only_draining_binds,
         cold: Cold {
             start: info.rules.start_capacity,
             warm: info.rules.warm_up / 1e3,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -116,7 +116,11 @@
             out.extend(self.set.must_ask.then_some(Output::Wake { after, timer: ASK }));
         }
         // Guards against an executor that was removed while this node did not hear: absent means gone.
-        self.tgts.iter_mut().filter(|_| whole).for_each(|t| t.entry.standing = Standing::Gone);
+        let absent = |t: &Executor| Entry { standing: Standing::Gone, ..t.entry.clone() };
+        let all: Vec<Entry> = self.tgts.iter().filter(|_| whole).map(absent).collect();
+        let named = |e: &Entry| entries.iter().any(|other| other.tgt == e.tgt);
+        let absent: Vec<Entry> = all.into_iter().filter(|e| !named(e)).collect();
+        absent.into_iter().for_each(|entry| self.entry(now, entry));
         entries.into_iter().for_each(|entry| self.entry(now, entry));
         self.solve(now);
     }
@@ -127,6 +131,17 @@
         self.kinds.resize(self.kinds.len().max(entry.kind + 1), Kind::default());
         self.kinds[entry.kind].size = self.kinds[entry.kind].size.max(entry.size);
         let t = &mut self.tgts[entry.tgt];
+        let (was, only) = (t.entry.standing, self.set.only_draining);
+        // Guards against lists that are wrong or old, where they prove nothing: what drains does so for good, and
+        // who is not listed any more is used once it has shown that it lives.
+        let old =
+            entry.started < t.entry.started || entry.started == t.entry.started && was == Standing::Draining;
+        let lost = entry.standing == Standing::Gone && matches!(was, Standing::Ready | Standing::Missing);
+        if only && (old || lost && !entry.started.is_nan()) {
+            t.entry.standing = if lost { Standing::Missing } else { was };
+            t.shown &= was == Standing::Missing;
+            return;
+        }
         if t.entry.started != entry.started {
             // A new start time is a new process: what was known of the old one says nothing of it.
             let (held, memory, never) = (t.held, t.memory, f64::NEG_INFINITY);
@@ -249,7 +264,10 @@
             Outcome::Succeeded => Self::succeeded(now, t, &mut self.classes[op], kind, took),
             Outcome::Full => (t.refused, t.refusals) = (now, t.refusals + 1),
             Outcome::Cancelled | Outcome::Moot => {}
-            Outcome::Unreachable => t.failed(3.0, self.level, out), // The next would lose as much time.
+            Outcome::Unreachable => {
+                t.shown = false;
+                t.failed(3.0, self.level, out); // The next would lose as much time.
+            }
             _ => t.failed(if outcome == Outcome::Unfit { 0.25 } else { 1.0 }, self.level, out),
         }
         t.judge(self.level, out);
@@ -328,8 +346,10 @@
     fn probed(&mut self, now: f64, tgt: Tgt, outcome: Outcome, report: Report, out: &mut Vec<Output>) {
         let Some(t) = self.tgts.get_mut(tgt) else { return };
         if outcome == Outcome::Succeeded {
+            t.shown = true;
             return self.report(now, tgt, report);
         }
+        t.shown = false;
         t.failed(if outcome == Outcome::Full { 0.0 } else { 0.5 }, self.level, out); // It may just be late.
         (t.refused, t.refusals) = (now, t.refusals.max(1));
     }
@@ -417,7 +437,7 @@
     fn may_go(&self, now: f64, inv: &Inv, t: &Executor) -> bool {
         const WINDOW_MARGIN: f64 = 0.1; // Off the end of the window: several times the way to an executor.
         let op = &self.set.operations[inv.op];
-        t.entry.standing == Standing::Ready
+        t.ready()
             && op.kind.is_none_or(|kind| kind == t.entry.kind)
             && !inv.forwards.iter().any(|f| f.tgt == t.entry.tgt && f.fate != Fate::NotRun)
             && inv.anchor().is_none_or(|first| match op.effect {
@@ -625,6 +645,7 @@
             }
             t.judge(self.level, out);
         }
+        self.seek(now, out);
         self.solve(now);
         // Each second all that it holds, and once more what has changed, as messages may be lost.
         let again = now.floor() > (now - passed).floor();
@@ -640,9 +661,28 @@
         out.push(Output::Wake { after, timer: SOLVE });
     }
 
+    /// Asks some of those that are missing whether they live, or takes it for granted where none is left.
+    fn seek(&mut self, now: f64, out: &mut Vec<Output>) {
+        const SOUGHT: usize = 3; // At a time: some seconds later there are dozens, more than one node needs.
+        let none = !self.tgts.iter().any(Executor::ready);
+        let left = |t: &Executor| t.entry.standing == Standing::Missing && !t.shown;
+        let missing: Vec<Tgt> = (0..self.tgts.len()).filter(|&i| left(&self.tgts[i])).collect();
+        if none {
+            missing.iter().for_each(|&i| self.tgts[i].shown = true);
+        }
+        for _ in 0..if self.set.probing && !missing.is_empty() { SOUGHT } else { 0 } {
+            let tgt = missing[(self.chance.draw() * missing.len() as f64) as usize];
+            let t = &mut self.tgts[tgt];
+            if now - t.asked > 0.5 && (t.refusals == 0 || now - t.refused > 5.0) {
+                t.asked = now;
+                out.push(Output::Probe(tgt));
+            }
+        }
+    }
+
     /// What the better quarter of the ready executors reach: neither a few bad nor a few lucky ones move it.
     fn level(&self) -> f64 {
-        let ready = self.tgts.iter().filter(|t| t.entry.standing == Standing::Ready);
+        let ready = self.tgts.iter().filter(|t| t.ready());
         let mut means: Vec<f64> = ready.map(Executor::mean).collect();
         means.sort_by(|a, b| b.total_cmp(a));
         means.get(means.len() / 4).map_or(1.0, |mean| (mean / TRUSTED).min(1.0))
@@ -668,7 +708,7 @@
             };
             (t.mu, t.beta) = (size * t.warmth(now, &self.set.cold) * (-t.slow).exp(), 0.0);
         }
-        let ready = |i: &Tgt| self.tgts[*i].entry.standing == Standing::Ready;
+        let ready = |i: &Tgt| self.tgts[*i].ready();
         let mut rank: Vec<Tgt> = (0..self.tgts.len()).filter(ready).collect();
         // Scaled so that this node's arrivals load them as much as they report to be loaded.
         let sum: f64 = rank.iter().map(|&i| self.tgts[i].mu).sum();
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -182,6 +182,47 @@
     assert_eq!(node.may_go(3.0, &node.invs[&ID], &node.tgts[1]), expected == Standing::Ready);
 }
 
+#[test_case(&[(Standing::Gone, 5.0)], false, false; "called gone")]
+#[test_case(&[(Standing::Gone, 5.0)], true, true; "called gone and seen to live since")]
+#[test_case(&[(Standing::Gone, 5.0), (Standing::Gone, 5.0)], true, true; "and called gone again")]
+#[test_case(&[(Standing::Gone, 5.0), (Standing::Ready, 5.0)], false, true; "the list has come right")]
+#[test_case(&[(Standing::Draining, 5.0), (Standing::Gone, 5.0)], true, false; "drained first")]
+#[test_case(&[(Standing::Draining, 5.0), (Standing::Ready, 5.0)], true, false; "drains, whatever an old list says")]
+#[test_case(&[(Standing::Draining, 5.0), (Standing::Ready, 6.0)], false, true; "until it has started anew")]
+#[test_case(&[(Standing::Draining, 4.0)], false, true; "a process of before this one drained")]
+fn where_only_a_drain_binds_a_list_proves_little(told: &[(Standing, f64)], alive: bool, goes: bool) {
+    // Guards against a list that calls a serving fleet gone, and against one of long ago that comes again.
+    let (mut node, mut out) = (node(Effect::Idempotent, 2), Vec::new());
+    (node.set.only_draining, node.set.probing, node.tgts[1].entry.started) = (true, true, 5.0);
+    add(&mut node, Life::Waiting, &[]);
+    for &(standing, started) in told {
+        node.list(30.0, List::Changes(vec![entry(1, standing, started)]), &mut out);
+        if alive {
+            let (outcome, report) = (Outcome::Succeeded, Report::default());
+            node.handle(30.0, Input::Probed { tgt: 1, outcome, report }, &mut out);
+        }
+    }
+    assert_eq!(node.may_go(30.0, &node.invs[&ID], &node.tgts[1]), goes);
+}
+
+#[test_case(true, 3; "they are asked a few at a time")]
+#[test_case(false, 0; "they can't be asked")]
+fn with_all_called_gone_the_node_goes_on(probing: bool, asked: usize) {
+    let (mut node, mut out) = (node(Effect::Idempotent, 40), Vec::new());
+    (node.set.only_draining, node.set.probing) = (true, probing);
+    node.list(1.0, List::Whole(Vec::new()), &mut out);
+    assert!(node.rank.is_empty(), "not before it is clear that none is left");
+    node.tick(1.25, &mut out);
+    let probes = out.iter().filter(|o| matches!(o, Output::Probe(_))).count();
+    assert!(node.rank.len() == 40 && (1..=3).contains(&probes) == (asked > 0), "{out:?}");
+    node.handle(
+        1.3,
+        Input::Probed { tgt: 7, outcome: Outcome::Unreachable, report: Report::default() },
+        &mut out,
+    );
+    assert!(!node.tgts[7].ready(), "one that can't be reached is gone");
+}
+
 #[test]
 fn a_lost_list_is_asked_again_later_and_later() {
     let (mut node, mut waits) = (node(Effect::Idempotent, 1), Vec::new());
--- a/src/types.rs
+++ b/src/types.rs
@@ -84,6 +84,8 @@
     pub cross_zone_price: f64,
     /// The list of executors comes only when asked for.
     pub must_ask: bool,
+    /// Only a drain binds: who is listed as gone, or left out, without one may be sent to.
+    pub only_draining: bool,
     pub cold: Cold,
     pub max_forwards: usize,
     pub cancelling: bool,
@@ -102,6 +104,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Standing {
     Ready,
+    /// Not listed any more, which need not be so; `Executor::shown` tells whether it was seen to live since.
+    Missing,
     Draining,
     #[default]
     Gone,
@@ -394,6 +398,8 @@
     pub heard: f64,
     pub silent: bool,
     pub doubtful: bool,
+    /// It has shown that it lives since it was missing.
+    pub shown: bool,
     pub trial: bool,
     pub good: f64,
     pub bad: f64,
@@ -407,6 +413,11 @@
         Executor { entry: Entry { tgt, started: f64::NAN, ..Entry::default() }, ..Executor::default() }
     }
 
+    /// May be sent to: listed as ready, or missing and seen to live since.
+    pub fn ready(&self) -> bool {
+        self.entry.standing == Standing::Ready || self.entry.standing == Standing::Missing && self.shown
+    }
+
     /// What the other nodes hold there.
     pub fn elsewhere(&self) -> f64 {
         self.others.iter().map(|&n| f64::from(n)).sum()
@@ -425,7 +436,7 @@
 
     /// A sign of life: what it was blamed for while silent is forgiven, as it works off what it holds.
     pub fn woke(&mut self, now: f64) {
-        self.heard = now;
+        (self.heard, self.shown) = (now, true);
         self.bad *= if std::mem::take(&mut self.silent) { 0.0 } else { 1.0 };
     }
 
