--- a/src/policy.rs
+++ b/src/policy.rs
@@ -70,6 +70,7 @@
             tenants: vec![Class::default(); set.quotas.len()],
             peer_heard: vec![0.0; set.nodes.max(set.me + 1)],
             util: 0.5,
+            spill: 1.0 - (5.0 * set.cross_zone_price).min(1.0), // As if one in five came late there.
             level: 1.0,
             set,
             ..Node::default()
@@ -132,7 +133,7 @@
         self.kinds[entry.kind].size = self.kinds[entry.kind].size.max(entry.size);
         let t = &mut self.tgts[entry.tgt];
         let (was, only) = (t.entry.standing, self.set.only_draining);
-        // Guards against lists that are wrong or old, where they prove nothing: what drains does so for good, and
+        // Guards against lists that are wrong or old, where they prove little: what drains does so for good;
         // who is not listed any more is used once it has shown that it lives.
         let old =
             entry.started < t.entry.started || entry.started == t.entry.started && was == Standing::Draining;
@@ -175,7 +176,8 @@
         let worth = in_share + (1.0 - in_share) * self.set.over_share_value;
         // A crossing waits for the part of its spare time that it would cost of the value it serves.
         let dear = self.set.cross_zone_price * self.value / self.value(sub.operation, load).max(1e-6);
-        let (op, cross) = (sub.operation, now + dear * spare);
+        let spills = !self.asks() && self.chance.draw() < self.spill;
+        let (op, cross) = (sub.operation, if spills { now } else { now + dear * spare });
         let end = self.leaving.unwrap_or(f64::INFINITY).min(now + sub.timeout);
         let (until, key) = (aim.max(now).min(end - BEFORE_END), sub.key);
         let inv = Inv { op, worth, aim, spare, until, end, hint, load, memory, cross, key, ..Inv::default() };
@@ -307,6 +309,7 @@
     }
 
     fn alive(&mut self, now: f64, id: InvId, forward: usize) {
+        const SPILL_NEW: f64 = 0.05; // Weight of a start in the own zone in what leaves it: some twenty.
         const WAITED_NEW: f64 = 0.05; // Weight of a start in a utilisation that is not reported: some twenty.
         let Some(inv) = self.invs.get_mut(&id) else { return };
         let Some(fwd) = inv.forwards.get_mut(forward).filter(|f| f.fate == Fate::Out) else { return };
@@ -317,6 +320,11 @@
             fwd.wait = Some(if self.set.tells_start { wait } else { 0.0 });
         }
         t.woke(now);
+        let near = t.entry.zone == self.set.zone;
+        if let Some(late) = late.filter(|_| near) {
+            let late = f64::from(u8::from(late));
+            self.spill = (self.spill + SPILL_NEW * (late - self.set.cross_zone_price)).clamp(0.0, 1.0);
+        }
         let waited = if wait >= AT_ONCE { 1.0 } else { 0.5 };
         self.util += if late.is_some() && !self.asks() { WAITED_NEW * (waited - self.util) } else { 0.0 };
         self.charge(now, late, sent);
@@ -693,7 +701,8 @@
         const DRIFT: f64 = 0.98; // Of an executor's difference from the mean, each interval without outcomes.
         const TRIAL: f64 = 0.02; // Of the mean share, for a zero share: one in fifty keeps its figures alive.
         const UNSAMPLED: f64 = 3.0; // Some invocations' time: so long without an own outcome, it drifts.
-        let dear = self.set.cross_zone_price > 0.0 && self.asks(); // Blind, a full own zone would not show.
+                                    // Blind and without word of starts, a full own zone would not show.
+        let dear = self.set.cross_zone_price > 0.0 && (self.asks() || self.set.tells_start);
         let known: Vec<f64> = self.tgts.iter().map(|t| t.slots).filter(|slots| *slots > 0.0).collect();
         let usual = known.iter().sum::<f64>().max(1.0) / known.len().max(1) as f64;
         for t in &mut self.tgts {
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -1,3 +1,5 @@
+use std::collections::BTreeMap;
+
 use super::*;
 use test_case::test_case;
 
@@ -546,6 +548,26 @@
     );
 }
 
+#[test_case(0.2, 0.0, 0.05, 0; "a dear crossing waits while the own zone starts in time")]
+#[test_case(0.2, 0.0, 2.0, 1; "not once its starts come late")]
+#[test_case(0.01, 0.95, 0.05, 1; "and a cheap one hardly ever")]
+fn a_blind_fleet_crosses_as_its_own_zone_fills(price: f64, first: f64, wait: f64, crosses: usize) {
+    // Guards against crossings that cost more than they serve: nothing reported, three in four went to other zones.
+    let set = Settings { cross_zone_price: price, tells_start: true, ..node(Effect::Idempotent, 0).set };
+    let (mut node, mut out) = (Node::new(set, 5), Vec::new());
+    let zoned = |tgt| Entry { zone: usize::from(tgt > 0), ..entry(tgt, Standing::Ready, 0.0) };
+    node.list(0.0, List::Whole((0..8).map(zoned).collect()), &mut out);
+    assert!((node.spill - first).abs() < 1e-9 && node.near == 1);
+    for _ in 0..60 {
+        add(&mut node, Life::Out, &[Fate::Out]);
+        node.invs.entry(ID).and_modify(|inv| inv.spare = 1.0);
+        node.alive(1.0 + wait, ID, 0);
+    }
+    (node.value, node.invs) = (1.0, BTreeMap::new());
+    node.handle(4.0, Input::Submitted(submit(9.0, 0)), &mut out);
+    assert_eq!(usize::from(node.invs[&ID].cross <= 4.0), crosses, "{}", node.spill);
+}
+
 #[test]
 fn a_draw_is_not_wasted_on_who_is_known_to_be_full() {
     // Guards against jobs that find no room where there is some: each node looks at few of a large fleet.
--- a/src/types.rs
+++ b/src/types.rs
@@ -521,6 +521,8 @@
     /// What executors are held against when they are doubted, at most one.
     pub(crate) level: f64,
     pub(crate) fog: f64,
+    /// Where nothing is reported: the part of invocations that may leave the own zone at once, as starts come late there.
+    pub(crate) spill: f64,
     pub(crate) misled: f64,
     /// What an invocation must press to be taken, in parts of the usual press.
     pub(crate) price: f64,
