--- a/src/policy.rs
+++ b/src/policy.rs
@@ -249,11 +249,16 @@
     }
 
     fn settled(&mut self, now: f64, settled: Settled, out: &mut Vec<Output>) {
+        const FATAL: f64 = 0.1; // Since it began: short beside running times, long beside a word's way.
         const MISLED_NEW: f64 = 0.05; // Weight of an outcome in how often reports mislead: some twenty.
         let Settled { id, forward, outcome, took, ended, report } = settled;
         let Some(inv) = self.invs.get_mut(&id) else { return };
         let Some(fwd) = inv.forwards.get_mut(forward).filter(|f| f.fate == Fate::Out) else { return };
         fwd.fate = if outcome.never_ran() { Fate::NotRun } else { Fate::MayHaveRun };
+        // Guards against jobs that bring down whoever begins them, one executor after the other. For one that was
+        // but near when another did so, its client asks again.
+        let began = fwd.wait.map_or(f64::INFINITY, |wait| now - fwd.sent - wait);
+        inv.fatal |= outcome == Outcome::Reset && began < FATAL;
         let (tgt, op, took) = (fwd.tgt, inv.op, (took - fwd.wait.unwrap_or(0.0)) / inv.hint);
         inv.sample.clear();
         let t = &mut self.tgts[tgt];
@@ -531,8 +536,8 @@
         const MEMORY_HOLDS: f64 = 1.0; // Then what others' jobs take of it is unknown: some running times.
         const ASKED: usize = 2; // Executors asked for their state at a time.
         let inv = &self.invs[&id];
-        let spent =
-            inv.forwards.len() >= self.set.max_forwards || self.leaving.is_some() && now + inv.load > inv.end;
+        let most = if inv.fatal { 0 } else { self.set.max_forwards };
+        let spent = inv.forwards.len() >= most || self.leaving.is_some() && now + inv.load > inv.end;
         if spent || (inv.anchor().is_some() && !self.tgts.iter().any(|t| self.may_go(now, inv, t))) {
             return Place::Never;
         }
--- a/src/types.rs
+++ b/src/types.rs
@@ -342,6 +342,8 @@
     pub memory: f64,
     pub key: Option<u64>,
     pub press: f64,
+    /// Its executor died as it began there.
+    pub fatal: bool,
     pub sample: Vec<Tgt>,
     pub again: f64,
     pub gap: f64,
