--- a/crates/coveroute-node/src/config.rs
+++ b/crates/coveroute-node/src/config.rs
@@ -176,17 +176,14 @@
             "settings.report.source: reports are gone by only where settings.limits.probing allows to ask"
                 .into(),
         ),
-        (
-            !told && settings.probing,
-            "settings.limits.probing: with settings.report.source none there is nothing to ask for".into(),
-        ),
         (
             !told && !settings.tells_start,
             "settings.familyInfo.tellsStart: without reports only starts tell of queues".into(),
         ),
         (
-            settings.peers && !settings.probing,
-            "settings.limits.peers: who counts must also ask executors, see settings.limits.probing".into(),
+            settings.peers && !(told && settings.probing),
+            "settings.limits.peers: who counts must also ask executors, see settings.limits.probing and report"
+                .into(),
         ),
         (
             settings.peers != peers.is_some(),
