--- a/src/policy.rs
+++ b/src/policy.rs
@@ -249,6 +249,7 @@
     }
 
     fn settled(&mut self, now: f64, settled: Settled, out: &mut Vec<Output>) {
+        const THEIRS_NEW: f64 = 0.1; // Weight of a failed job that was sent again in whose fault it is.
         const FATAL: f64 = 0.1; // Since it began: short beside running times, long beside a word's way.
         const MISLED_NEW: f64 = 0.05; // Weight of an outcome in how often reports mislead: some twenty.
         let Settled { id, forward, outcome, took, ended, report } = settled;
@@ -258,13 +259,21 @@
         // Guards against jobs that bring down whoever begins them, one executor after the other. For one that
         // was but near when another did so, its client asks again.
         let began = fwd.wait.map_or(f64::INFINITY, |wait| now - fwd.sent - wait);
-        inv.fatal |= outcome == Outcome::Reset && began < FATAL;
+        inv.hopeless |= outcome == Outcome::Reset && began < FATAL;
         let (tgt, op, took) = (fwd.tgt, inv.op, (took - fwd.wait.unwrap_or(0.0)) / inv.hint);
+        fwd.errored = outcome == Outcome::Errored;
         inv.sample.clear();
+        let blamed = inv.forwards[..forward].iter().rfind(|f| f.errored).map(|f| f.tgt);
+        if let Some(other) = blamed.filter(|_| matches!(outcome, Outcome::Errored | Outcome::Succeeded)) {
+            inv.hopeless |= outcome == Outcome::Errored;
+            let fault = f64::from(u8::from(inv.hopeless));
+            self.theirs += THEIRS_NEW * (fault - self.theirs);
+            self.tgts[other].bad = (self.tgts[other].bad - fault).max(0.0);
+        }
         let t = &mut self.tgts[tgt];
         t.held = t.held.saturating_sub(1);
         t.memory = if t.held == 0 { 0.0 } else { (t.memory - inv.memory).max(0.0) };
-        t.running = t.running.saturating_sub(usize::from(fwd.wait.is_some()));
+        t.running = t.running.saturating_sub(usize::from(began.is_finite()));
         t.kept &= outcome == Outcome::Succeeded;
         let kind = &mut self.kinds[t.entry.kind].slow;
         match outcome {
@@ -275,6 +284,9 @@
                 t.shown = false;
                 t.failed(3.0, self.level, out); // The next would lose as much time.
             }
+            // Two executors that fail the same job are not to blame; how often that is so tells of others.
+            Outcome::Errored if blamed.is_some() => {}
+            Outcome::Errored => t.failed(1.0 - self.theirs, self.level, out),
             _ => t.failed(if outcome == Outcome::Unfit { 0.25 } else { 1.0 }, self.level, out),
         }
         t.judge(self.level, out);
@@ -536,7 +548,7 @@
         const MEMORY_HOLDS: f64 = 1.0; // Then what others' jobs take of it is unknown: some running times.
         const ASKED: usize = 2; // Executors asked for their state at a time.
         let inv = &self.invs[&id];
-        let most = if inv.fatal { 0 } else { self.set.max_forwards };
+        let most = if inv.hopeless { 0 } else { self.set.max_forwards };
         let spent = inv.forwards.len() >= most || self.leaving.is_some() && now + inv.load > inv.end;
         if spent || (inv.anchor().is_some() && !self.tgts.iter().any(|t| self.may_go(now, inv, t))) {
             return Place::Never;
@@ -572,7 +584,7 @@
     fn send(&mut self, now: f64, id: InvId, tgt: Tgt, out: &mut Vec<Output>) {
         let turn = self.tgts[tgt].turn(now, self.set.cold.fall);
         let Some(inv) = self.invs.get_mut(&id) else { return };
-        inv.forwards.push(Fwd { tgt, sent: now, fate: Fate::Out, wait: None });
+        inv.forwards.push(Fwd { tgt, sent: now, fate: Fate::Out, wait: None, errored: false });
         let t = &mut self.tgts[tgt];
         t.memory += inv.memory;
         t.spent = inv.load + if t.turn == turn { t.spent } else { 0.0 };
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -29,7 +29,7 @@
 
 /// Adds an invocation whose earlier forwards, all sent at 1, went to executors 0, 1, ... with these fates.
 fn add(node: &mut Node, life: Life, fates: &[Fate]) {
-    let forward = |(tgt, &fate)| Fwd { tgt, sent: 1.0, fate, wait: None };
+    let forward = |(tgt, &fate)| Fwd { tgt, sent: 1.0, fate, wait: None, errored: false };
     let forwards: Vec<Fwd> = fates.iter().enumerate().map(forward).collect();
     let inv = Inv {
         life,
@@ -584,6 +584,29 @@
     assert_eq!((sent, out.contains(&refused)), (again, !again), "{out:?}");
 }
 
+#[test_case(Outcome::Errored, false, 0.0; "another fails it too: it is the job's own fault")]
+#[test_case(Outcome::Succeeded, true, 1.0; "another serves it: the first is to blame")]
+fn whose_fault_an_error_is_shows_at_another(second: Outcome, served: bool, blame: f64) {
+    // Guards against jobs that fail wherever they go: a fleet that is doubted, and five forwards for each.
+    let mut node = node(Effect::Idempotent, 3);
+    add(&mut node, Life::Out, &[Fate::Out]);
+    (node.tgts[0].held, node.theirs) = (1, 0.0);
+    settle(&mut node, 2.0, Outcome::Errored);
+    node.invs.entry(ID).and_modify(|inv| {
+        inv.life = Life::Again;
+        inv.forwards.push(Fwd { tgt: 1, sent: 2.0, fate: Fate::Out, wait: None, errored: false });
+    });
+    node.waiting.clear();
+    let report = Report::default();
+    let settled = Settled { id: ID, forward: 1, outcome: second, took: 0.1, ended: served, report };
+    let mut out = Vec::new();
+    node.settled(2.1, settled, &mut out);
+    node.look(2.1, &mut out);
+    assert_eq!((node.tgts[0].bad, node.tgts[1].bad), (blame, 0.0));
+    assert_eq!(out.contains(&Output::Throttle { id: ID, pause: 0.0 }), !served, "{out:?}");
+    assert!(!out.iter().any(|o| matches!(o, Output::Forward { .. })) && (node.theirs > 0.0) != served);
+}
+
 #[test]
 fn a_draw_is_not_wasted_on_who_is_known_to_be_full() {
     // Guards against jobs that find no room where there is some: each node looks at few of a large fleet.
--- a/src/types.rs
+++ b/src/types.rs
@@ -320,6 +320,8 @@
     pub fate: Fate,
     /// How long it waited there, once it has given a sign of life.
     pub wait: Option<f64>,
+    /// The executor answered with an error.
+    pub errored: bool,
 }
 
 /// `worth`: the part of its billed value that counts, as its tenant is over its share. In time if sent before
@@ -342,8 +344,8 @@
     pub memory: f64,
     pub key: Option<u64>,
     pub press: f64,
-    /// Its executor died as it began there.
-    pub fatal: bool,
+    /// Its executor died as it began there, or two have failed it: it goes out no more.
+    pub hopeless: bool,
     pub sample: Vec<Tgt>,
     pub again: f64,
     pub gap: f64,
@@ -523,6 +525,8 @@
     /// What executors are held against when they are doubted, at most one.
     pub(crate) level: f64,
     pub(crate) fog: f64,
+    /// How often an error is the invocation's own fault.
+    pub(crate) theirs: f64,
     /// Where nothing is reported: the part of invocations that may leave the own zone at once, as starts come late there.
     pub(crate) spill: f64,
     pub(crate) misled: f64,
