--- a/src/policy.rs
+++ b/src/policy.rs
@@ -256,10 +256,11 @@
         let Some(inv) = self.invs.get_mut(&id) else { return };
         let Some(fwd) = inv.forwards.get_mut(forward).filter(|f| f.fate == Fate::Out) else { return };
         fwd.fate = if outcome.never_ran() { Fate::NotRun } else { Fate::MayHaveRun };
-        // Guards against jobs that bring down whoever begins them, one executor after the other. For one that
-        // was but near when another did so, its client asks again.
+        // Guards against jobs that bring down whoever begins them, one executor after another, often before the
+        // word of their start is out. For one that was but near when another did so, its client asks again.
         let began = fwd.wait.map_or(f64::INFINITY, |wait| now - fwd.sent - wait);
-        inv.hopeless |= outcome == Outcome::Reset && began < FATAL;
+        let ran = (FATAL..f64::INFINITY).contains(&began);
+        inv.hopeless |= self.set.tells_start && outcome == Outcome::Reset && !ran;
         let (tgt, op, took) = (fwd.tgt, inv.op, (took - fwd.wait.unwrap_or(0.0)) / inv.hint);
         fwd.errored = outcome == Outcome::Errored;
         inv.sample.clear();
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -568,15 +568,22 @@
     assert_eq!(usize::from(node.invs[&ID].cross <= 4.0), crosses, "{}", node.spill);
 }
 
-#[test_case(1.95, Outcome::Reset, false; "its executor died as it began")]
-#[test_case(1.5, Outcome::Reset, true; "it had run there for a while")]
-#[test_case(1.95, Outcome::Errored, true; "an error is no death")]
-fn a_job_that_kills_whoever_begins_it_goes_no_further(began: f64, outcome: Outcome, again: bool) {
+#[test_case(Some(1.95), Outcome::Reset, true, false; "its executor died as it began")]
+#[test_case(None, Outcome::Reset, true, false; "or before the word of that was out")]
+#[test_case(None, Outcome::Reset, false, true; "where no such word comes it says nothing")]
+#[test_case(Some(1.5), Outcome::Reset, true, true; "it had run there for a while")]
+#[test_case(Some(1.95), Outcome::Errored, true, true; "an error is no death")]
+fn a_job_that_kills_whoever_begins_it_goes_no_further(
+    began: Option<f64>,
+    outcome: Outcome,
+    tells: bool,
+    again: bool,
+) {
     // Guards against a few such jobs that take down several executors each.
     let mut node = node(Effect::Idempotent, 3);
     add(&mut node, Life::Out, &[Fate::Out]);
-    (node.tgts[0].held, node.set.tells_start) = (1, true);
-    node.alive(began, ID, 0);
+    (node.tgts[0].held, node.set.tells_start) = (1, tells);
+    began.into_iter().for_each(|began| node.alive(began, ID, 0));
     let mut out = settle(&mut node, 2.0, outcome);
     node.look(2.0, &mut out);
     let (sent, refused) = (Output::Forward { id: ID, tgt: 1 }, Output::Throttle { id: ID, pause: 0.0 });
