--- a/src/policy.rs
+++ b/src/policy.rs
@@ -256,8 +256,8 @@
         let Some(inv) = self.invs.get_mut(&id) else { return };
         let Some(fwd) = inv.forwards.get_mut(forward).filter(|f| f.fate == Fate::Out) else { return };
         fwd.fate = if outcome.never_ran() { Fate::NotRun } else { Fate::MayHaveRun };
-        // Guards against jobs that bring down whoever begins them, one executor after another, often before the
-        // word of their start is out. For one that was but near when another did so, its client asks again.
+        // Guards against jobs that bring down whoever begins them, one executor after another, often before a
+        // word of the start is out. For one that was but near when another did so, its client asks again.
         let began = fwd.wait.map_or(f64::INFINITY, |wait| now - fwd.sent - wait);
         let ran = (FATAL..f64::INFINITY).contains(&began);
         inv.hopeless |= self.set.tells_start && outcome == Outcome::Reset && !ran;
@@ -495,6 +495,14 @@
         let (many, inv) = (if near { self.near } else { self.rank.len() }, &self.invs[&id]);
         let open = |i: &Tgt| self.open(now, inv, &self.tgts[*i]);
         let mut pool: Vec<Tgt> = self.rank[..many].iter().copied().filter(open).collect();
+        // Guards against cold executors left idle: who has a turn sends there first what will be in time.
+        let fresh = |i: &Tgt| {
+            let w = self.tgts[*i].warmth(now, &self.set.cold);
+            w < 1.0 && inv.load * (1.0 / w - 1.0) <= 2.0 * inv.spare
+        };
+        if !self.asks() && pool.iter().any(fresh) {
+            pool.retain(fresh);
+        }
         // Guards against queues that nothing tells of: an executor that began at once is drawn again.
         let kept = |i: &Tgt| self.tgts[*i].kept && self.tgts[*i].held == 0;
         if !self.asks() && pool.iter().any(kept) {
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -614,6 +614,23 @@
     assert!(!out.iter().any(|o| matches!(o, Output::Forward { .. })) && (node.theirs > 0.0) != served);
 }
 
+#[test_case(4.0, 0.2, 0.5, true; "who has the turn sends there first")]
+#[test_case(6.0, 0.2, 0.5, false; "not out of turn")]
+#[test_case(4.0, 0.9, 0.1, false; "nor what would be late there")]
+fn a_cold_executor_does_not_stand_idle(age: f64, load: f64, spare: f64, first: bool) {
+    // Guards against executors that stand idle until they are warm where many nodes take turns at them.
+    let mut node = node(Effect::Idempotent, 20);
+    (node.set.me, node.set.nodes, node.set.cold.start) = (2, 100, 0.12);
+    node.solve(50.0);
+    (node.tgts[7].entry.started, node.tgts[7].slots) = (50.0, 4.0);
+    let drawn = (0..20).filter(|_| {
+        add(&mut node, Life::Waiting, &[]);
+        node.invs.entry(ID).and_modify(|inv| (inv.load, inv.spare) = (load, spare));
+        node.draw(50.0 + age, ID) == Some(7)
+    });
+    assert_eq!(drawn.count() == 20, first);
+}
+
 #[test]
 fn a_draw_is_not_wasted_on_who_is_known_to_be_full() {
     // Guards against jobs that find no room where there is some: each node looks at few of a large fleet.
