--- a/crates/coveroute-shared/src/settings.rs
+++ b/crates/coveroute-shared/src/settings.rs
@@ -188,7 +188,8 @@
             _ => Reports::Never,
         },
         sizes: match info.weights.as_str() {
-            "nominal" | "rough" => Sizes::Listed,
+            "nominal" => Sizes::Listed,
+            "rough" => Sizes::Rough,
             "live" => Sizes::Live,
             _ => Sizes::Never,
         },
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -738,6 +738,7 @@
             let slots = if t.slots > 0.0 { t.slots } else { usual };
             let size = match self.set.sizes {
                 Sizes::Listed => t.entry.size,
+                Sizes::Rough => t.entry.size * (-kind.slow).exp(),
                 Sizes::Live => kind.size,
                 Sizes::Never => slots * (-kind.slow).exp(),
             };
--- a/src/types.rs
+++ b/src/types.rs
@@ -51,8 +51,10 @@
 pub enum Sizes {
     #[default]
     Never,
-    /// The registered size, exactly or roughly.
+    /// The registered size.
     Listed,
+    /// About its size: how many cores, not how fast they are.
+    Rough,
     /// The size less what is held there, some time ago: the same view for all nodes.
     Live,
 }
