--- a/src/policy.rs
+++ b/src/policy.rs
@@ -424,7 +424,8 @@
             let holds = if room >= ONE { FREE_HOLDS } else { FULL_HOLDS };
             return (t.reported > 0.0 && now - t.reported <= holds).then_some(room);
         }
-        Some(PASS * self.held + 1.0 - t.held as f64)
+        let near = self.near > 0 && t.entry.zone == self.set.zone;
+        Some(PASS * self.held[usize::from(!near)] + 1.0 - t.held as f64)
     }
 
     /// Reports can be asked for, and are prompt enough to go by: fewer than two of the last twenty misled.
@@ -766,7 +767,10 @@
         let sum: f64 = rank.iter().map(|&i| share(i)).sum();
         let least = if sum > 0.0 { TRIAL * sum / rank.len() as f64 } else { 1.0 };
         rank.iter().for_each(|&i| self.tgts[i].share = self.tgts[i].beta.max(least));
-        self.held = rank.iter().map(|&i| self.tgts[i].held as f64).sum::<f64>() / rank.len().max(1) as f64;
+        let mean = |part: &[Tgt]| {
+            part.iter().map(|&i| self.tgts[i].held as f64).sum::<f64>() / part.len().max(1) as f64
+        };
+        self.held = [mean(&rank[..self.near]), mean(&rank[self.near..])];
         self.rank = rank;
     }
 
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -396,7 +396,7 @@
 #[test_case(0.0, 0.0, Some(1.0); "full as reported: reports are right")]
 fn late_reports_are_told_by_full_answers(free: f64, queue: f64, believed: Option<f64>) {
     let mut node = node(Effect::Idempotent, 2);
-    (node.set.reports, node.set.probing, node.held) = (Reports::Answers, true, 2.0);
+    (node.set.reports, node.set.probing, node.held) = (Reports::Answers, true, [2.0; 2]);
     for _ in 0..2 {
         add(&mut node, Life::Out, &[Fate::Out]);
         let report = Report { free: Some(free), queue: Some(queue), ..Report::default() };
@@ -548,6 +548,19 @@
     );
 }
 
+#[test_case(0, 2.5; "the own zone's, who hold three each: half as much again, and one")]
+#[test_case(1, 1.0; "another zone's, who hold nothing")]
+fn what_is_usual_to_hold_is_told_apart_by_zone(tgt: Tgt, room: f64) {
+    // Guards against a zone that looks full beside others that hold nothing, as work stays in it.
+    let set = Settings { cross_zone_price: 0.2, tells_start: true, ..node(Effect::Idempotent, 0).set };
+    let (mut node, mut out) = (Node::new(set, 5), Vec::new());
+    let zoned = |tgt| Entry { zone: tgt % 2, ..entry(tgt, Standing::Ready, 0.0) };
+    node.list(0.0, List::Whole((0..8).map(zoned).collect()), &mut out);
+    (0..4).for_each(|i| node.tgts[2 * i].held = 3);
+    node.solve(1.0);
+    assert_eq!(node.room(1.0, &node.tgts[tgt]), Some(room));
+}
+
 #[test_case(0.2, 0.0, 0.05, 0; "a dear crossing waits while the own zone starts in time")]
 #[test_case(0.2, 0.0, 2.0, 1; "not once its starts come late")]
 #[test_case(0.01, 0.95, 0.05, 1; "and a cheap one hardly ever")]
--- a/src/types.rs
+++ b/src/types.rs
@@ -539,7 +539,7 @@
     /// Mean billed value of an invocation.
     pub(crate) value: f64,
     /// Mean own forwards held, at the last solve.
-    pub(crate) held: f64,
+    pub(crate) held: [f64; 2],
     pub(crate) solved: f64,
     /// When it last had a turn, and the one before.
     pub(crate) turns: [f64; 2],
