--- a/src/policy.rs
+++ b/src/policy.rs
@@ -291,11 +291,11 @@
             _ => t.failed(if outcome == Outcome::Unfit { 0.25 } else { 1.0 }, self.level, out),
         }
         t.judge(self.level, out);
+        // Guards against connect failures: hundreds of nodes' idle connections fill an executor's table.
+        let idle = t.held == 0 && !t.kept && outcome != Outcome::Errored; // It answers, and will again.
         let (outs, ran, life) = (inv.still_out().count(), inv.anchor().is_some(), inv.life);
         self.tell(tgt, out);
-        // Guards against connect failures: hundreds of nodes' idle connections fill an executor's table.
-        let idle = self.tgts[tgt].held == 0 && !self.tgts[tgt].kept && !self.whole();
-        out.extend(idle.then_some(Output::Release(tgt)));
+        out.extend((idle && !self.whole()).then_some(Output::Release(tgt)));
         // Full beside reported room: the report speaks of another time than now.
         let late = outcome == Outcome::Full && report.free >= Some(ONE) && report.queue < Some(0.5);
         self.misled += MISLED_NEW * (f64::from(u8::from(late)) - self.misled);
@@ -447,14 +447,16 @@
     /// its cold part of the slots; elsewhere nodes take turns, each less than half: a span may touch two.
     fn cold_room(&self, now: f64, t: &Executor, load: f64) -> bool {
         let (cold, share) = (&self.set.cold, t.warmth(now, &self.set.cold));
-        // Who counts for it tells of no more room than it has while cold: all nodes together stay below that.
-        if share >= 1.0 || self.keeper(t).is_some_and(|keeper| keeper != self.set.me || t.slots > 0.0) {
+        if share >= 1.0 {
             return true;
         }
+        // Who counts for it tells of no more slots than it has while cold, but not how long they are taken.
+        let counted = self.keeper(t).is_some_and(|keeper| keeper != self.set.me || t.slots > 0.0);
         let (turn, slots) = (t.turn(now, cold.fall), t.slots.max(1.0));
         let spent = if t.turn == turn { t.spent } else { 0.0 };
         let part = (share * slots).max(1.0).ceil();
         let open = match self.told(now) {
+            _ if counted => true,
             true => self.room(now, t).is_none_or(|room| room >= slots - part + ONE),
             false => turn % self.set.nodes.max(1) == self.set.me,
         };
@@ -661,7 +663,7 @@
         self.usual = self.set.goal_whole / work.max(1e-6);
         self.price *= (-passed / FORGET).exp();
         let late =
-            |f: &&Fwd, inv: &Inv| f.fate == Fate::Out && f.wait.is_none() && now - f.sent > LATE * inv.spare;
+            |f: &&Fwd, i: &Inv| f.fate == Fate::Out && f.wait.is_none() && now - f.sent > LATE * i.spare;
         let queued = self.invs.values().filter_map(|inv| inv.forwards.last().filter(|f| late(f, inv)));
         let sent = queued.map(|f| f.sent).fold(0.0, f64::max);
         self.charge(now, (self.set.tells_start && sent > 0.0).then_some(true), sent);
@@ -728,8 +730,7 @@
         const DRIFT: f64 = 0.98; // Of an executor's difference from the mean, each interval without outcomes.
         const TRIAL: f64 = 0.02; // Of the mean share, for a zero share: one in fifty keeps its figures alive.
         const UNSAMPLED: f64 = 3.0; // Some invocations' time: so long without an own outcome, it drifts.
-                                    // Blind and without word of starts, a full own zone would not show.
-        let dear = self.set.cross_zone_price > 0.0 && (self.asks() || self.set.tells_start);
+        let dear = self.set.cross_zone_price > 0.0 && (self.asks() || self.set.tells_start); // Else blind.
         let known: Vec<f64> = self.tgts.iter().map(|t| t.slots).filter(|slots| *slots > 0.0).collect();
         let usual = known.iter().sum::<f64>().max(1.0) / known.len().max(1) as f64;
         for t in &mut self.tgts {
@@ -767,9 +768,8 @@
         let sum: f64 = rank.iter().map(|&i| share(i)).sum();
         let least = if sum > 0.0 { TRIAL * sum / rank.len() as f64 } else { 1.0 };
         rank.iter().for_each(|&i| self.tgts[i].share = self.tgts[i].beta.max(least));
-        let mean = |part: &[Tgt]| {
-            part.iter().map(|&i| self.tgts[i].held as f64).sum::<f64>() / part.len().max(1) as f64
-        };
+        let mean =
+            |of: &[Tgt]| of.iter().map(|&i| self.tgts[i].held as f64).sum::<f64>() / of.len().max(1) as f64;
         self.held = [mean(&rank[..self.near]), mean(&rank[self.near..])];
         self.rank = rank;
     }
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -493,14 +493,15 @@
     assert_eq!(node.room(1.2, &node.tgts[4]), Some(1.0), "nobody came");
 }
 
-#[test_case(30, true; "in a large fleet")]
-#[test_case(10, false; "kept in a small one")]
-fn idle_connections_are_closed(many: usize, closed: bool) {
+#[test_case(30, Outcome::Succeeded, true; "in a large fleet")]
+#[test_case(10, Outcome::Succeeded, false; "kept in a small one")]
+#[test_case(30, Outcome::Errored, false; "kept where a job failed, at the cost of no handshake more")]
+fn idle_connections_are_closed(many: usize, outcome: Outcome, closed: bool) {
     let mut node = node(Effect::Idempotent, many);
     (node.set.probing, node.set.reports) = (true, Reports::Answers);
     add(&mut node, Life::Out, &[Fate::Out]);
     node.tgts[0].held = 1;
-    assert_eq!(settle(&mut node, 2.0, Outcome::Succeeded).contains(&Output::Release(0)), closed);
+    assert_eq!(settle(&mut node, 2.0, outcome).contains(&Output::Release(0)), closed);
 }
 
 #[test_case(0, 0.0; "an empty list")]
@@ -882,6 +883,16 @@
     );
 }
 
+#[test_case(0.5, true; "a job like most")]
+#[test_case(9.0, false; "one that is worth more than its part of the budget")]
+fn who_counts_tells_of_slots_and_not_of_the_work_in_them(load: f64, room: bool) {
+    // Guards against a cold executor pushed over by two heavy jobs, each in a slot that was free.
+    let (mut node, mut out) = (keeper(5), Vec::new());
+    (node.tgts[1].entry.started, node.tgts[1].slots) = (1.0, 2.0);
+    node.peer(2.0, 1, Told::Room, 1, 2, &mut out);
+    assert_eq!(node.cold_room(2.0, &node.tgts[1], load), room);
+}
+
 #[test_case(false, true; "a first try, held up by nothing here")]
 #[test_case(true, false; "a repeat with little time left")]
 fn first_tries_of_impatient_clients_are_not_late(again: bool, taken: bool) {
