--- a/crates/coveroute-engine/src/tests.rs
+++ b/crates/coveroute-engine/src/tests.rs
@@ -18,7 +18,7 @@
 }
 
 fn operation(effect: Effect) -> Operation {
-    Operation { effect, objective: 1.0, stretch: 0.0, value: 1.0, kind: None }
+    Operation { effect, objective: 1.0, stretch: 0.0, value: 1.0, late_value: 0.0, kind: None }
 }
 
 fn host(at: usize, standing: Standing) -> Host {
--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -482,6 +482,7 @@
 #[test_case(&CONFIG.replace("127.0.0.1:9000", "here"), "listen: here is not an address"; "no address")]
 #[test_case(&CONFIG.replace("8c1f30d27a5be964", "xyz"), "seed xyz"; "no seed")]
 #[test_case(&CONFIG.replace("\"free\"", "\"perhaps\""), "unknown effect perhaps"; "an unknown effect")]
+#[test_case(&CONFIG.replace("\"onTime\"", "\"lateValue\": 1.5, \"onTime\""), "a late value of 1.5 is no part of one"; "a late value beyond the whole")]
 #[test_case(&CONFIG.replace("\"dialTimeout\": 250.0,", ""), "dialTimeout"; "a figure is missing")]
 fn a_bad_configuration_is_told_in_a_line(text: &str, words: &str) {
     let told = Config::parse(text, None, None).expect_err("a fault");
--- a/crates/coveroute-shared/src/settings.rs
+++ b/crates/coveroute-shared/src/settings.rs
@@ -57,6 +57,8 @@
     group: String,
     #[serde(default)]
     window: f64,
+    #[serde(default)]
+    late_value: f64,
     on_time: f64,
     aim_stretch: Option<f64>,
     credit: f64,
@@ -142,12 +144,16 @@
         "single_shot" => Effect::NonIdempotent,
         other => return Err(format!("unknown effect {other}")),
     };
+    if !(0.0..=1.0).contains(&category.late_value) {
+        return Err(format!("{}: a late value of {} is no part of one", category.name, category.late_value));
+    }
     let stretch = family.class_stretch.get(at).copied().or(category.aim_stretch);
     Ok(Operation {
         effect,
         objective: category.on_time / 1e3,
         stretch: stretch.unwrap_or(0.0),
         value: category.credit,
+        late_value: category.late_value,
         kind: family.class_kind.get(at).and_then(|kind| usize::try_from(*kind).ok()),
     })
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -120,8 +120,7 @@
         let absent = |t: &Executor| Entry { standing: Standing::Gone, ..t.entry.clone() };
         let all: Vec<Entry> = self.tgts.iter().filter(|_| whole).map(absent).collect();
         let named = |e: &Entry| entries.iter().any(|other| other.tgt == e.tgt);
-        let absent: Vec<Entry> = all.into_iter().filter(|e| !named(e)).collect();
-        absent.into_iter().for_each(|entry| self.entry(now, entry));
+        all.into_iter().filter(|e| !named(e)).for_each(|entry| self.entry(now, entry));
         entries.into_iter().for_each(|entry| self.entry(now, entry));
         self.solve(now);
     }
@@ -169,8 +168,8 @@
         class.longest = class.longest.max(sub.timeout);
         let stall = if self.set.marks_again && !sub.again { now - self.turns[0] } else { f64::INFINITY };
         let aim = now + spare - (class.longest - sub.timeout).min(stall);
-        let tenant = sub.tenant.filter(|&tenant| tenant < self.tenants.len());
-        tenant.iter().for_each(|&tenant| self.tenants[tenant].arrived += 1.0);
+        let tenant = sub.tenant.filter(|&t| t < self.tenants.len());
+        tenant.iter().for_each(|&t| self.tenants[t].arrived += 1.0);
         let quota = |t: usize| self.set.quotas[t] / self.set.nodes as f64 / self.tenants[t].rate.max(1e-3);
         let in_share = tenant.map_or(1.0, quota).min(1.0);
         let worth = in_share + (1.0 - in_share) * self.set.over_share_value;
@@ -220,11 +219,14 @@
         let Some(inv) = self.invs.get_mut(&id) else { return };
         let Some(row) = TABLE.iter().find(|row| row.0 == inv.life && row.1 == turn) else { return };
         inv.life = row.2;
-        let (effect, end) = (self.set.operations[inv.op].effect, inv.end);
-        // Throttled clients are spread over the upper half of what they honour, not to return as one.
+        let (op, end) = (&self.set.operations[inv.op], inv.end);
+        // Throttled clients come back, spread, while that pays; after that as late as they honour.
         let back = self.leaving.is_some() && now < inv.until; // At a stop: elsewhere there may be time.
-        let pause = if back { 0.0 } else { self.set.max_pause * (0.5 + 0.5 * self.chance.draw()) };
-        let harmless = matches!(effect, Effect::Idempotent | Effect::Deduplicated { group: Group::All, .. });
+        let lost = inv.hopeless || now >= inv.aim && op.late_value <= 0.0;
+        let most = if lost { f64::INFINITY } else { inv.spare };
+        let pause = if back { 0.0 } else { most.min(self.set.max_pause) * (0.5 + 0.5 * self.chance.draw()) };
+        let harmless =
+            matches!(op.effect, Effect::Idempotent | Effect::Deduplicated { group: Group::All, .. });
         match (row.3, harmless) {
             (Act::Keep, _) => return,
             (Act::Queue, _) => {
@@ -339,8 +341,7 @@
         }
         t.woke(now);
         let near = t.entry.zone == self.set.zone;
-        if let Some(late) = late.filter(|_| near) {
-            let late = f64::from(u8::from(late));
+        if let Some(late) = late.filter(|_| near).map(|late| f64::from(u8::from(late))) {
             self.spill = (self.spill + SPILL_NEW * (late - self.set.cross_zone_price)).clamp(0.0, 1.0);
         }
         let waited = if wait >= AT_ONCE { 1.0 } else { 0.5 };
@@ -794,8 +795,7 @@
                 if room >= Some(ONE) {
                     (t.promised, t.promises) = (now, t.promises(now) + 1.0);
                 }
-                let told = Told::Room;
-                out.extend(room.map(|n| Output::Tell { to: from, told, tgt, count: n as u8 }));
+                out.extend(room.map(|n| Output::Tell { to: from, told: Told::Room, tgt, count: n as u8 }));
             }
         }
     }
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -8,7 +8,7 @@
 const ID: InvId = 7;
 
 fn operation(effect: Effect) -> Operation {
-    Operation { effect, objective: 1.0, stretch: 1.0, value: 1.0, kind: None }
+    Operation { effect, objective: 1.0, stretch: 1.0, value: 1.0, late_value: 0.0, kind: None }
 }
 
 /// A node of four with one operation and `many` ready, trusted executors, two to a cell.
@@ -724,6 +724,25 @@
     assert_eq!(out, [Output::Throttle { id: ID, pause: 0.0 }]);
 }
 
+#[test_case(0.0, 0.0, false, 0.2; "there is time")]
+#[test_case(9.0, 0.0, false, 2.0; "its objective is over")]
+#[test_case(9.0, 0.3, false, 0.2; "it is, but a late answer earns something")]
+#[test_case(0.0, 0.3, true, 2.0; "its executor died as it began")]
+fn who_is_throttled_comes_back_while_that_can_help(late: f64, late_value: f64, hopeless: bool, most: f64) {
+    // Guards against clients told to stay away past their objective over a list that is wrong for seconds, and
+    // against jobs that kill executors, sent again and again. It may hurt where a crowd lasts: more come back.
+    let mut node = node(Effect::Idempotent, 4);
+    node.set.max_pause = 2.0;
+    node.set.operations[0].late_value = late_value;
+    add(&mut node, Life::Waiting, &[]);
+    let set = |inv: &mut Inv| (inv.aim, inv.spare, inv.hopeless) = (2.0 - late, 0.2, hopeless);
+    node.invs.entry(ID).and_modify(set);
+    let mut out = Vec::new();
+    node.step(1.0, ID, Turn::GaveUp, &mut out);
+    let told = |pause: f64| (0.5 * most..=most).contains(&pause);
+    assert!(matches!(out[..], [Output::Throttle { pause, .. }] if told(pause)), "{out:?}");
+}
+
 #[test_case(2.0, false; "given back while there is time elsewhere")]
 #[test_case(5.0, true; "it has waited for room, and there is none")]
 fn a_stop_keeps_the_pause_of_those_that_found_no_room(now: f64, paused: bool) {
@@ -826,9 +845,10 @@
     node.set.max_pause = 2.0;
     out.clear();
     node.submitted(5.0, submit(9.0, 0), &mut out);
+    let spare = 0.5; // Half of its objective.
     assert!(
-        matches!(out[..], [Output::Throttle { pause: 1.0..=2.0, .. }]),
-        "where allowed with a pause: {out:?}"
+        matches!(out[..], [Output::Throttle { pause, .. }] if (0.5 * spare..=spare).contains(&pause)),
+        "where allowed to come back while it can be in time: {out:?}"
     );
     (0..99).for_each(|_| node.charge(6.0, Some(false), 5.0));
     assert!(node.price < 0.01);
--- a/src/types.rs
+++ b/src/types.rs
@@ -33,6 +33,8 @@
     pub stretch: f64,
     /// Billed value.
     pub value: f64,
+    /// The part of it that an answer after the objective still earns.
+    pub late_value: f64,
     /// The machine kind it needs, if any.
     pub kind: Option<usize>,
 }
