--- a/src/policy.rs
+++ b/src/policy.rs
@@ -459,7 +459,7 @@
         let open = match self.told(now) {
             _ if counted => true,
             true => self.room(now, t).is_none_or(|room| room >= slots - part + ONE),
-            false => turn % self.set.nodes.max(1) == self.set.me,
+            false => (turn + t.entry.mark as usize) % self.set.nodes.max(1) == self.set.me,
         };
         open && spent + load <= 0.4 * cold.factor * share * slots * cold.fall && (t.held as f64) < part
     }
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -276,6 +276,24 @@
     assert_eq!(node.cold_room(10.0 + age, &node.tgts[0], load), room);
 }
 
+#[test]
+fn turns_at_executors_that_start_together_go_to_different_nodes() {
+    // Guards against a release in a blind fleet: one node after another had all new executors for itself, most
+    // nodes none before they were warm.
+    let mut node = node(Effect::Idempotent, 11);
+    node.set.nodes = 64;
+    for (i, t) in node.tgts.iter_mut().enumerate() {
+        (t.entry.started, t.entry.mark, t.slots) = (10.0, 0x9e37 * (i as u32 + 1), 4.0);
+    }
+    let mut turn = |me: usize| {
+        node.set.me = me;
+        node.tgts.iter().filter(|t| node.cold_room(10.5, t, 0.2)).count()
+    };
+    let open: Vec<usize> = (0..64).map(&mut turn).collect();
+    assert_eq!(open.iter().sum::<usize>(), 11, "each has one node");
+    assert!(open.iter().all(|&n| n <= 2), "{open:?}");
+}
+
 #[test_case(2.0, 0.0, true; "both slots are free, and the cold part is one")]
 #[test_case(2.0, 1.0, true; "and later, in no turn of this node's")]
 #[test_case(1.0, 1.0, false; "others hold its cold part")]
