--- a/src/policy.rs
+++ b/src/policy.rs
@@ -494,7 +494,7 @@
     }
 
     /// Draws by beta, or evenly while all are zero; in a large fleet from the own zone before `cross`.
-    fn draw(&mut self, now: f64, id: InvId) -> Option<Tgt> {
+    fn draw(&mut self, now: f64, id: InvId, times: usize) -> Vec<Tgt> {
         let near = now < self.invs[&id].cross && self.near > 0 && !self.whole();
         let (many, inv) = (if near { self.near } else { self.rank.len() }, &self.invs[&id]);
         let open = |i: &Tgt| self.open(now, inv, &self.tgts[*i]);
@@ -512,8 +512,8 @@
         if !self.asks() && pool.iter().any(kept) {
             pool.retain(kept);
         }
-        let at = self.chance.pick(&sums(pool.iter().map(|&i| self.tgts[i].share)));
-        pool.get(at).copied()
+        let sums = sums(pool.iter().map(|&i| self.tgts[i].share));
+        (0..times).filter_map(|_| pool.get(self.chance.pick(&sums)).copied()).collect()
     }
 
     /// Small enough to be gone through: more take over ten rounds, and all would meet at the same ones.
@@ -543,7 +543,7 @@
         }
         let mut sample: Vec<Tgt> = inv.sample.iter().copied().filter(open).collect();
         if sample.is_empty() && (whole || now >= inv.again) {
-            (0..if whole { 1 } else { 2 }).for_each(|_| sample.extend(self.draw(now, id)));
+            sample = self.draw(now, id, if whole { 1 } else { 2 });
             sample.dedup();
             let inv = self.invs.entry(id).or_default();
             inv.gap = (2.0 * inv.gap).clamp(GAP, GAP_MOST);
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -80,7 +80,7 @@
     add(&mut node, Life::Waiting, &[]);
     let trial = if beta[0] > 0.0 { 0.02 * beta[0] / beta.len() as f64 } else { 1.0 };
     node.tgts.iter_mut().zip(beta).for_each(|(t, beta)| t.share = beta.max(trial));
-    let first = (0..4000).filter(|_| node.draw(2.0, ID) == Some(0)).count() as f64 / 4000.0;
+    let first = (0..4000).filter(|_| node.draw(2.0, ID, 1) == [0]).count() as f64 / 4000.0;
     assert!((least..most).contains(&first), "{first}");
 }
 
@@ -494,6 +494,17 @@
     assert_eq!(node.price > 0.25, dear, "{}", node.price);
 }
 
+#[test]
+fn two_draws_cost_one_look_at_the_fleet() {
+    // Guards against CPU that grows with the fleet at each invocation: both are from the same pool, by share.
+    let mut node = blind(Effect::Idempotent, 30);
+    add(&mut node, Life::Waiting, &[]);
+    node.solve(1.0);
+    let drawn: Vec<Vec<Tgt>> = (0..200).map(|_| node.draw(1.0, ID, 2)).collect();
+    assert!(drawn.iter().all(|two| two.len() == 2 && two.iter().all(|&i| i < 30)));
+    assert!(drawn.iter().filter(|two| two[0] == two[1]).count() < 20, "each is a draw of its own");
+}
+
 /// One node alone, which so counts for all.
 fn counts_all(node: &mut Node) {
     (node.set.peers, node.set.probing, node.set.reports) = (true, true, Reports::Answers);
@@ -670,7 +681,7 @@
     let drawn = (0..20).filter(|_| {
         add(&mut node, Life::Waiting, &[]);
         node.invs.entry(ID).and_modify(|inv| (inv.load, inv.spare) = (load, spare));
-        node.draw(50.0 + age, ID) == Some(7)
+        node.draw(50.0 + age, ID, 1) == [7]
     });
     assert_eq!(drawn.count() == 20, first);
 }
@@ -841,7 +852,7 @@
     node.alive(1.0 + wait, ID, 0);
     let released = settle(&mut node, 2.0, Outcome::Succeeded).contains(&Output::Release(0));
     add(&mut node, Life::Waiting, &[]);
-    let drawn = (0..99).filter(|_| node.draw(2.0, ID) == Some(0)).count();
+    let drawn = (0..99).filter(|_| node.draw(2.0, ID, 1) == [0]).count();
     assert_eq!((drawn == 99, released), (again, !again), "{drawn}");
 }
 
@@ -854,7 +865,7 @@
     node.tgts.iter_mut().enumerate().for_each(|(i, t)| t.entry.size = if i < 10 { 3.0 } else { 1.0 });
     node.solve(0.0);
     add(&mut node, Life::Waiting, &[]);
-    let drawn: Vec<Tgt> = (0..300).filter_map(|_| node.draw(1.0, ID)).collect();
+    let drawn: Vec<Tgt> = (0..300).flat_map(|_| node.draw(1.0, ID, 1)).collect();
     let (own, large) = (drawn.iter().filter(|i| **i == 3).count(), drawn.iter().filter(|i| **i < 10).count());
     assert!(own < 60 && large > 200, "{own} {large}");
 }
