--- a/src/policy.rs
+++ b/src/policy.rs
@@ -222,8 +222,7 @@
         let (op, end) = (&self.set.operations[inv.op], inv.end);
         // Throttled clients come back, spread, while that pays; after that as late as they honour.
         let back = self.leaving.is_some() && now < inv.until; // At a stop: elsewhere there may be time.
-        let lost = inv.hopeless || now >= inv.aim && op.late_value <= 0.0;
-        let most = if lost { f64::INFINITY } else { inv.spare };
+        let most = if inv.hopeless || now >= inv.aim && op.late_value <= 0.0 { f64::MAX } else { inv.spare };
         let pause = if back { 0.0 } else { most.min(self.set.max_pause) * (0.5 + 0.5 * self.chance.draw()) };
         let harmless =
             matches!(op.effect, Effect::Idempotent | Effect::Deduplicated { group: Group::All, .. });
@@ -329,7 +328,7 @@
     }
 
     fn alive(&mut self, now: f64, id: InvId, forward: usize) {
-        const SPILL_NEW: f64 = 0.05; // Weight of a start in the own zone in what leaves it: some twenty.
+        const SPILL_NEW: f64 = 0.05; // Weight of a start in what leaves the zone; less for cheap crossings.
         const WAITED_NEW: f64 = 0.05; // Weight of a start in a utilisation that is not reported: some twenty.
         let Some(inv) = self.invs.get_mut(&id) else { return };
         let Some(fwd) = inv.forwards.get_mut(forward).filter(|f| f.fate == Fate::Out) else { return };
@@ -340,12 +339,13 @@
             fwd.wait = Some(if self.set.tells_start { wait } else { 0.0 });
         }
         t.woke(now);
-        let near = t.entry.zone == self.set.zone;
-        if let Some(late) = late.filter(|_| near).map(|late| f64::from(u8::from(late))) {
-            self.spill = (self.spill + SPILL_NEW * (late - self.set.cross_zone_price)).clamp(0.0, 1.0);
+        if let Some(late) = late.map(|late| f64::from(u8::from(late))) {
+            let (near, cost) = (t.entry.zone == self.set.zone, self.set.cross_zone_price);
+            let step = if near { late - cost } else { -late * (5.0 * cost).min(1.0) };
+            self.spill = (self.spill + SPILL_NEW * step).clamp(0.0, 1.0);
         }
-        let waited = if wait >= AT_ONCE { 1.0 } else { 0.5 };
-        self.util += if late.is_some() && !self.asks() { WAITED_NEW * (waited - self.util) } else { 0.0 };
+        let waited = if wait >= AT_ONCE { 1.0 } else { 0.5 } - self.util;
+        self.util += if late.is_some() && !self.asks() { WAITED_NEW * waited } else { 0.0 };
         self.charge(now, late, sent);
     }
 
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -494,6 +494,20 @@
     assert_eq!(node.price > 0.25, dear, "{}", node.price);
 }
 
+#[test_case(0.2, 0.0; "where crossings are dear, none is left to pay")]
+#[test_case(0.0, 1.0; "where they are free, work spreads as far as it can")]
+fn late_starts_elsewhere_speak_against_crossings(price: f64, left: f64) {
+    // Guards against an overload of all zones, in which crossings cost much and find the same queues.
+    let mut node = blind(Effect::Idempotent, 2);
+    (node.set.cross_zone_price, node.spill, node.tgts[1].entry.zone) = (price, 1.0, 9);
+    for at in 0..40 {
+        add(&mut node, Life::Out, &[Fate::Out]);
+        node.invs.entry(ID).and_modify(|inv| (inv.forwards[0].tgt, inv.spare) = (1, 0.2));
+        node.alive(2.0 + f64::from(at), ID, 0);
+    }
+    assert!((node.spill - left).abs() < 1e-6, "{}", node.spill);
+}
+
 #[test]
 fn two_draws_cost_one_look_at_the_fleet() {
     // Guards against CPU that grows with the fleet at each invocation: both are from the same pool, by share.
