--- a/crates/coveroute-emu/src/virtual_time.rs
+++ b/crates/coveroute-emu/src/virtual_time.rs
@@ -939,7 +939,6 @@
         assert!(outcome.figure() > 0.9, "{}", outcome.figure());
     }
 
-    // The longer the worker runs slow, the later its work: it is the model that slows down, not the referee.
     // Guards against calls for the list that all nodes make in step: the same days took 500 to 720 calls, and on the
     // herd's a third of the nodes stayed without a list. At least: what the node reached, less three noises.
     #[test_case("herd", 220, 0.75)]
@@ -953,6 +952,7 @@
         assert!(outcome.counts.watches <= calls && outcome.service.whole.service() >= least, "{outcome:?}");
     }
 
+    // The longer the worker runs slow, the later its work: it is the model that slows down, not the referee.
     #[test]
     fn an_ailing_fleet_serves_less() {
         let served = |faults| run(&with(faults), 4, Policy::Node, None).expect("played").0.figure();
--- a/src/types.rs
+++ b/src/types.rs
@@ -540,7 +540,7 @@
     pub(crate) raised: f64,
     /// Mean billed value of an invocation.
     pub(crate) value: f64,
-    /// Mean own forwards held, at the last solve.
+    /// Mean own forwards held at an executor of the first `near` in rank, and of the others, at the last solve.
     pub(crate) held: [f64; 2],
     pub(crate) solved: f64,
     /// When it last had a turn, and the one before.
