--- a/crates/coveroute-emu/src/baseline.rs
+++ b/crates/coveroute-emu/src/baseline.rs
@@ -7,7 +7,7 @@
 use coveroute::types::{
     Effect, Entry, Group, Input, InvId, List, Output, Settings, Settled, Standing, Submission, Tgt,
 };
-use coveroute_engine::Decide;
+use coveroute_engine::{Decide, Moved};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -298,4 +298,17 @@
         }
         self.look(now, out);
     }
+
+    /// It learns nothing of operations or tenants that would have to move.
+    fn adopt(&mut self, settings: Settings, _: &[Moved], _: &[Option<usize>]) {
+        self.set = settings;
+    }
+
+    fn has(&self, operation: usize) -> bool {
+        self.jobs.values().any(|job| job.op == operation)
+    }
+
+    fn avoided(&self, now: f64) -> usize {
+        self.workers.iter().filter(|worker| worker.rests > now).count()
+    }
 }
--- a/crates/coveroute-emu/src/virtual_time.rs
+++ b/crates/coveroute-emu/src/virtual_time.rs
@@ -5,9 +5,9 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use coveroute::types::{InvId, Node, Outcome as Ended, Report, Tgt, Told};
+use coveroute::types::{InvId, Node, Outcome as Ended, Report, Settings, Tgt, Told};
 use coveroute_engine::{
-    Action, Answer, Call, Decide, Engine, Event, Listing, News, Phase, Reply, Watched, Word as Heard,
+    Action, Answer, Call, Decide, Engine, Event, Listing, Moved, News, Phase, Reply, Watched, Word as Heard,
 };
 use coveroute_shared::mark;
 
@@ -61,6 +61,27 @@
             Mind::Baseline(baseline) => baseline.handle(now, input, out),
         }
     }
+
+    fn adopt(&mut self, settings: Settings, moved: &[Moved], tenants: &[Option<usize>]) {
+        match self {
+            Mind::Node(node) => Decide::adopt(node.as_mut(), settings, moved, tenants),
+            Mind::Baseline(baseline) => baseline.adopt(settings, moved, tenants),
+        }
+    }
+
+    fn has(&self, operation: usize) -> bool {
+        match self {
+            Mind::Node(node) => Decide::has(node.as_ref(), operation),
+            Mind::Baseline(baseline) => baseline.has(operation),
+        }
+    }
+
+    fn avoided(&self, now: f64) -> usize {
+        match self {
+            Mind::Node(node) => Decide::avoided(node.as_ref(), now),
+            Mind::Baseline(baseline) => baseline.avoided(now),
+        }
+    }
 }
 
 /// What is on its way.
@@ -368,7 +389,7 @@
                 self.tell(now, node, Event::Stop);
             }
             Order::Stop => {}
-            Order::Reload => self.tell(now, node, Event::Reread),
+            Order::Reload => self.tell(now, node, Event::Reread { tuning: None, moved: true }),
         }
     }
 
--- a/crates/coveroute-engine/src/admit.rs
+++ b/crates/coveroute-engine/src/admit.rs
@@ -5,6 +5,7 @@
 use coveroute_shared::Names;
 
 use crate::engine::Unfit;
+use crate::operations::Operations;
 
 /// What a front has read of an invocation; its bytes stay with the front.
 #[derive(Clone, Debug)]
@@ -35,10 +36,16 @@
 /// Names become indices, and what the node has already used of the client's time comes off. Guards against
 /// odd clients whose figures would spoil what is learned of all: their time and their hint are bound by what
 /// the settings give the operation.
-pub fn admit(id: InvId, call: &Call, names: &Names, timeouts: &[f64], now: f64) -> Result<Submission, Unfit> {
+pub fn admit(
+    id: InvId,
+    call: &Call,
+    operations: &Operations,
+    names: &Names,
+    now: f64,
+) -> Result<Submission, Unfit> {
     let find = |names: &[String], name: &str| names.iter().position(|known| known == name);
-    let operation = find(&names.operations, &call.class).ok_or(Unfit::Operation)?;
-    let most = timeouts[operation].max(HINT_LEAST);
+    let operation = operations.find(&call.class, now).ok_or(Unfit::Operation)?;
+    let most = operations.timeout(operation).max(HINT_LEAST);
     Ok(Submission {
         id,
         operation,
--- a/crates/coveroute-engine/src/book.rs
+++ b/crates/coveroute-engine/src/book.rs
@@ -32,6 +32,8 @@
 #[derive(Debug)]
 pub struct Record {
     pub call: Arc<str>,
+    /// The operation, by name.
+    pub operation: Arc<str>,
     /// Whether the client waits for its final answer.
     pub owed: bool,
     pub end: f64,
@@ -72,9 +74,16 @@
         self.records.get_mut(&id)
     }
 
-    /// Books the final answer, once; tells whether it was still owed.
-    pub fn answer(&mut self, id: InvId) -> bool {
-        self.records.get_mut(&id).is_some_and(|record| std::mem::take(&mut record.owed))
+    /// Books the final answer, once: the operation, if it was still owed.
+    pub fn answer(&mut self, id: InvId) -> Option<&Arc<str>> {
+        let record = self.records.get_mut(&id).filter(|record| record.owed)?;
+        record.owed = false;
+        Some(&record.operation)
+    }
+
+    /// Jobs whose clients wait for a final answer.
+    pub fn owed(&self) -> usize {
+        self.records.values().filter(|record| record.owed).count()
     }
 
     /// Records that are held.
--- a/crates/coveroute-engine/src/engine.rs
+++ b/crates/coveroute-engine/src/engine.rs
@@ -5,14 +5,17 @@
 
 use bytes::Bytes;
 use coveroute::types::{
-    Input, InvId, List, Node, Outcome, Output, Report, Settings, Settled, Standing, Submission, Tgt, Told,
+    Input, InvId, List, Node, Operation, Outcome, Output, Report, Settings, Settled, Standing, Submission,
+    Tgt, Told,
 };
 use coveroute_shared::Names;
 use log::{debug, error, info};
 
 use crate::admit::{admit, Call};
 use crate::book::{Book, Forward, Record, Stage};
+use crate::counts::{Counts, Figures, Verdict};
 use crate::list::{Fleet, Listing, Move};
+use crate::operations::{Moved, Operations};
 use crate::phase::{Phase, Step};
 use crate::route::Route;
 use crate::timers::Timers;
@@ -20,12 +23,43 @@
 /// What decides; `coveroute::types::Node` does in every node, others only where they are compared with it.
 pub trait Decide {
     fn handle(&mut self, now: f64, input: Input, out: &mut Vec<Output>);
+
+    /// From now on these settings hold; `moved` and `tenants` tell where entries were before.
+    fn adopt(&mut self, settings: Settings, moved: &[Moved], tenants: &[Option<usize>]);
+
+    /// Whether a job, or a forward that is still out, has this entry of the operations.
+    fn has(&self, operation: usize) -> bool;
+
+    /// How many listed executors are avoided now.
+    fn avoided(&self, now: f64) -> usize;
 }
 
 impl Decide for Node {
     fn handle(&mut self, now: f64, input: Input, out: &mut Vec<Output>) {
         Node::handle(self, now, input, out);
     }
+
+    fn adopt(&mut self, settings: Settings, moved: &[Moved], tenants: &[Option<usize>]) {
+        let moved: Vec<_> = moved.iter().map(|moved| (moved.from, moved.to)).collect();
+        Node::adopt(self, settings, &moved, tenants);
+    }
+
+    fn has(&self, operation: usize) -> bool {
+        Node::has(self, operation)
+    }
+
+    fn avoided(&self, now: f64) -> usize {
+        Node::avoided(self, now)
+    }
+}
+
+/// What a configuration that was read anew says of decisions.
+#[derive(Clone, Debug)]
+pub struct Tuning {
+    pub settings: Settings,
+    pub names: Names,
+    /// Each operation's client timeout.
+    pub timeouts: Vec<f64>,
 }
 
 /// What an engine is begun with.
@@ -58,8 +92,16 @@
         mark: u32,
         count: u8,
     },
-    /// The operators' configuration was read anew, and is fit.
-    Reread,
+    /// The operators' configuration was read anew, and is fit: the settings, if they count, and whether the list
+    /// is to be followed elsewhere from now on.
+    Reread {
+        tuning: Option<Box<Tuning>>,
+        moved: bool,
+    },
+    /// It was not fit, and all stays as it is.
+    NotReread,
+    /// A front has ended a job of this operation, which never came here.
+    Ended(&'a str, Verdict),
     /// The platform asks the node to stop.
     Stop,
     /// No request is in hand: each answer has left.
@@ -68,6 +110,8 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Reply {
+    /// Its last byte is written.
+    Written,
     /// The executor has the job, and will tell what becomes of it.
     Taken,
     /// It has not said so in time. It may still.
@@ -203,7 +247,10 @@
     watch: u64,
     /// Of the list of executors that is held.
     version: u64,
-    timeouts: Vec<f64>,
+    operations: Operations,
+    /// The entries that the operations have, as the decisions have them.
+    entries: Vec<Operation>,
+    counts: Counts,
     /// By when all must be answered, once the node is to stop.
     leave_by: f64,
     /// From when on it may end, once it is idle.
@@ -222,7 +269,8 @@
 
 impl<D: Decide> Engine<D> {
     /// An engine with these decisions.
-    pub fn deciding(now: f64, decide: D, setup: Setup, out: &mut Vec<Action>) -> Self {
+    pub fn deciding(now: f64, decide: D, mut setup: Setup, out: &mut Vec<Action>) -> Self {
+        let names = std::mem::take(&mut setup.names.operations);
         let mut engine = Engine {
             timers: Timers::new(),
             phase: Phase::Starting,
@@ -231,12 +279,15 @@
             book: Book::default(),
             watch: 0,
             version: 0,
-            timeouts: setup.timeouts,
+            operations: Operations::new(names, &setup.timeouts),
+            entries: setup.settings.operations,
+            counts: Counts::default(),
             leave_by: f64::INFINITY,
             end_from: f64::INFINITY,
             cancelling: setup.settings.cancelling,
             outputs: Vec::new(),
         };
+        engine.show();
         engine.listed(now, &setup.known.unwrap_or_default(), |_, entries| List::Kept(entries), out);
         engine.carry_on(now, out);
         engine
@@ -264,6 +315,24 @@
         self.book.len()
     }
 
+    /// What operators are shown.
+    pub fn figures(&self, now: f64) -> Figures {
+        Figures {
+            operations: self.counts.operations(),
+            forwards: self.counts.forwards,
+            outstanding: self.book.owed(),
+            listed: self.fleet.listed_now(),
+            avoided: self.route.decide().avoided(now),
+            applied: self.counts.applied,
+            rejected: self.counts.rejected,
+        }
+    }
+
+    fn show(&mut self) {
+        let Engine { counts, operations, .. } = self;
+        operations.names().for_each(|name| counts.show(name));
+    }
+
     pub fn handle(&mut self, now: f64, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Taken(id, call) => self.taken(now, id, call, out),
@@ -283,7 +352,9 @@
                 let heard = tgt.map(|tgt| Input::Heard { from, told, tgt, count });
                 heard.into_iter().for_each(|heard| self.route.push(heard));
             }
-            Event::Reread => self.reread(out),
+            Event::Reread { tuning, moved } => self.reread(now, tuning, moved, out),
+            Event::NotReread => self.counts.rejected += 1,
+            Event::Ended(operation, verdict) => self.counts.ended(operation, verdict),
             Event::Stop => self.stop(now),
             Event::Idle if now >= self.end_from => drop(self.step(Step::Idle)),
             Event::Idle => {}
@@ -344,30 +415,37 @@
         let unfit = |why| Action::Answer { id, answer: Answer::Unfit(why) };
         // Guards against a second effect, and against clients that take another's id.
         if self.book.knows(&call.call) {
+            self.counts.ended(&call.class, Verdict::Errored);
             return out.push(unfit(Unfit::Again));
         }
         debug!("{id} taken: {}, {}, {:.3} s", call.call, call.class, call.budget);
-        match admit(id, call, self.fleet.names(), &self.timeouts, now) {
+        match admit(id, call, &self.operations, self.fleet.names(), now) {
             Ok(submission) => self.open(now, call.call.clone(), submission),
-            Err(why) => out.push(unfit(why)),
+            Err(why) => {
+                self.counts.ended(&call.class, Verdict::Errored);
+                out.push(unfit(why));
+            }
         }
     }
 
     fn open(&mut self, now: f64, call: Arc<str>, submission: Submission) {
         let end = (now + submission.timeout).min(self.leave_by);
         self.timers.set(end, Timer::End(submission.id));
-        self.book.open(submission.id, Record { call, owed: true, end, forwards: Vec::new() });
+        let operation = self.operations.name(submission.operation).clone();
+        let record = Record { call, operation, owed: true, end, forwards: Vec::new() };
+        self.book.open(submission.id, record);
         self.route.push(Input::Submitted(submission));
     }
 
     /// Gives the final answer, once; tells whether it was still owed.
     fn give(&mut self, id: InvId, answer: Answer, out: &mut Vec<Action>) -> bool {
         let owed = self.book.answer(id);
-        if owed {
+        if let Some(operation) = owed {
             debug!("{id} ends as {answer:?}");
+            self.counts.ended(operation, Verdict::from(&answer));
             out.push(Action::Answer { id, answer });
         }
-        owed
+        owed.is_some()
     }
 
     pub(crate) fn answer(&mut self, id: InvId, answer: Answer, out: &mut Vec<Action>) {
@@ -376,7 +454,7 @@
     }
 
     fn left(&mut self, now: f64, id: InvId, out: &mut Vec<Action>) {
-        if self.book.answer(id) {
+        if self.book.answer(id).is_some() {
             self.finished(now, id, out);
         }
         self.book.tidy(id);
@@ -430,6 +508,7 @@
                 self.give(id, Answer::Unfit(Unfit::TurnedAway(status)), out);
                 self.settled(now, id, forward, Outcome::Unfit, report);
             }
+            Reply::Written => self.counts.forwards += 1,
             Reply::Taken => {
                 let forward = self.book.get(id).and_then(|record| record.forwards.get_mut(forward));
                 // It may have ended already: executors may tell of the end first.
@@ -538,21 +617,45 @@
         self.route.push(Input::List(list(listing, told)));
     }
 
-    /// The host knows where the list is to be followed now; requests, connections and what was learnt stay.
-    /// Guards against a node that goes on with a list which nobody keeps: the old service may close at any
-    /// moment from now on. The new one's versions may count otherwise: the whole list is asked for.
-    fn reread(&mut self, out: &mut Vec<Action>) {
-        if self.step(Step::Reread) {
+    /// Settings are taken over in one step; requests, connections and what was learnt stay. A stop goes before them.
+    fn reread(&mut self, now: f64, tuning: Option<Box<Tuning>>, moved: bool, out: &mut Vec<Action>) {
+        if !self.phase.takes_settings() {
+            self.counts.rejected += 1;
+            return info!("not reloaded: the node is about to stop");
+        }
+        self.counts.applied += 1;
+        tuning.into_iter().for_each(|tuning| self.adopt(now, *tuning));
+        // Guards against a node that goes on with a list which nobody keeps: the old service may close at any
+        // moment from now on. The new one's versions may count otherwise: the whole list is asked for.
+        if moved && self.step(Step::Reread) {
             self.version = 0;
             self.follow(out);
         }
     }
 
+    fn adopt(&mut self, now: f64, tuning: Tuning) {
+        let Tuning { mut settings, mut names, timeouts } = tuning;
+        let operations = std::mem::take(&mut names.operations);
+        let old = &self.fleet.names().tenants;
+        let tenants: Vec<_> =
+            names.tenants.iter().map(|name| old.iter().position(|known| known == name)).collect();
+        self.fleet.adopt(names, &mut settings);
+        self.cancelling = settings.cancelling;
+        let news = operations.into_iter().zip(timeouts).zip(std::mem::take(&mut settings.operations));
+        let news = news.map(|((name, timeout), operation)| (name, timeout, operation)).collect();
+        let decide = self.route.decide();
+        let moved = self.operations.adopt(now, news, &mut self.entries, |at| decide.has(at));
+        settings.operations = self.entries.clone();
+        self.route.decide_mut().adopt(settings, &moved, &tenants);
+        self.show();
+        info!("settings taken over: {} operations new or changed", moved.len());
+    }
+
     fn stop(&mut self, now: f64) {
         if !self.step(Step::Told) {
             return;
         }
-        let span = self.timeouts.iter().copied().fold(0.0, f64::max).min(WAITS_MOST);
+        let span = self.operations.longest().min(WAITS_MOST);
         let (quiet, waits) = (now + QUIET_LEAST.max(QUIET_SHARE * span), now + span);
         (self.leave_by, self.end_from) = (waits + ANSWERED_AFTER, quiet + CLOSED_AFTER);
         self.timers.set(quiet, Timer::Life(Step::Quiet));
--- a/crates/coveroute-engine/src/lib.rs
+++ b/crates/coveroute-engine/src/lib.rs
@@ -4,16 +4,20 @@
 //! clock the host keeps to.
 mod admit;
 mod book;
+mod counts;
 mod engine;
 mod list;
+mod operations;
 mod phase;
 mod route;
 mod timers;
 
 pub use admit::Call;
 pub use book::Stage;
-pub use engine::{Action, Answer, Decide, Engine, Event, News, Reply, Setup, Unfit, Watched, Word};
+pub use counts::{Figures, Tally, Verdict};
+pub use engine::{Action, Answer, Decide, Engine, Event, News, Reply, Setup, Tuning, Unfit, Watched, Word};
 pub use list::{Host, Listing};
+pub use operations::Moved;
 pub use phase::{Phase, Step};
 
 #[cfg(test)]
--- a/crates/coveroute-engine/src/list.rs
+++ b/crates/coveroute-engine/src/list.rs
@@ -2,8 +2,8 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use coveroute::types::{Entry, List, Standing, Tgt};
-use coveroute_shared::{Listed, Names, Roster};
+use coveroute::types::{Entry, List, Settings, Standing, Tgt};
+use coveroute_shared::{position, Listed, Names, Roster};
 
 /// After this nothing can come from an executor that has gone: many times the longest client timeouts.
 const FORGET_AFTER: f64 = 600.0;
@@ -69,6 +69,27 @@
         &self.names
     }
 
+    /// Takes other names and rules over. Zones and kinds keep their numbers: what stands in the settings by
+    /// the new file's numbers gets these.
+    pub fn adopt(&mut self, mut names: Names, settings: &mut Settings) {
+        let kept = &mut self.names;
+        settings.zone = position(&mut kept.zones, &names.zones[settings.zone]);
+        for operation in &mut settings.operations {
+            // A number beyond the file's own names is no kind that any executor has: nor is it here.
+            let mut named = |kind: usize| names.kinds.get(kind).map(|name| position(&mut kept.kinds, name));
+            operation.kind = operation.kind.map(|kind| named(kind).unwrap_or(usize::MAX));
+        }
+        kept.tenants = std::mem::take(&mut names.tenants);
+        self.keeps = settings.only_draining;
+    }
+
+    /// Executors that are listed now.
+    pub fn listed_now(&self) -> usize {
+        let there =
+            |&(tgt, addr): &(Tgt, &Option<SocketAddr>)| addr.is_some() && !self.gone.contains_key(&tgt);
+        self.addrs.iter().enumerate().filter(there).count()
+    }
+
     pub fn known(&self, id: &str) -> Option<Tgt> {
         self.roster.known(id)
     }
--- a/crates/coveroute-engine/src/phase.rs
+++ b/crates/coveroute-engine/src/phase.rs
@@ -21,6 +21,11 @@
         matches!(self, Phase::Serving | Phase::Reloading)
     }
 
+    /// Whether a configuration that is read anew still counts.
+    pub fn takes_settings(self) -> bool {
+        matches!(self, Phase::Starting | Phase::Serving | Phase::Reloading)
+    }
+
     /// The phase after the step, where the table knows it from here.
     pub fn after(self, step: Step) -> Option<Phase> {
         let row = TABLE.iter().find(|row| row.0 == self && row.1 == step)?;
--- a/crates/coveroute-engine/src/route.rs
+++ b/crates/coveroute-engine/src/route.rs
@@ -29,6 +29,10 @@
         &self.decide
     }
 
+    pub fn decide_mut(&mut self) -> &mut D {
+        &mut self.decide
+    }
+
     /// Decides on the next thing that happened, if any; tells whether there was one.
     pub fn next(&mut self, now: f64, out: &mut Vec<Output>) -> bool {
         let Some(input) = self.inputs.pop_front() else { return false };
--- a/crates/coveroute-engine/src/tests.rs
+++ b/crates/coveroute-engine/src/tests.rs
@@ -5,6 +5,7 @@
 
 use crate::admit::admit;
 use crate::book::Forward;
+use crate::operations::Operations;
 use crate::timers::Timers;
 use crate::*;
 
@@ -17,6 +18,10 @@
     Names { operations: texts(&["look", "pay"]), tenants: Vec::new(), zones: Vec::new(), kinds: Vec::new() }
 }
 
+fn operations() -> Operations {
+    Operations::new(names().operations, &[5.0, 10.0])
+}
+
 fn operation(effect: Effect) -> Operation {
     Operation { effect, objective: 1.0, stretch: 0.0, value: 1.0, late_value: 0.0, kind: None }
 }
@@ -278,7 +283,7 @@
 #[test]
 fn a_new_configuration_moves_the_watch_and_nothing_else() {
     let mut engine = with("look", &[TAKEN]);
-    let out = told(&mut engine, NOW, Event::Reread);
+    let out = told(&mut engine, NOW, Event::Reread { tuning: None, moved: true });
     assert_eq!(out, [Action::Follow { watch: 2, version: 0 }]);
     assert_eq!(engine.phase(), Phase::Reloading);
     // What the old service still told comes too late.
@@ -293,7 +298,7 @@
 fn a_reload_during_a_stop_changes_nothing() {
     let mut engine = with("look", &[TAKEN]);
     told(&mut engine, NOW, Event::Stop);
-    assert!(told(&mut engine, NOW, Event::Reread).is_empty());
+    assert!(told(&mut engine, NOW, Event::Reread { tuning: None, moved: true }).is_empty());
     assert_eq!(engine.phase(), Phase::Leaving);
 }
 
@@ -342,7 +347,7 @@
 #[test_case("read", 2.0, 2.0, Err(Unfit::Operation); "an operation that is not known")]
 fn calls_are_admitted(class: &str, budget: f64, now: f64, expected: Result<f64, Unfit>) {
     let odd = Call { came: 1.0, ..call("c", class, budget) };
-    let told = admit(7, &odd, &names(), &[5.0, 10.0], now);
+    let told = admit(7, &odd, &operations(), &names(), now);
     assert_eq!(told.map(|sub| (sub.timeout * 1e3).round() / 1e3), expected);
 }
 
@@ -353,5 +358,124 @@
 #[test_case(Some(f64::NAN), None; "no number")]
 fn hints_are_kept_sane(came: Option<f64>, expected: Option<f64>) {
     let odd = Call { hint: came, ..call("c", "look", 2.0) };
-    assert_eq!(admit(7, &odd, &names(), &[5.0, 10.0], NOW).map(|sub| sub.hint), Ok(expected));
+    assert_eq!(admit(7, &odd, &operations(), &names(), NOW).map(|sub| sub.hint), Ok(expected));
+}
+
+fn tuning(names: &[&str], entries: &[Operation], timeouts: &[f64], max_forwards: usize) -> Box<Tuning> {
+    let settings = Settings { nodes: 1, operations: entries.to_vec(), max_forwards, ..Settings::default() };
+    let settings = Settings { cancelling: true, probing: true, must_ask: true, ..settings };
+    let operations = names.iter().map(|name| (*name).to_owned()).collect();
+    let names = Names { operations, zones: vec![String::new()], ..Names::default() };
+    Box::new(Tuning { settings, names, timeouts: timeouts.to_vec() })
+}
+
+fn retuned(engine: &mut Engine, now: f64, tuning: Box<Tuning>) -> Vec<Action> {
+    told(engine, now, Event::Reread { tuning: Some(tuning), moved: false })
+}
+
+// Guards against a job that gets another effect, deadline or index under way than it was taken with.
+#[test]
+fn jobs_under_way_keep_their_operation_and_new_ones_get_the_new_settings() {
+    let mut engine = engine().0;
+    told(&mut engine, NOW, Event::Taken(1, &call("a", "look", 5.0)));
+    let strict = [operation(Effect::NonIdempotent), operation(Effect::NonIdempotent)];
+    let out = retuned(&mut engine, NOW, tuning(&["pay", "look"], &strict, &[10.0, 3.0], 4));
+    assert!(out.is_empty() && engine.phase() == Phase::Serving, "nothing moves: {out:?}");
+    told(&mut engine, NOW, Event::Taken(2, &call("b", "look", 5.0)));
+    let ends: Vec<f64> =
+        [1, 2].map(|id| engine.book.get(id).expect("a record").end - NOW).map(|s| (s * 100.0).round()).into();
+    assert_eq!(ends, [495.0, 295.0], "each by the client timeout that it came under");
+    let set = engine.decisions().settings();
+    let effects: Vec<Effect> = set.operations.iter().map(|op| op.effect).collect();
+    assert_eq!(effects, [Effect::Idempotent, Effect::NonIdempotent, Effect::NonIdempotent]);
+}
+
+#[test]
+fn fewer_forwards_bind_jobs_under_way() {
+    let mut engine = engine().0;
+    let (entries, now) = ([operation(Effect::Idempotent), operation(Effect::NonIdempotent)], NOW + 0.01);
+    let out = told(&mut engine, NOW, Event::Taken(1, &call("a", "look", 5.0)));
+    assert!(out.iter().any(|action| matches!(action, Action::Send { id: 1, forward: 0, .. })), "{out:?}");
+    retuned(&mut engine, now, tuning(&["look", "pay"], &entries, &[5.0, 10.0], 1));
+    let ended = Reply::Ended(Outcome::Unreachable, Report::default());
+    let out = told(&mut engine, now, Event::Replied(1, 0, ended));
+    assert!(matches!(answers(&out)[..], [Answer::Throttled { .. }]), "none is left: {out:?}");
+}
+
+// Who was told to come back may, for as long as a client waits; after that the name stands for nothing. Its figures
+// stay.
+#[test_case(4.0, true; "served while who was throttled comes again")]
+#[test_case(5.5, false; "unknown from then on")]
+fn an_operation_that_vanishes_is_served_out(after: f64, served: bool) {
+    let mut engine = engine().0;
+    retuned(&mut engine, NOW, tuning(&["pay"], &[operation(Effect::NonIdempotent)], &[10.0], 4));
+    let late = Call { came: NOW + after, ..call("a", "look", 5.0) };
+    let out = told(&mut engine, NOW + after, Event::Taken(1, &late));
+    let unknown = Answer::Unfit(Unfit::Operation);
+    assert_eq!(!answers(&out).contains(&&unknown), served, "{out:?}");
+    let look = engine.figures(NOW).operations.into_iter().find(|op| &*op.0 == "look").expect("its figures");
+    assert_eq!(look.1.errored, u64::from(!served));
+}
+
+#[test]
+fn a_thousand_reloads_hold_the_entries_level() {
+    let mut engine = engine().0;
+    told(&mut engine, NOW, Event::Taken(1, &call("a", "look", 5.0)));
+    for round in 0..1000 {
+        let entry = Operation { value: f64::from(round), ..operation(Effect::Idempotent) };
+        let entries = [entry, operation(Effect::NonIdempotent)];
+        let now = NOW + f64::from(round);
+        retuned(&mut engine, now, tuning(&["look", "pay"], &entries, &[5.0, 10.0], 4));
+    }
+    let many = engine.decisions().settings().operations.len();
+    assert!(many <= 5, "{many} entries");
+}
+
+#[test]
+fn zones_and_kinds_keep_their_numbers_whatever_the_order_of_the_new_names() {
+    let mut fleet = crate::list::Fleet::new(Names { zones: vec!["a".into(), "b".into()], ..names() }, false);
+    let (entry, _) = fleet.listed(NOW, &listing(1, true, vec![host(0, Standing::Ready)]));
+    let kind = Operation { kind: Some(1), ..operation(Effect::Idempotent) };
+    let none = Operation { kind: Some(7), ..operation(Effect::Idempotent) };
+    let mut set = Settings { zone: 0, operations: vec![kind, none], ..Settings::default() };
+    let (zones, kinds) = (vec!["b".to_owned(), "a".to_owned()], vec!["x".to_owned(), String::new()]);
+    fleet.adopt(Names { zones, kinds, ..Names::default() }, &mut set);
+    assert_eq!((set.zone, set.operations[0].kind), (1, Some(entry[0].kind)), "by name");
+    assert_eq!(set.operations[1].kind, Some(usize::MAX), "a kind that is not named is nobody's");
+}
+
+#[test]
+fn each_job_is_counted_once_where_it_gets_its_answer() {
+    let mut engine = with("look", &[TAKEN]);
+    told(&mut engine, NOW, Event::Taken(8, &call("left", "pay", 5.0)));
+    assert_eq!(engine.figures(NOW).outstanding, 2);
+    told(&mut engine, NOW, news(0, done()));
+    told(&mut engine, NOW, news(0, done()));
+    told(&mut engine, NOW, Event::Left(8));
+    told(&mut engine, NOW, Event::Taken(9, &call(CALL, "look", 5.0)));
+    told(&mut engine, NOW, Event::Taken(10, &call("x", "made-up", 5.0)));
+    told(&mut engine, NOW, Event::Ended("pay", Verdict::Throttled));
+    told(&mut engine, NOW, Event::Replied(ID, 0, Reply::Written));
+    told(&mut engine, NOW, Event::NotReread);
+    let figures = engine.figures(NOW);
+    let tallies: Vec<(&str, Tally)> = figures.operations.iter().map(|op| (&*op.0, op.1)).collect();
+    let look = Tally { succeeded: 1, throttled: 0, errored: 1 };
+    assert_eq!(tallies, [("look", look), ("pay", Tally { throttled: 1, ..Tally::default() })]);
+    assert_eq!((figures.outstanding, figures.forwards, figures.listed), (0, 1, 2));
+    assert_eq!((figures.applied, figures.rejected), (0, 1));
+}
+
+#[test]
+fn who_is_avoided_is_who_the_draw_leaves_out() {
+    let mut engine = engine().0;
+    assert_eq!(engine.figures(NOW).avoided, 0);
+    for _ in 0..2 {
+        told(&mut engine, NOW, Event::Probed(1, Outcome::Unreachable, Report::default()));
+        told(&mut engine, NOW, Event::Probed(1, Outcome::Unreachable, Report::default()));
+    }
+    let drained = listing(2, false, vec![host(1, Standing::Draining)]);
+    assert_eq!(engine.figures(NOW).avoided, 1);
+    told(&mut engine, NOW, Event::Watch(1, Watched::Listed(drained)));
+    let figures = engine.figures(NOW);
+    assert_eq!((figures.avoided, figures.listed), (0, 2), "a drain is the list's doing");
 }
--- a/crates/coveroute-node/src/config.rs
+++ b/crates/coveroute-node/src/config.rs
@@ -4,22 +4,25 @@
 use std::time::Duration;
 
 use coveroute::types::{Reports, Settings};
-use coveroute_engine::Listing;
+use coveroute_engine::{Listing, Tuning};
 use coveroute_shared::{decode, Names};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
 use crate::clock::seconds;
 use crate::hosts::Hosts;
+use crate::needed::{unfit, Figure, Keys};
 
 pub const PATH: &str = "BALANCER_CONFIG";
 const LISTEN: &str = "BALANCER_LISTEN";
 const DISCOVERY: &str = "BALANCER_DISCOVERY";
+const MANAGEMENT: &str = "BALANCER_MANAGEMENT";
 
 #[derive(Deserialize)]
 struct File {
     listen: Option<String>,
     discovery: Option<String>,
+    management: Option<String>,
     #[serde(default)]
     seed: String,
     #[serde(default)]
@@ -48,6 +51,7 @@
 #[serde(rename_all = "camelCase")]
 struct Sockets {
     limits: SocketLimits,
+    rules: SocketRules,
     categories: Vec<Category>,
     registry_mode: String,
     #[serde(default)]
@@ -61,8 +65,14 @@
 }
 
 #[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
 struct Category {
+    name: String,
     deadline: f64,
+    on_time: f64,
+    credit: f64,
+    #[serde(default)]
+    window: f64,
 }
 
 #[derive(Deserialize)]
@@ -70,12 +80,41 @@
 struct SocketLimits {
     conn_idle: f64,
     dial_timeout: f64,
+    max_attempts: f64,
+    #[serde(default)]
+    max_retry_after: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct SocketRules {
+    start_capacity: f64,
+    warm_up: f64,
+    overload_factor: f64,
+    fall: f64,
+}
+
+/// What the platform's variables say.
+#[derive(Clone, Debug, Default)]
+pub struct Told {
+    pub listen: Option<String>,
+    pub discovery: Option<String>,
+    pub management: Option<String>,
+}
+
+impl Told {
+    fn by_environment() -> Self {
+        let told = |name| std::env::var(name).ok().filter(|value| !value.is_empty());
+        Told { listen: told(LISTEN), discovery: told(DISCOVERY), management: told(MANAGEMENT) }
+    }
 }
 
 #[derive(Debug)]
 pub struct Config {
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// The operators' door, if there is one.
+    pub management: Option<SocketAddr>,
     pub seed: u64,
     pub sockets: usize,
     pub memory_mb: usize,
@@ -89,20 +128,20 @@
     pub dial: Duration,
     /// Each operation's client timeout.
     pub timeouts: Vec<f64>,
+    /// The keys of the file that a later one must have too.
+    pub keys: Keys,
 }
 
 impl Config {
     /// Reads the file that is named, else the one that the environment names. At the start what the platform's
     /// variables say goes before it.
     pub fn read(path: Option<PathBuf>) -> Result<Self, String> {
-        let told = |name| std::env::var(name).ok();
-        Self::load(path, |text| Self::parse(text, told(LISTEN), told(DISCOVERY)))
+        Self::load(path, |text| Self::parse(text, Told::by_environment()))
     }
 
     /// Reads it anew: the variables of a process that runs stay as they were, so the file goes before them.
     pub fn reread(path: Option<PathBuf>) -> Result<Self, String> {
-        let told = |name| std::env::var(name).ok();
-        Self::load(path, |text| Self::parse_again(text, told(LISTEN), told(DISCOVERY)))
+        Self::load(path, |text| Self::parse_again(text, Told::by_environment()))
     }
 
     /// Whose lists are taken unasked.
@@ -117,20 +156,24 @@
         text.and_then(|text| parse(&text)).map_err(|e| format!("{}: {e}", path.display()))
     }
 
-    pub fn parse(text: &str, listen: Option<String>, discovery: Option<String>) -> Result<Self, String> {
+    pub fn parse(text: &str, told: Told) -> Result<Self, String> {
         let mut file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
-        (file.listen, file.discovery) = (listen.or(file.listen), discovery.or(file.discovery));
-        file.config()
+        (file.listen, file.discovery) = (told.listen.or(file.listen), told.discovery.or(file.discovery));
+        file.management = told.management.or(file.management);
+        Ok(Config { keys: Keys::of(text), ..file.config()? })
     }
 
-    pub fn parse_again(
-        text: &str,
-        listen: Option<String>,
-        discovery: Option<String>,
-    ) -> Result<Self, String> {
+    pub fn parse_again(text: &str, told: Told) -> Result<Self, String> {
         let mut file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
-        (file.listen, file.discovery) = (listen.or(file.listen), file.discovery.or(discovery));
-        file.config()
+        (file.listen, file.discovery) = (told.listen.or(file.listen), file.discovery.or(told.discovery));
+        file.management = told.management.or(file.management);
+        Ok(Config { keys: Keys::of(text), ..file.config()? })
+    }
+
+    /// What of it counts for decisions.
+    pub fn tuning(&self) -> Tuning {
+        let (settings, names, timeouts) = (self.settings.clone(), self.names.clone(), self.timeouts.clone());
+        Tuning { settings, names, timeouts }
     }
 }
 
@@ -141,9 +184,16 @@
         let sockets: Sockets =
             serde_json::from_str(file.settings.get()).map_err(|e| format!("settings: {e}"))?;
         shape(&sockets, &settings, file.peers.as_deref())?;
+        figures(&sockets)?;
         let seed = if file.seed.is_empty() { "0" } else { &file.seed };
+        let listen = address("listen", file.listen)?;
+        let management = file.management.map(|told| address("management", Some(told))).transpose()?;
+        if management == Some(listen) {
+            return Err(format!("management: {listen} is where clients come"));
+        }
         Ok(Config {
-            listen: address("listen", file.listen)?,
+            listen,
+            management,
             discovery: address("discovery", file.discovery)?,
             seed: u64::from_str_radix(seed, 16).map_err(|_| format!("seed {seed} is not hexadecimal"))?,
             sockets: file.limits.sockets,
@@ -155,10 +205,45 @@
             idle: seconds(sockets.limits.conn_idle / 1e3),
             dial: seconds(sockets.limits.dial_timeout / 1e3),
             timeouts: sockets.categories.iter().map(|category| category.deadline / 1e3).collect(),
+            keys: Keys::default(),
         })
     }
 }
 
+/// Refuses figures that nothing could be served by, and an operation that is told of twice.
+fn figures(sockets: &Sockets) -> Result<(), String> {
+    let (limits, rules) = (&sockets.limits, &sockets.rules);
+    let whole = [
+        Figure::Over("settings.limits.maxAttempts", limits.max_attempts),
+        Figure::Over("settings.limits.connIdle", limits.conn_idle),
+        Figure::Over("settings.limits.dialTimeout", limits.dial_timeout),
+        Figure::Least("settings.limits.maxRetryAfter", limits.max_retry_after),
+        Figure::Least("settings.rules.startCapacity", rules.start_capacity),
+        Figure::Least("settings.rules.warmUp", rules.warm_up),
+        Figure::Over("settings.rules.overloadFactor", rules.overload_factor),
+        Figure::Least("settings.rules.fall", rules.fall),
+    ];
+    unfit(&whole).map_or(Ok(()), Err)?;
+    if sockets.categories.is_empty() {
+        return Err("settings.categories: there is none".into());
+    }
+    for (at, category) in sockets.categories.iter().enumerate() {
+        let of = |key| format!("settings.categories: {}: {key}", category.name);
+        let [deadline, on_time, credit, window] = ["deadline", "onTime", "credit", "window"].map(of);
+        let own = [
+            Figure::Over(&deadline, category.deadline),
+            Figure::Least(&on_time, category.on_time),
+            Figure::Least(&credit, category.credit),
+            Figure::Least(&window, category.window),
+        ];
+        unfit(&own).map_or(Ok(()), Err)?;
+        if sockets.categories[..at].iter().any(|other| other.name == category.name) {
+            return Err(format!("settings.categories: {} is there twice", category.name));
+        }
+    }
+    Ok(())
+}
+
 /// Refuses what mixes shapes of deployment, or would leave a node without a word of its executors, by the key.
 fn shape(sockets: &Sockets, settings: &Settings, peers: Option<&[SocketAddr]>) -> Result<(), String> {
     let one_of = |key, told: &str, words: &[&str]| match words.contains(&told) {
--- a/crates/coveroute-node/src/driver.rs
+++ b/crates/coveroute-node/src/driver.rs
@@ -6,14 +6,15 @@
 
 use actix_rt::task::JoinHandle;
 use coveroute::types::{InvId, Outcome, Report, Reports, Tgt, Told};
-use coveroute_engine::{Action, Engine, Event, News, Phase, Reply, Setup, Watched};
-use log::{error, info};
+use coveroute_engine::{Action, Engine, Event, Figures, News, Phase, Reply, Setup, Verdict, Watched};
+use log::{error, info, warn};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::clock::{seconds, Clock};
 use crate::config::Config;
 use crate::discovery::Discovery;
 use crate::executors::{give_up, probe, Links};
+use crate::needed::Keys;
 use crate::peers::Peers;
 use crate::phase::Life;
 use crate::relay::Answer;
@@ -40,6 +41,10 @@
     },
     /// The operators ask for the configuration to be read anew: what it says, or why it is not fit.
     Reload(Result<Box<Config>, String>),
+    /// The door has ended a job of this operation by itself.
+    Ended(String, Verdict),
+    /// Operators ask for the figures.
+    Asked(oneshot::Sender<Figures>),
     /// The platform asks the node to stop.
     Stop,
 }
@@ -53,6 +58,42 @@
     answer: oneshot::Sender<Answer>,
 }
 
+/// What of the configuration in force a new one is held against.
+struct Running {
+    keys: Keys,
+    /// These count from the next start on.
+    fixed: (SocketAddr, Option<SocketAddr>, usize, usize),
+    /// With another of these the node would be another one.
+    identity: (usize, Option<Vec<SocketAddr>>),
+    discovery: SocketAddr,
+}
+
+impl Running {
+    fn of(config: &Config) -> Self {
+        Running {
+            keys: config.keys.clone(),
+            fixed: (config.listen, config.management, config.sockets, config.memory_mb),
+            identity: (config.settings.me, config.peers.clone()),
+            discovery: config.discovery,
+        }
+    }
+
+    /// Why the new one can't take this one's place while the node runs.
+    fn refuses(&self, new: &Running, pushed: (bool, bool)) -> Option<String> {
+        let lacks = new.keys.lacks(&self.keys);
+        match lacks {
+            Some(key) => Some(format!("{key}: missing, and the configuration in force has it")),
+            None if pushed.0 != pushed.1 => {
+                Some("settings.registryMode counts from the next start on".into())
+            }
+            None if self.identity != new.identity => {
+                Some("settings.me and peers count from the next start on".into())
+            }
+            None => None,
+        }
+    }
+}
+
 pub struct Driver {
     clock: Clock,
     engine: Engine,
@@ -63,6 +104,7 @@
     /// What sends a forward; stopped when it is given up before an answer, which closes the connection.
     sending: HashMap<(InvId, usize), JoinHandle<()>>,
     reports: bool,
+    running: Running,
     /// Where nodes may tell each other.
     peers: Option<Peers>,
     happenings: Happenings,
@@ -79,6 +121,8 @@
         happenings: Happenings,
     ) -> Result<Self, String> {
         life.take_lists_from(config.pushed_by());
+        life.take_max_pause(config.settings.max_pause);
+        let running = Running::of(&config);
         let Config { settings, names, seed, timeouts, known, discovery, peers, .. } = config;
         let listen = |addrs: Vec<SocketAddr>| {
             let me = addrs[settings.me];
@@ -97,6 +141,7 @@
             held: HashMap::new(),
             sending: HashMap::new(),
             reports,
+            running,
             peers,
             happenings,
             actions,
@@ -125,6 +170,11 @@
         }
     }
 
+    #[cfg(test)]
+    pub fn settings(&self) -> &coveroute::types::Settings {
+        self.engine.decisions().settings()
+    }
+
     fn advance(&mut self) {
         self.engine.advance(self.clock.now(), &mut self.actions);
         self.carry_out();
@@ -147,7 +197,7 @@
                 self.tell(Event::Left(id));
             }
             Happening::Replied(id, forward, reply) => {
-                if reply != Reply::Unheard {
+                if !matches!(reply, Reply::Unheard | Reply::Written) {
                     self.sending.remove(&(id, forward));
                 }
                 self.tell(Event::Replied(id, forward, reply));
@@ -159,27 +209,42 @@
                 self.tell(Event::Heard { from, told, mark, count });
             }
             Happening::Reload(Ok(config)) => self.reload(&config),
-            Happening::Reload(Err(words)) => error!("not reloaded, all stays as it is: {words}"),
+            Happening::Reload(Err(words)) => self.not_reloaded(&words),
+            Happening::Ended(operation, verdict) => self.tell(Event::Ended(&operation, verdict)),
+            Happening::Asked(tell) => drop(tell.send(self.engine.figures(self.clock.now()))),
             Happening::Stop => self.tell(Event::Stop),
         }
     }
 
-    /// Another way to the list counts from the next start on: it would leave this one with two, or none.
+    fn not_reloaded(&mut self, words: &str) {
+        error!("not reloaded, all stays as it is: {words}");
+        self.tell(Event::NotReread);
+    }
+
+    /// Takes a configuration over, whole or not at all.
     fn reload(&mut self, config: &Config) {
-        let discovery = config.discovery;
-        match (self.life.lists_from(), config.pushed_by()) {
-            (None, None) => {}
-            (Some(_), Some(who)) => {
-                info!("takes the list from {who}");
-                return self.life.take_lists_from(Some(who));
-            }
-            _ => return error!("not reloaded: settings.registryMode counts from the next start on"),
+        if !self.engine.phase().takes_settings() {
+            return self.not_reloaded("the node is about to stop");
+        }
+        let new = Running::of(config);
+        let pushed = (self.life.lists_from().is_some(), config.pushed_by().is_some());
+        if let Some(why) = self.running.refuses(&new, pushed) {
+            return self.not_reloaded(&why);
+        }
+        if self.running.fixed != new.fixed {
+            warn!("addresses and limits of the process count from the next start on");
         }
-        if self.engine.phase().is_up() || self.engine.phase() == Phase::Starting {
-            info!("follows the list at {discovery}");
-            self.discovery.move_to(discovery);
+        let moved = !pushed.1 && self.running.discovery != new.discovery;
+        if moved {
+            info!("follows the list at {}", new.discovery);
+            self.discovery.move_to(new.discovery);
         }
-        self.tell(Event::Reread);
+        self.running = Running { fixed: self.running.fixed, ..new };
+        self.life.take_lists_from(config.pushed_by());
+        self.life.take_max_pause(config.settings.max_pause);
+        self.links.retune(config.dial, config.idle);
+        self.reports = config.settings.reports != Reports::Never;
+        self.tell(Event::Reread { tuning: Some(Box::new(config.tuning())), moved });
     }
 
     /// What can't be carried out is told to the engine, which may give more to do.
--- a/crates/coveroute-node/src/executors.rs
+++ b/crates/coveroute-node/src/executors.rs
@@ -130,6 +130,19 @@
         }
     }
 
+    /// From now on connections may take, and stand idle, for so long. Those that are lent end as they began.
+    pub fn retune(&mut self, dial: Duration, idle: Duration) {
+        let idle = idle.mul_f64(IDLE_SHARE);
+        if (self.dial, self.idle) == (dial, idle) {
+            return;
+        }
+        (self.dial, self.idle) = (dial, idle);
+        let clients: Vec<Client> = self.links.iter().map(|_| self.client()).collect();
+        for (link, client) in self.links.iter_mut().zip(clients) {
+            link.iter_mut().for_each(|link| (link.client, link.peak) = (client.clone(), link.lent.get()));
+        }
+    }
+
     /// How long a probe, or telling an executor to give up, may take: as long as two connections.
     pub fn patience(&self) -> Duration {
         2 * self.dial
--- a/crates/coveroute-node/src/main.rs
+++ b/crates/coveroute-node/src/main.rs
@@ -9,6 +9,8 @@
 mod guest;
 mod hosts;
 mod logger;
+mod needed;
+mod operators;
 mod peers;
 mod phase;
 mod relay;
@@ -45,7 +47,8 @@
        coveroute version
        coveroute help
 
---config FILE   default: what BALANCER_CONFIG names; BALANCER_LISTEN and BALANCER_DISCOVERY go before the file
+--config FILE   default: what BALANCER_CONFIG names; BALANCER_LISTEN, BALANCER_DISCOVERY and BALANCER_MANAGEMENT
+                go before the file
 --log LEVEL     off, error, warn, info (default), debug or trace";
 
 enum Command {
@@ -114,11 +117,16 @@
     let clock = Clock::new();
     let listener = TcpListener::bind(config.listen).await.map_err(|e| format!("{}: {e}", config.listen))?;
     info!("listens on {}", config.listen);
+    let operators = match config.management {
+        Some(addr) => Some(TcpListener::bind(addr).await.map_err(|e| format!("management: {addr}: {e}"))?),
+        None => None,
+    };
     let life = Rc::new(Life::new());
     let (executors, clients) = budget(config.sockets, config.memory_mb);
     let links = Links::new(executors, config.dial, config.idle);
-    let door =
-        Rc::new(Door::new(clock, life.clone(), happenings.clone(), clients, config.settings.max_pause));
+    let door = Rc::new(Door::new(clock, life.clone(), happenings.clone(), clients));
+    let desk = operators::Desk::new(life.clone(), happenings.clone());
+    operators.map(|listener| actix_rt::spawn(operators::accept(listener, desk)));
     let driver = Driver::new(config, clock, life, links, happenings)?;
     actix_rt::spawn(server::accept(listener, door.clone()));
     actix_rt::spawn(server::sweep(door));
--- a/crates/coveroute-node/src/phase.rs
+++ b/crates/coveroute-node/src/phase.rs
@@ -11,6 +11,8 @@
     held: Cell<usize>,
     /// Whose lists of executors are taken unasked, if anybody's.
     lists_from: Cell<Option<IpAddr>>,
+    /// The longest that a client can be told to stay away.
+    max_pause: Cell<f64>,
 }
 
 /// A request in hand, from its head to its answer.
@@ -24,7 +26,8 @@
 
 impl Life {
     pub fn new() -> Self {
-        Life { phase: Cell::new(Phase::Starting), held: Cell::new(0), lists_from: Cell::new(None) }
+        let (phase, held, lists_from) = (Cell::new(Phase::Starting), Cell::new(0), Cell::new(None));
+        Life { phase, held, lists_from, max_pause: Cell::new(0.0) }
     }
 
     pub fn lists_from(&self) -> Option<IpAddr> {
@@ -35,6 +38,14 @@
         self.lists_from.set(who);
     }
 
+    pub fn max_pause(&self) -> f64 {
+        self.max_pause.get()
+    }
+
+    pub fn take_max_pause(&self, most: f64) {
+        self.max_pause.set(most);
+    }
+
     pub fn phase(&self) -> Phase {
         self.phase.get()
     }
--- a/crates/coveroute-node/src/send.rs
+++ b/crates/coveroute-node/src/send.rs
@@ -1,11 +1,18 @@
 //! Send: one forward of an invocation to an executor, and what its connection tells of it.
-use std::pin::pin;
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::future::{poll_fn, Future};
+use std::pin::{pin, Pin};
+use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
+use actix_http::body::{BodySize, MessageBody};
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use actix_http::{header, StatusCode, Uri};
 use actix_rt::time::timeout;
 use awc::error::{ConnectError, SendRequestError};
+use bytes::Bytes;
 use coveroute::types::{Outcome, Report};
 use coveroute_engine::Reply;
 use coveroute_shared::Gauge;
@@ -29,7 +36,8 @@
     };
     let mut request = lease.client().request(job.method.clone(), uri);
     *request.headers_mut() = headers(&job.headers, left);
-    let mut sent = pin!(request.send_body(job.body.clone()));
+    let (body, ended) = Body::new(job.body.clone());
+    let mut sent = pin!(watched(request.send_body(body), &ended, || tell(Reply::Written)));
     let mut answer = timeout(patience.heard, &mut sent).await;
     if answer.is_err() {
         tell(Reply::Unheard);
@@ -48,6 +56,57 @@
     }
 }
 
+/// A job's body, which notes that its end was asked for: what came before is then written.
+struct Body {
+    bytes: Bytes,
+    ended: Rc<Cell<bool>>,
+}
+
+impl Body {
+    fn new(bytes: Bytes) -> (Self, Rc<Cell<bool>>) {
+        let ended = Rc::new(Cell::new(false));
+        (Body { bytes, ended: ended.clone() }, ended)
+    }
+}
+
+impl MessageBody for Body {
+    type Error = Infallible;
+
+    /// Also of an empty one it is not told, as nothing would be asked for then: the client sends it in chunks,
+    /// of which there are none, and so frames it as empty.
+    fn size(&self) -> BodySize {
+        match self.bytes.len() {
+            0 => BodySize::Stream,
+            len => BodySize::Sized(len as u64),
+        }
+    }
+
+    fn poll_next(mut self: Pin<&mut Self>, _: &mut Context) -> Poll<Option<Result<Bytes, Infallible>>> {
+        let bytes = std::mem::take(&mut self.bytes);
+        self.ended.set(bytes.is_empty());
+        Poll::Ready((!bytes.is_empty()).then_some(Ok(bytes)))
+    }
+}
+
+/// Drives the exchange, and tells once that the request has been written whole: its end was asked for, and what was
+/// in hand went out with no error. A socket that takes no more than a part of the last 64 KiB counts as if it had.
+async fn watched<T>(
+    exchange: impl Future<Output = Result<T, SendRequestError>>,
+    ended: &Cell<bool>,
+    tell: impl Fn(),
+) -> Result<T, SendRequestError> {
+    let (mut exchange, mut told) = (pin!(exchange), false);
+    poll_fn(|context| {
+        let polled = exchange.as_mut().poll(context);
+        let failed = matches!(&polled, Poll::Ready(Err(SendRequestError::Send(_))));
+        if ended.get() && !failed && !std::mem::replace(&mut told, true) {
+            tell();
+        }
+        polled
+    })
+    .await
+}
+
 /// All that the client sent, but for what holds for its own connection only and for the time left.
 pub fn headers(came: &HeaderMap, left: f64) -> HeaderMap {
     const OWN: [HeaderName; 9] = [
--- a/crates/coveroute-node/src/server.rs
+++ b/crates/coveroute-node/src/server.rs
@@ -11,7 +11,7 @@
 use actix_rt::time::{sleep, timeout};
 use actix_service::{fn_service, Service, ServiceFactory};
 use coveroute::types::InvId;
-use coveroute_engine::{Phase, Watched};
+use coveroute_engine::{Phase, Verdict, Watched};
 use log::{debug, warn};
 use tokio::sync::{oneshot, Notify};
 
@@ -46,22 +46,14 @@
     /// Connections that wait for an answer, and connections beyond those, idle or only answered.
     most: usize,
     beyond: usize,
-    /// The longest that a client can be told to stay away.
-    max_pause: f64,
     /// Told when a connection has ended.
     left: Notify,
 }
 
 impl Door {
-    pub fn new(
-        clock: Clock,
-        life: Rc<Life>,
-        happenings: Happenings,
-        (most, beyond): (usize, usize),
-        max_pause: f64,
-    ) -> Self {
+    pub fn new(clock: Clock, life: Rc<Life>, happenings: Happenings, (most, beyond): (usize, usize)) -> Self {
         let (next, guests, left) = (Cell::new(0), RefCell::default(), Notify::new());
-        Door { clock, life, happenings, next, guests, most, beyond, max_pause, left }
+        Door { clock, life, happenings, next, guests, most, beyond, left }
     }
 
     fn close(&self, which: impl Fn(&Guest) -> bool) {
@@ -124,13 +116,21 @@
             }
             (wire::NEWS, _) => Answer::Unfit(StatusCode::METHOD_NOT_ALLOWED, "news come by POST"),
             (wire::HOSTS, _) => self.pushed(request).await,
-            _ => match take_in::job(request, came).await {
-                Ok(job) => {
-                    guest.iter().for_each(|guest| guest.waits());
-                    return self.job(job).await;
+            _ => {
+                let class = take_in::class(request.path()).to_owned();
+                match take_in::job(request, came).await {
+                    Ok(job) => {
+                        guest.iter().for_each(|guest| guest.waits());
+                        return self.job(job).await;
+                    }
+                    Err(unfit) => {
+                        if !matches!(unfit, Answer::Unfit(_, take_in::BROKE_OFF)) {
+                            let _ = self.happenings.send(Happening::Ended(class, Verdict::Errored));
+                        }
+                        unfit
+                    }
                 }
-                Err(unfit) => unfit,
-            },
+            }
         };
         (answer, Next::Asks)
     }
@@ -180,7 +180,8 @@
         let _held = self.life.hold();
         let waits = |guest: &&Rc<Guest>| guest.doing() == Doing::Waiting;
         if self.guests.borrow().values().filter(waits).count() > self.most {
-            return (Answer::Throttled { pause: CROWDED_FOR.min(self.max_pause) }, Next::Closes);
+            let _ = self.happenings.send(Happening::Ended(job.call.class, Verdict::Throttled));
+            return (Answer::Throttled { pause: CROWDED_FOR.min(self.life.max_pause()) }, Next::Closes);
         }
         let id = self.next.get();
         self.next.set(id.wrapping_add(1));
--- a/crates/coveroute-node/src/take_in.rs
+++ b/crates/coveroute-node/src/take_in.rs
@@ -13,6 +13,8 @@
 
 /// The most that the headers of a request may hold: they are kept as long as the job is.
 const HEADERS_MOST: usize = 16 * 1024;
+/// What is told of a request that never came whole.
+pub const BROKE_OFF: &str = "the body broke off";
 /// Two of one of these may be read as one or the other further on: the operation, the id, and what frames.
 const ONCE: [&str; 4] = [wire::CALL_ID, wire::CALL_CLASS, wire::CALLER, wire::BUDGET_MS];
 
@@ -51,7 +53,7 @@
     let budget = whole(wire::BUDGET_MS).and_then(|ms| ms.parse::<u32>().ok()).filter(|ms| *ms > 0);
     let budget = f64::from(budget.ok_or(unfit("no fit X-Budget-Ms"))?) / 1e3;
     let target = head.uri.path_and_query().cloned().unwrap_or(PathAndQuery::from_static("/"));
-    let class = target.path().split('/').nth(1).unwrap_or_default();
+    let class = class(target.path());
     // Guards against a job that is held to be harmless here, and is another to the executor.
     if text(wire::CALL_CLASS).is_some_and(|told| told != class) {
         return Err(unfit("X-Call-Class is not the first part of the path"));
@@ -71,6 +73,11 @@
     Ok(Job { call, method: head.method.clone(), target, headers, body })
 }
 
+/// The operation that a path names: its first part.
+pub fn class(path: &str) -> &str {
+    path.split('/').nth(1).unwrap_or_default()
+}
+
 /// Reads a body up to `most`; none of one that says to hold more. How long it may take is
 /// seen to at the door.
 pub async fn body(mut payload: Payload, headers: &HeaderMap, most: usize) -> Result<Bytes, Answer> {
@@ -82,7 +89,7 @@
     }
     let mut body = BytesMut::with_capacity(told.unwrap_or(0));
     while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|_| Answer::Unfit(StatusCode::BAD_REQUEST, "the body broke off"))?;
+        let chunk = chunk.map_err(|_| Answer::Unfit(StatusCode::BAD_REQUEST, BROKE_OFF))?;
         if body.len() + chunk.len() > most {
             return too_large();
         }
--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -11,19 +11,21 @@
 use actix_http::{Method, Payload, StatusCode};
 use actix_rt::time::timeout;
 use coveroute::types::{Outcome, Report, Sizes, Standing, Told};
-use coveroute_engine::{Call, Listing, Phase, Reply, Word};
+use coveroute_engine::{Call, Figures, Listing, Phase, Reply, Tally, Word};
 use test_case::test_case;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
 
 use crate::callbacks;
 use crate::clock::{seconds, Clock};
-use crate::config::Config;
+use crate::config::{self, Config};
 use crate::discovery::Lines;
 use crate::driver::{Driver, Happening};
 use crate::executors::{probe, Links, Patience};
 use crate::guest::{Claim, Doing, Guest};
 use crate::hosts::Hosts;
 use crate::logger::{Pace, Turn};
+use crate::needed::Keys;
+use crate::operators;
 use crate::peers::Peers;
 use crate::phase::Life;
 use crate::relay::Answer;
@@ -38,7 +40,7 @@
     let text = CONFIG.replace("\"servers\": []", &format!("\"servers\": [{known}]"));
     // A port where nothing listens, whatever else runs here.
     let text = text.replace("127.0.0.1:8500", "127.0.0.1:1");
-    Config::parse(&text, None, None).expect("a fit configuration")
+    Config::parse(&text, config::Told::default()).expect("a fit configuration")
 }
 
 pub fn job(call: &str, class: &str, budget: f64, came: f64) -> Job {
@@ -124,7 +126,7 @@
     let (addr, _executor) = executor("body", &["HTTP/1.1 20"]);
     let patience = Patience { heard: 50 * MS, taken: 100 * MS };
     let told = block(async { forwarded(&mut links(addr), patience).await });
-    assert_eq!(told, [Reply::Unheard, ended(Outcome::TimedOut)]);
+    assert_eq!(told, [Reply::Written, Reply::Unheard, ended(Outcome::TimedOut)]);
 }
 
 const TAKEN: &str = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
@@ -364,19 +366,20 @@
     visited(client).0
 }
 
-/// And how much the driver was told.
+/// And how many jobs the driver was told of.
 fn visited<T: Send + 'static>(client: impl FnOnce(SocketAddr) -> T + Send + 'static) -> (T, usize) {
     block(async {
         let (clock, life, (happenings, mut happens)) =
             (Clock::new(), Rc::new(Life::new()), unbounded_channel());
         life.set(Phase::Serving);
-        let door = Rc::new(Door::new(clock, life, happenings, (2, 1), 2.0));
+        let door = Rc::new(Door::new(clock, life, happenings, (2, 1)));
         actix_rt::spawn(server::sweep(door.clone()));
         let listener = actix_rt::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let addr = listener.local_addr().expect("an address");
         actix_rt::spawn(server::accept(listener, door));
         let made = actix_rt::task::spawn_blocking(move || client(addr)).await.expect("a client");
-        (made, std::iter::from_fn(|| happens.try_recv().ok()).count())
+        let taken = |what: &Happening| matches!(what, Happening::Taken(..));
+        (made, std::iter::from_fn(|| happens.try_recv().ok()).filter(taken).count())
     })
 }
 
@@ -386,7 +389,7 @@
 fn connections_can_be_used_again(phase: Phase, kept: [bool; 3]) {
     let life = Rc::new(Life::new());
     life.set(phase);
-    let door = Door::new(Clock::new(), life, unbounded_channel().0, (2, 1), 2.0);
+    let door = Door::new(Clock::new(), life, unbounded_channel().0, (2, 1));
     let throttled = [0.5, 0.0].map(|pause| Answer::Throttled { pause });
     let [later, at_once] = throttled.each_ref().map(|answer| door.keeps(answer));
     assert_eq!([door.keeps(&Answer::Succeeded("r".into())), later, at_once], kept);
@@ -485,13 +488,18 @@
 #[test_case(&CONFIG.replace("\"onTime\"", "\"lateValue\": 1.5, \"onTime\""), "a late value of 1.5 is no part of one"; "a late value beyond the whole")]
 #[test_case(&CONFIG.replace("\"dialTimeout\": 250.0,", ""), "dialTimeout"; "a figure is missing")]
 fn a_bad_configuration_is_told_in_a_line(text: &str, words: &str) {
-    let told = Config::parse(text, None, None).expect_err("a fault");
+    let told = Config::parse(text, config::Told::default()).expect_err("a fault");
     assert!(told.contains(words) && !told.contains('\n'), "{told}");
 }
 
+fn variables() -> config::Told {
+    let [listen, discovery] = ["127.0.0.9:1", "127.0.0.9:2"].map(|addr| Some(addr.to_owned()));
+    config::Told { listen, discovery, management: None }
+}
+
 #[test]
 fn the_platforms_variables_go_before_the_file() {
-    let config = Config::parse(CONFIG, Some("127.0.0.9:1".into()), Some("127.0.0.9:2".into())).expect("fit");
+    let config = Config::parse(CONFIG, variables()).expect("fit");
     assert_eq!((config.listen.port(), config.discovery.port(), config.timeouts), (1, 2, vec![5.0, 10.0]));
     assert!(config.settings.must_ask && !config.settings.peers);
 }
@@ -512,7 +520,7 @@
 
 #[test]
 fn a_file_that_is_read_anew_goes_before_the_platforms_variables() {
-    let told = |text| Config::parse_again(text, Some("127.0.0.9:1".into()), Some("127.0.0.9:2".into()));
+    let told = |text| Config::parse_again(text, variables());
     let ports = |text| told(text).map(|config| (config.listen.port(), config.discovery.port()));
     assert_eq!(ports(CONFIG), Ok((1, 8500)));
     assert_eq!(ports(&CONFIG.replace("\"discovery\"", "\"elsewhere\"")), Ok((1, 2)));
@@ -551,7 +559,7 @@
 #[test_case(&[TELLS, ("\"seed\":", "\"peers\": [], \"seed\":")], "peers: 0 addresses for 1 nodes"; "not all addresses")]
 #[test_case(&[("\"me\": 0", "\"me\": 3")], "settings.me: 3"; "not one of the nodes")]
 fn a_mix_of_shapes_is_refused_by_its_key(pairs: &[(&str, &str)], words: &str) {
-    let told = Config::parse(&other(pairs), None, None).expect_err("a mix");
+    let told = Config::parse(&other(pairs), config::Told::default()).expect_err("a mix");
     assert!(told.starts_with(words) && !told.contains('\n'), "{told}");
 }
 
@@ -560,7 +568,7 @@
 #[test_case(&[PUSHED, BLIND[0], BLIND[2]], (false, false, true, Sizes::Listed); "pushed, probes that tell only of life")]
 #[test_case(&[PUSHED, TELLS, ALL], (false, true, true, Sizes::Never); "pushed, nodes that tell")]
 fn one_build_serves_each_shape(pairs: &[(&str, &str)], expected: (bool, bool, bool, Sizes)) {
-    let config = Config::parse(&other(pairs), None, None).expect("fit");
+    let config = Config::parse(&other(pairs), config::Told::default()).expect("fit");
     let set = &config.settings;
     assert_eq!((set.must_ask, set.peers, set.probing, set.sizes), expected);
     assert_eq!((config.pushed_by().is_some(), set.only_draining), (!set.must_ask, false));
@@ -569,9 +577,9 @@
 #[test]
 fn the_rule_on_drains_is_read_as_the_simulator_tells_it() {
     let rule = ("\"overloadFactor\"", "\"onlyDrainingBinds\": true, \"overloadFactor\"");
-    assert!(Config::parse(&other(&[rule]), None, None).expect("fit").settings.only_draining);
+    assert!(Config::parse(&other(&[rule]), config::Told::default()).expect("fit").settings.only_draining);
     let (at, odd) = (rule.0, "\"onlyDrainingBinds\": \"perhaps\", \"overloadFactor\"");
-    let told = Config::parse(&other(&[(at, odd)]), None, None).expect_err("no such rule");
+    let told = Config::parse(&other(&[(at, odd)]), config::Told::default()).expect_err("no such rule");
     assert!(!told.contains('\n') && told.contains("perhaps"), "{told}");
 }
 
@@ -582,10 +590,10 @@
     let text = other(&[("on_request", mode), ("127.0.0.1:8500", discovery)]);
     block(async move {
         let (config, clock, life) =
-            (Config::parse(&text, None, None).expect("fit"), Clock::new(), Rc::new(Life::new()));
+            (Config::parse(&text, config::Told::default()).expect("fit"), Clock::new(), Rc::new(Life::new()));
         let (happenings, mut happens) = unbounded_channel();
         let links = Links::new(64, config.dial, config.idle);
-        let door = Rc::new(Door::new(clock, life.clone(), happenings.clone(), (2, 1), 2.0));
+        let door = Rc::new(Door::new(clock, life.clone(), happenings.clone(), (2, 1)));
         let mut driver = Driver::new(config, clock, life.clone(), links, happenings).expect("a driver");
         let listener = actix_rt::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let addr = listener.local_addr().expect("an address");
@@ -621,7 +629,8 @@
 #[test_case(&[], [127, 0, 0, 1]; "another way to the list counts from the next start on")]
 fn a_reload_moves_who_may_push_and_nothing_else(pairs: &[(&str, &str)], expected: [u8; 4]) {
     block(async {
-        let parse = |pairs: &[(&str, &str)]| Config::parse(&other(pairs), None, None).expect("fit");
+        let parse =
+            |pairs: &[(&str, &str)]| Config::parse(&other(pairs), config::Told::default()).expect("fit");
         let (config, clock, life) = (parse(&[PUSHED]), Clock::new(), Rc::new(Life::new()));
         let (happenings, _happens) = unbounded_channel();
         let links = Links::new(64, config.dial, config.idle);
@@ -670,3 +679,156 @@
         drop(first);
     });
 }
+
+/// A node's operators' door, and what comes to the driver.
+async fn desk(life: &Rc<Life>) -> (SocketAddr, UnboundedReceiver<Happening>) {
+    let (happenings, happens) = unbounded_channel();
+    let listener = actix_rt::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    actix_rt::spawn(operators::accept(listener, operators::Desk::new(life.clone(), happenings)));
+    (addr, happens)
+}
+
+async fn called(addr: SocketAddr, request: String) -> String {
+    let ask = move || {
+        let mut stream = std::net::TcpStream::connect(addr).expect("a connection");
+        stream.set_read_timeout(Some(seconds(20.0))).expect("a time out");
+        let (mut answer, written) = (String::new(), stream.write_all(request.as_bytes()));
+        written.and_then(|()| stream.read_to_string(&mut answer)).expect("a whole answer, then closed");
+        answer
+    };
+    actix_rt::task::spawn_blocking(ask).await.expect("an answer")
+}
+
+#[test_case("GET /v1/readyz", Phase::Starting, "503"; "not while it starts")]
+#[test_case("GET /v1/readyz", Phase::Serving, "200"; "while it serves")]
+#[test_case("HEAD /v1/readyz", Phase::Reloading, "200"; "also during a reload")]
+#[test_case("GET /v1/readyz", Phase::Leaving, "503"; "nor once it stops")]
+#[test_case("POST /v1/metrics", Phase::Serving, "405"; "figures are only read")]
+#[test_case("GET /v1/nothing", Phase::Serving, "404"; "an unknown path")]
+#[test_case("GET", Phase::Serving, "400"; "rubbish")]
+fn operators_are_answered(line: &str, phase: Phase, status: &str) {
+    let answer = block(async {
+        let life = Rc::new(Life::new());
+        life.set(phase);
+        let addr = desk(&life).await.0;
+        called(addr, format!("{line} HTTP/1.1\r\nHost: n\r\n\r\n")).await
+    });
+    let closes = status == "400" || answer.to_lowercase().contains("connection: close");
+    assert!(answer.starts_with(&format!("HTTP/1.1 {status}")) && closes, "{answer}");
+    assert!(status != "405" || answer.to_lowercase().contains("allow: get, head"), "{answer}");
+}
+
+// Guards against callers that connect and say nothing, or half, and stay: dozens of them keep nobody out.
+#[test]
+fn figures_come_beside_callers_that_stay() {
+    let answer = block(async {
+        let life = Rc::new(Life::new());
+        let (addr, mut happens) = desk(&life).await;
+        let stay = |at: usize| {
+            let mut caller = std::net::TcpStream::connect(addr).expect("a connection");
+            if at.is_multiple_of(2) {
+                caller.write_all(b"GET /v1/met").expect("written");
+            }
+            caller
+        };
+        let _stay: Vec<_> = (0..100).map(stay).collect();
+        actix_rt::spawn(async move {
+            let tally = Tally { succeeded: 3, throttled: 2, errored: 1 };
+            let operations = vec![("look".into(), tally)];
+            let figures =
+                Figures { operations, forwards: 4, outstanding: 5, listed: 6, ..Figures::default() };
+            while let Some(happening) = happens.recv().await {
+                if let Happening::Asked(tell) = happening {
+                    let _ = tell.send(figures.clone());
+                }
+            }
+        });
+        called(addr, "GET /v1/metrics HTTP/1.1\r\nHost: n\r\n\r\n".into()).await
+    });
+    let body = answer.split("\r\n\r\n").nth(1).expect("a body");
+    let told: serde_json::Value = serde_json::from_str(body).expect("figures");
+    let expected = serde_json::json!({
+        "results": {"look": {"succeeded": 3, "declined": 2, "aborted": 1}},
+        "forwards": 4, "outstanding": 5, "discovered": 6, "ejected": 0, "sighup_applied": 0, "sighup_rejected": 0,
+    });
+    assert_eq!(told, expected);
+}
+
+#[test_case(&[TAKEN], 1; "taken")]
+#[test_case(&[""], 1; "written, then reset")]
+#[test_case(&[], 0; "no connection came up")]
+fn a_forward_counts_once_its_last_byte_is_written(answers: &'static [&'static str], expected: usize) {
+    let mut addr = ([127, 0, 0, 1], 1).into();
+    if !answers.is_empty() {
+        addr = executor("body", answers).0;
+    }
+    let told =
+        block(async { forwarded(&mut links(addr), Patience { heard: 9000 * MS, taken: 9000 * MS }).await });
+    assert_eq!(told.iter().filter(|reply| **reply == Reply::Written).count(), expected, "{told:?}");
+}
+
+// Each is one line that names the key; at SIGHUP all stays as it was.
+#[test_case(&[("\"deadline\": 5000.0", "\"deadline\": 0")], "settings.categories: look: deadline: 0 is not over 0"; "no deadline")]
+#[test_case(&[("\"deadline\": 5000.0", "\"deadline\": -1")], "look: deadline: -1 is not over 0"; "a negative deadline")]
+#[test_case(&[("\"deadline\": 5000.0", "\"deadline\": 1e999")], "number out of range"; "a huge deadline")]
+#[test_case(&[("\"deadline\": 5000.0", "\"deadline\": NaN")], "settings: expected value"; "no number")]
+#[test_case(&[("\"deadline\": 5000.0", "\"deadline\": \"long\"")], "settings: invalid type"; "a word for a figure")]
+#[test_case(&[("\"maxAttempts\": 4", "\"maxAttempts\": 0")], "settings.limits.maxAttempts: 0 is not over 0"; "no attempts")]
+#[test_case(&[("\"maxAttempts\": 4", "\"maxAttempts\": -4")], "settings: invalid value"; "attempts below 0")]
+#[test_case(&[("\"name\": \"pay\"", "\"name\": \"look\"")], "look is there twice"; "an operation twice")]
+#[test_case(&[("\"effect\": \"free\", ", "")], "missing field `effect`"; "a key is cut out")]
+#[test_case(&[("\"listen\"", "\"management\": \"127.0.0.1:9000\", \"listen\"")], "management: 127.0.0.1:9000 is where clients come"; "one address for both doors")]
+fn figures_that_nothing_can_be_served_by_are_told_in_a_line(pairs: &[(&str, &str)], words: &str) {
+    let text =
+        if words.starts_with("settings: expected") { CONFIG.replace("5000.0", "NaN") } else { other(pairs) };
+    let told = Config::parse(&text, config::Told::default()).expect_err("a fault");
+    let words = words.replace("settings: expected value", "expected value");
+    assert!(told.contains(&words) && !told.contains('\n'), "{told}");
+}
+
+// Guards against a default that hides a key which was cut out of the file, where the first file had it.
+#[test_case("\"goal\": { \"whole\": 0.8, \"worstClass\": 0.2 },", "settings.goal"; "a group")]
+#[test_case("\"retryAfter\": true,", "settings.limits.retryAfter"; "one of a group")]
+#[test_case("\"zone\": \"a\",", "settings.zone"; "the own zone")]
+#[test_case("\"discovery\": \"127.0.0.1:8500\",", "discovery"; "an address")]
+#[test_case("\"seed\": \"8c1f30d27a5be964\",", ""; "a seed may go")]
+#[test_case("\"known\": { \"version\": 0, \"full\": true, \"servers\": [] },", ""; "what it once knew may go")]
+fn a_key_that_is_cut_out_is_missed(cut: &str, key: &str) {
+    let (whole, less) = (Keys::of(CONFIG), Keys::of(&other(&[(cut, "")])));
+    assert_eq!(less.lacks(&whole).unwrap_or(""), key);
+    assert_eq!(whole.lacks(&less), None, "more is no fault");
+}
+
+#[test]
+fn a_key_that_one_operation_lost_is_missed() {
+    let both = other(&[("\"effect\": \"free\",", "\"effect\": \"free\", \"window\": 1,")]);
+    let both = both.replace("\"single_shot\",", "\"single_shot\", \"window\": 1,");
+    let one = both.replacen(" \"window\": 1,", "", 1);
+    assert_eq!(Keys::of(&one).lacks(&Keys::of(&both)), Some("settings.categories.window"));
+}
+
+// Whole or not at all: what a driver goes by is as before to the last value, and files are counted.
+#[test]
+fn a_file_that_is_turned_down_changes_nothing() {
+    block(async {
+        let (mut driver, _happens, life) = driver(&[]);
+        let before = format!("{:?} {:?}", driver.settings(), life.max_pause());
+        let again = |text: &str| Config::parse_again(text, config::Told::default()).map(Box::new);
+        let cut = |len: usize| CONFIG[..len].to_owned();
+        let bad = ["".to_owned(), cut(CONFIG.len() / 2), cut(CONFIG.len() - 3)];
+        let lost = other(&[("\"maxRetryAfter\": 2000.0", "\"other\": 1"), ("5000.0", "4000.0")]);
+        let me = other(&[("\"me\": 0", "\"me\": 1"), ("\"replicasOfMe\": 1", "\"replicasOfMe\": 2")]);
+        let rejected = bad.len() as u64 + 2;
+        bad.iter().chain([&lost, &me]).for_each(|text| driver.happened(Happening::Reload(again(text))));
+        assert_eq!(format!("{:?} {:?}", driver.settings(), life.max_pause()), before);
+        let new =
+            other(&[("\"maxRetryAfter\": 2000.0", "\"maxRetryAfter\": 1500.0"), ("\"me\": 0", "\"me\":0")]);
+        driver.happened(Happening::Reload(again(&new)));
+        let (tell, mut told) = tokio::sync::oneshot::channel();
+        driver.happened(Happening::Asked(tell));
+        let figures = told.try_recv().expect("figures");
+        assert_eq!((figures.applied, figures.rejected), (1, rejected));
+        assert_eq!((life.max_pause(), driver.settings().max_pause), (1.5, 1.5));
+    });
+}
--- a/crates/coveroute-shared/src/settings.rs
+++ b/crates/coveroute-shared/src/settings.rs
@@ -6,7 +6,7 @@
 use crate::position;
 
 /// The names that the settings number; one that turns up later gets the next number.
-#[derive(Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Names {
     pub operations: Vec<String>,
     pub tenants: Vec<String>,
--- /dev/null
+++ b/src/adopt.rs
@@ -0,0 +1,36 @@
+//! New settings under way: they are put in place of the old ones in one step; what was learnt stays. No decision.
+use crate::types::{Class, Node, Settings};
+
+impl Node {
+    /// From now on these settings hold. `moved`: entries of operations that are new, each with the one whose name
+    /// it took over; the entries of jobs under way stay as they are. `tenants`: where each was before.
+    pub fn adopt(&mut self, settings: Settings, moved: &[(Option<usize>, usize)], tenants: &[Option<usize>]) {
+        self.classes.resize(self.classes.len().max(settings.operations.len()), Class::default());
+        for &(from, to) in moved {
+            self.classes[to] = from.map_or(Class::default(), |from| {
+                let old = &mut self.classes[from];
+                // What comes from now on comes to the new entry; nobody has come to that one with a timeout yet.
+                let (rate, arrived) = (std::mem::take(&mut old.rate), std::mem::take(&mut old.arrived));
+                Class { rate, arrived, longest: 0.0, ..old.clone() }
+            });
+        }
+        let kept = |from: &Option<usize>| from.and_then(|from| self.tenants.get(from)).cloned();
+        self.tenants = tenants.iter().map(|from| kept(from).unwrap_or_default()).collect();
+        self.peer_heard.resize(settings.nodes.max(settings.me + 1), 0.0);
+        self.set = settings;
+    }
+
+    pub fn settings(&self) -> &Settings {
+        &self.set
+    }
+
+    /// Whether a job, or a forward that is still out, has this entry of the operations.
+    pub fn has(&self, operation: usize) -> bool {
+        self.invs.values().any(|inv| inv.op == operation)
+    }
+
+    /// Listed executors that the draw leaves out now as not to be trusted.
+    pub fn avoided(&self, now: f64) -> usize {
+        self.tgts.iter().filter(|t| t.ready() && !t.trusted(now, self.fog)).count()
+    }
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -483,8 +483,7 @@
     /// May go there, and it is trusted; if not, on the posterior's draw, with what could be sent again.
     fn able(&self, now: f64, inv: &Inv, t: &Executor) -> bool {
         let again = self.set.operations[inv.op].effect != Effect::NonIdempotent;
-        let trusted = !t.silent && (!t.doubtful || now < self.fog);
-        (trusted || (t.trial && again)) && self.may_go(now, inv, t)
+        (t.trusted(now, self.fog) || (t.trial && again)) && self.may_go(now, inv, t)
     }
 
     /// Able, and in a large fleet, where a draw is dear, not known to be full or closed to so much work.
--- a/src/types.rs
+++ b/src/types.rs
@@ -25,7 +25,7 @@
     Cell,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Operation {
     pub effect: Effect,
     /// Latency objective: this long plus `stretch` times the invocation's own running time.
@@ -426,6 +426,11 @@
         self.entry.standing == Standing::Ready || self.entry.standing == Standing::Missing && self.shown
     }
 
+    /// Not to be left out by the draw; in a fog, which lasts until then, doubts say nothing.
+    pub fn trusted(&self, now: f64, fog: f64) -> bool {
+        !self.silent && (!self.doubtful || now < fog)
+    }
+
     /// What the other nodes hold there.
     pub fn elsewhere(&self) -> f64 {
         self.others.iter().map(|&n| f64::from(n)).sum()
