--- a/crates/coveroute-emu/src/baseline.rs
+++ b/crates/coveroute-emu/src/baseline.rs
@@ -308,6 +308,10 @@
         self.jobs.values().any(|job| job.op == operation)
     }
 
+    fn share_cold(&mut self, factor: f64) {
+        self.set.cold.factor = factor;
+    }
+
     fn avoided(&self, now: f64) -> usize {
         self.workers.iter().filter(|worker| worker.rests > now).count()
     }
--- a/crates/coveroute-emu/src/settings.rs
+++ b/crates/coveroute-emu/src/settings.rs
@@ -101,7 +101,7 @@
     let raw: Box<RawValue> = serde_json::from_str(&text).map_err(|e| e.to_string())?;
     let (settings, names) = decode(&raw)?;
     let timeouts = scenario.operations.iter().map(|op| op.timeout.0).collect();
-    Ok(Setup { settings, names, seed, timeouts, known: Some(known) })
+    Ok(Setup { settings, names, seed, timeouts, known: Some(known), memory: None })
 }
 
 /// A listing in discovery's form; `base` is the list's clock at the scenario's start.
--- a/crates/coveroute-emu/src/virtual_time.rs
+++ b/crates/coveroute-emu/src/virtual_time.rs
@@ -76,6 +76,13 @@
         }
     }
 
+    fn share_cold(&mut self, factor: f64) {
+        match self {
+            Mind::Node(node) => Decide::share_cold(node.as_mut(), factor),
+            Mind::Baseline(baseline) => baseline.share_cold(factor),
+        }
+    }
+
     fn avoided(&self, now: f64) -> usize {
         match self {
             Mind::Node(node) => Decide::avoided(node.as_ref(), now),
--- a/crates/coveroute-engine/src/book.rs
+++ b/crates/coveroute-engine/src/book.rs
@@ -81,6 +81,11 @@
         Some(&record.operation)
     }
 
+    /// The ids of calls that are served.
+    pub fn open_calls(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.records.values().map(|record| &record.call)
+    }
+
     /// Jobs whose clients wait for a final answer.
     pub fn owed(&self) -> usize {
         self.records.values().filter(|record| record.owed).count()
--- a/crates/coveroute-engine/src/engine.rs
+++ b/crates/coveroute-engine/src/engine.rs
@@ -1,9 +1,11 @@
 //! The engine: everything that happens comes to it as an event, with the time; what is decided leaves it as
 //! actions, to be carried out in order.
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bytes::Bytes;
+use coveroute::learnt::Learnt;
 use coveroute::types::{
     Input, InvId, List, Node, Operation, Outcome, Output, Report, Settings, Settled, Standing, Submission,
     Tgt, Told,
@@ -15,6 +17,7 @@
 use crate::book::{Book, Forward, Record, Stage};
 use crate::counts::{Counts, Figures, Verdict};
 use crate::list::{Fleet, Listing, Move};
+use crate::memory::Memory;
 use crate::operations::{Moved, Operations};
 use crate::phase::{Phase, Step};
 use crate::route::Route;
@@ -32,6 +35,16 @@
 
     /// How many listed executors are avoided now.
     fn avoided(&self, now: f64) -> usize;
+
+    /// What was learnt; nothing, where nothing is.
+    fn learnt(&self) -> Learnt {
+        Learnt::default()
+    }
+
+    fn recall(&mut self, _: &Learnt) {}
+
+    /// What cold executors can stand of this process from now on, in their capacity.
+    fn share_cold(&mut self, factor: f64);
 }
 
 impl Decide for Node {
@@ -51,6 +64,18 @@
     fn avoided(&self, now: f64) -> usize {
         Node::avoided(self, now)
     }
+
+    fn learnt(&self) -> Learnt {
+        Node::learnt(self)
+    }
+
+    fn recall(&mut self, learnt: &Learnt) {
+        Node::recall(self, learnt);
+    }
+
+    fn share_cold(&mut self, factor: f64) {
+        Node::share_cold(self, factor);
+    }
 }
 
 /// What a configuration that was read anew says of decisions.
@@ -72,6 +97,8 @@
     pub timeouts: Vec<f64>,
     /// The list as this node last had it.
     pub known: Option<Listing>,
+    /// What the process before hands on, if there is one: its list goes before.
+    pub memory: Option<Memory>,
 }
 
 #[derive(Debug)]
@@ -100,6 +127,8 @@
     },
     /// It was not fit, and all stays as it is.
     NotReread,
+    /// Of what cold executors can stand, this part is left to this process, while another one of this node lives.
+    Part(f64),
     /// A front has ended a job of this operation, which never came here.
     Ended(&'a str, Verdict),
     /// The platform asks the node to stop.
@@ -251,6 +280,11 @@
     /// The entries that the operations have, as the decisions have them.
     entries: Vec<Operation>,
     counts: Counts,
+    /// Calls that the process before serves.
+    elsewhere: BTreeSet<String>,
+    /// What a cold executor can stand, as the settings say, and this process's part of it.
+    cold_factor: f64,
+    part: f64,
     /// By when all must be answered, once the node is to stop.
     leave_by: f64,
     /// From when on it may end, once it is idle.
@@ -282,14 +316,20 @@
             operations: Operations::new(names, &setup.timeouts),
             entries: setup.settings.operations,
             counts: Counts::default(),
+            elsewhere: BTreeSet::new(),
+            cold_factor: setup.settings.cold.factor,
+            part: 1.0,
             leave_by: f64::INFINITY,
             end_from: f64::INFINITY,
             cancelling: setup.settings.cancelling,
             outputs: Vec::new(),
         };
         engine.show();
-        engine.listed(now, &setup.known.unwrap_or_default(), |_, entries| List::Kept(entries), out);
+        let memory = setup.memory;
+        let known = memory.as_ref().map(|memory| memory.listing.clone()).or(setup.known);
+        engine.listed(now, &known.unwrap_or_default(), |_, entries| List::Kept(entries), out);
         engine.carry_on(now, out);
+        memory.into_iter().for_each(|memory| engine.recall(now, memory));
         engine
     }
 
@@ -328,6 +368,23 @@
         }
     }
 
+    /// What the next process of this node is handed.
+    pub fn memory(&self) -> Memory {
+        let calls = self.book.open_calls().map(|call| call.to_string()).collect();
+        Memory::of(self.route.decide().learnt(), &self.fleet, &self.operations, self.version, calls)
+    }
+
+    fn recall(&mut self, now: f64, memory: Memory) {
+        let learnt = memory.learnt(&self.fleet, &self.operations, now);
+        self.route.decide_mut().recall(&learnt);
+        self.elsewhere = memory.calls.into_iter().collect();
+    }
+
+    /// Whether the call is served here, or was.
+    pub fn knows(&self, call: &str) -> bool {
+        self.book.knows(call)
+    }
+
     fn show(&mut self) {
         let Engine { counts, operations, .. } = self;
         operations.names().for_each(|name| counts.show(name));
@@ -353,6 +410,10 @@
                 heard.into_iter().for_each(|heard| self.route.push(heard));
             }
             Event::Reread { tuning, moved } => self.reread(now, tuning, moved, out),
+            Event::Part(part) => {
+                self.part = part;
+                self.route.decide_mut().share_cold(part * self.cold_factor);
+            }
             Event::NotReread => self.counts.rejected += 1,
             Event::Ended(operation, verdict) => self.counts.ended(operation, verdict),
             Event::Stop => self.stop(now),
@@ -414,7 +475,7 @@
     pub(crate) fn taken(&mut self, now: f64, id: InvId, call: &Call, out: &mut Vec<Action>) {
         let unfit = |why| Action::Answer { id, answer: Answer::Unfit(why) };
         // Guards against a second effect, and against clients that take another's id.
-        if self.book.knows(&call.call) {
+        if self.book.knows(&call.call) || self.elsewhere.contains(&*call.call) {
             self.counts.ended(&call.class, Verdict::Errored);
             return out.push(unfit(Unfit::Again));
         }
@@ -646,6 +707,8 @@
         let decide = self.route.decide();
         let moved = self.operations.adopt(now, news, &mut self.entries, |at| decide.has(at));
         settings.operations = self.entries.clone();
+        self.cold_factor = settings.cold.factor;
+        settings.cold.factor *= self.part;
         self.route.decide_mut().adopt(settings, &moved, &tenants);
         self.show();
         info!("settings taken over: {} operations new or changed", moved.len());
--- a/crates/coveroute-engine/src/lib.rs
+++ b/crates/coveroute-engine/src/lib.rs
@@ -7,6 +7,7 @@
 mod counts;
 mod engine;
 mod list;
+mod memory;
 mod operations;
 mod phase;
 mod route;
@@ -17,6 +18,7 @@
 pub use counts::{Figures, Tally, Verdict};
 pub use engine::{Action, Answer, Decide, Engine, Event, News, Reply, Setup, Tuning, Unfit, Watched, Word};
 pub use list::{Host, Listing};
+pub use memory::{Memory, Rows};
 pub use operations::Moved;
 pub use phase::{Phase, Step};
 
--- a/crates/coveroute-engine/src/list.rs
+++ b/crates/coveroute-engine/src/list.rs
@@ -54,6 +54,8 @@
     roster: Roster,
     /// By number; none for who has no address, or has gone.
     addrs: Vec<Option<SocketAddr>>,
+    /// Those that are listed, as the list last told of them.
+    listed: BTreeMap<Tgt, Host>,
     /// Executors that are not listed any more, and since when.
     gone: BTreeMap<Tgt, f64>,
     /// Where only a drain binds, who is not listed any more may still be sent to: its address is kept.
@@ -62,7 +64,14 @@
 
 impl Fleet {
     pub fn new(names: Names, keeps: bool) -> Self {
-        Fleet { names, roster: Roster::default(), addrs: Vec::new(), gone: BTreeMap::new(), keeps }
+        Fleet {
+            names,
+            roster: Roster::default(),
+            addrs: Vec::new(),
+            listed: BTreeMap::new(),
+            gone: BTreeMap::new(),
+            keeps,
+        }
     }
 
     pub fn names(&self) -> &Names {
@@ -85,9 +94,12 @@
 
     /// Executors that are listed now.
     pub fn listed_now(&self) -> usize {
-        let there =
-            |&(tgt, addr): &(Tgt, &Option<SocketAddr>)| addr.is_some() && !self.gone.contains_key(&tgt);
-        self.addrs.iter().enumerate().filter(there).count()
+        self.listed.len()
+    }
+
+    /// The list as it is held.
+    pub fn listing(&self, version: u64) -> Listing {
+        Listing { version, full: true, hosts: self.listed.values().cloned().collect() }
     }
 
     pub fn known(&self, id: &str) -> Option<Tgt> {
@@ -113,8 +125,15 @@
     /// Takes a listing over; what the decisions are told, and what moves.
     pub fn listed(&mut self, now: f64, listing: &Listing) -> (Vec<Entry>, Vec<Move>) {
         let (mut told, mut moves) = (self.forget(now), Vec::new());
-        let entries: Vec<(Entry, Option<SocketAddr>)> =
-            listing.hosts.iter().map(|host| (self.entry(host), host.addr)).collect();
+        if listing.full {
+            self.listed.clear();
+        }
+        let mut entries: Vec<(Entry, Option<SocketAddr>)> = Vec::with_capacity(listing.hosts.len());
+        for host in &listing.hosts {
+            let entry = self.entry(host);
+            self.listed.insert(entry.tgt, host.clone());
+            entries.push((entry, host.addr));
+        }
         if listing.full {
             // What a whole list lacks is gone.
             let mut named = vec![false; self.addrs.len()];
@@ -153,6 +172,7 @@
     }
 
     fn leave(&mut self, now: f64, tgt: Tgt, moves: &mut Vec<Move>) {
+        self.listed.remove(&tgt);
         if self.keeps {
             self.gone.entry(tgt).or_insert(now);
             return;
--- a/crates/coveroute-engine/src/operations.rs
+++ b/crates/coveroute-engine/src/operations.rs
@@ -58,6 +58,12 @@
         &self.kept[at].name
     }
 
+    /// The name, if it points there.
+    pub fn current(&self, at: usize) -> Option<&str> {
+        let kept = self.kept.get(at).filter(|kept| kept.standing == Standing::Current);
+        kept.map(|kept| &*kept.name)
+    }
+
     pub fn timeout(&self, at: usize) -> f64 {
         self.kept[at].timeout
     }
--- a/crates/coveroute-engine/src/tests.rs
+++ b/crates/coveroute-engine/src/tests.rs
@@ -49,7 +49,7 @@
         ..Settings::default()
     };
     let known = Some(listing(1, true, (0..2).map(|at| host(at, Standing::Ready)).collect()));
-    let setup = Setup { settings, names: names(), seed: 1, timeouts: vec![5.0, 10.0], known };
+    let setup = Setup { settings, names: names(), seed: 1, timeouts: vec![5.0, 10.0], known, memory: None };
     let mut out = Vec::new();
     let mut engine = Engine::new(NOW - 0.1, setup, &mut out);
     engine.advance(NOW, &mut out);
--- a/crates/coveroute-node/src/driver.rs
+++ b/crates/coveroute-node/src/driver.rs
@@ -1,6 +1,8 @@
 //! The driver: owns the engine and the clock, gives it everything that happens, and carries out its actions.
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, UdpSocket};
+use std::os::fd::OwnedFd;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -10,14 +12,17 @@
 use log::{error, info, warn};
 use tokio::sync::{mpsc, oneshot};
 
+use crate::callbacks;
 use crate::clock::{seconds, Clock};
 use crate::config::Config;
 use crate::discovery::Discovery;
 use crate::executors::{give_up, probe, Links};
+use crate::handed::Handed;
 use crate::needed::Keys;
 use crate::peers::Peers;
 use crate::phase::Life;
 use crate::relay::Answer;
+use crate::replace::{self, Link, Said, Side, Waits};
 use crate::send;
 use crate::take_in::Job;
 
@@ -29,7 +34,14 @@
     /// The client has closed its connection.
     Left(InvId),
     Replied(InvId, usize, Reply),
-    News(News),
+    /// What an executor tells, as it came too, and who waits for whether a process has it.
+    News(News, String, Option<oneshot::Sender<bool>>),
+    /// A successor asks for what it begins with.
+    Handing(oneshot::Sender<Handed>),
+    /// It has it.
+    Linked(Rc<Link>),
+    /// What another process of this node says, on the link of this number.
+    Said(Side, u64, Said),
     Probed(Tgt, Outcome, Report),
     Watch(u64, Watched),
     /// Another node's message.
@@ -49,6 +61,9 @@
     Stop,
 }
 
+/// Of what cold executors can stand, the part of the process that takes connections while there are two: the other
+/// one only sends again what it has.
+const COLD_PART: f64 = 0.75;
 /// How often a node that closes looks whether it may end.
 const LOOK_EVERY: f64 = 0.02;
 
@@ -94,6 +109,22 @@
     }
 }
 
+/// What leads to other nodes, and to other processes of this one.
+#[derive(Default)]
+pub struct Others {
+    /// For other nodes' messages, where nodes tell each other.
+    pub datagrams: Option<UdpSocket>,
+    /// The process before, and what it has handed over.
+    pub before: Option<(Rc<Link>, Handed)>,
+    pub successors: Option<Successors>,
+}
+
+/// Where successors come, and the sockets that they get.
+pub struct Successors {
+    pub place: PathBuf,
+    pub sockets: Vec<OwnedFd>,
+}
+
 pub struct Driver {
     clock: Clock,
     engine: Engine,
@@ -107,6 +138,14 @@
     running: Running,
     /// Where nodes may tell each other.
     peers: Option<Peers>,
+    /// The other processes of this node: the one that this one takes the place of, and the one that takes this one's.
+    before: Option<Rc<Link>>,
+    after: Option<Rc<Link>>,
+    /// Where it will wait for its successor, and does.
+    successors: Option<Successors>,
+    waits: Option<Waits>,
+    /// It has told the process before that it serves.
+    announced: bool,
     happenings: Happenings,
     /// Kept for the next event's actions.
     actions: Vec<Action>,
@@ -118,19 +157,24 @@
         clock: Clock,
         life: Rc<Life>,
         links: Links,
+        others: Others,
         happenings: Happenings,
     ) -> Result<Self, String> {
+        let Others { datagrams, before, successors } = others;
         life.take_lists_from(config.pushed_by());
         life.take_max_pause(config.settings.max_pause);
         let running = Running::of(&config);
         let Config { settings, names, seed, timeouts, known, discovery, peers, .. } = config;
-        let listen = |addrs: Vec<SocketAddr>| {
+        let listen = |(addrs, socket): (Vec<SocketAddr>, UdpSocket)| {
             let me = addrs[settings.me];
-            Peers::new(settings.me, addrs, happenings.clone()).map_err(|e| format!("peers: {me}: {e}"))
+            Peers::new(settings.me, addrs, socket, happenings.clone())
+                .map_err(|e| format!("peers: {me}: {e}"))
         };
-        let peers = peers.map(listen).transpose()?;
+        let peers = peers.zip(datagrams).map(listen).transpose()?;
+        let (before, handed) = before.unzip();
+        let memory = handed.map(|handed| handed.memory(discovery));
         let reports = settings.reports != Reports::Never;
-        let setup = Setup { settings, names, seed, timeouts, known };
+        let setup = Setup { settings, names, seed, timeouts, known, memory };
         let mut actions = Vec::new();
         let mut driver = Driver {
             clock,
@@ -143,10 +187,20 @@
             reports,
             running,
             peers,
+            before,
+            after: None,
+            successors,
+            waits: None,
+            announced: false,
             happenings,
             actions,
         };
+        driver.life.follow(driver.before.is_some());
+        driver.pair();
         driver.carry_out();
+        if driver.before.is_none() {
+            driver.await_successors();
+        }
         Ok(driver)
     }
 
@@ -202,7 +256,12 @@
                 }
                 self.tell(Event::Replied(id, forward, reply));
             }
-            Happening::News(news) => self.tell(Event::News(news)),
+            Happening::News(news, text, tell) => self.news(news, text, tell, None),
+            Happening::Handing(tell) => {
+                let _ = tell.send(Handed::of(self.running.discovery, self.engine.memory()));
+            }
+            Happening::Linked(link) => self.linked(link),
+            Happening::Said(side, number, said) => self.said(side, number, said),
             Happening::Probed(tgt, outcome, report) => self.tell(Event::Probed(tgt, outcome, report)),
             Happening::Watch(watch, watched) => self.tell(Event::Watch(watch, watched)),
             Happening::Heard { from, told, mark, count } => {
@@ -262,6 +321,110 @@
             }
         }
         self.life.set(self.engine.phase());
+        if let Some(before) = self.before.as_ref().filter(|_| self.life.is_up() && !self.announced) {
+            before.serves();
+            self.announced = true;
+        }
+    }
+
+    /// Limits, and what cold executors can stand, are for all processes of this node together. The one that takes
+    /// connections gets most of the latter.
+    fn pair(&mut self) {
+        let paired = self.before.is_some() || self.after.is_some();
+        self.life.pair(paired);
+        self.links.share(paired);
+        let part = match (paired, self.life.takes()) {
+            (false, _) => 1.0,
+            (true, true) => COLD_PART,
+            (true, false) => 1.0 - COLD_PART,
+        };
+        self.tell(Event::Part(part));
+    }
+
+    fn await_successors(&mut self) {
+        if let Some(Successors { place, sockets }) = self.successors.take() {
+            self.waits = replace::wait(&place, sockets, self.happenings.clone());
+        }
+    }
+
+    /// Another one that came before and did not get so far is no successor any more.
+    fn linked(&mut self, link: Rc<Link>) {
+        info!("another process of this node has begun");
+        self.after = Some(link);
+        self.takes(true);
+    }
+
+    /// Whether connections, and other nodes' messages, come here from now on.
+    fn takes(&mut self, takes: bool) {
+        self.life.take_connections(takes);
+        self.peers.iter_mut().for_each(|peers| peers.hear(takes));
+        self.pair();
+    }
+
+    fn said(&mut self, side: Side, number: u64, said: Said) {
+        let link = match side {
+            Side::Before => &mut self.before,
+            Side::After => &mut self.after,
+        };
+        let Some(own) = link.as_ref().filter(|link| link.number == number).cloned() else { return };
+        match (side, said) {
+            (Side::After, Said::Serves) => {
+                info!("the process after this one serves: no connections are taken here any more");
+                self.takes(false);
+                own.stopped();
+            }
+            (Side::Before, Said::Stopped) => self.taken_over(),
+            (side, Said::News(text, tell)) => match callbacks::parse(text.as_bytes()) {
+                Ok(news) => self.news(news, text, Some(tell), Some(side)),
+                Err(e) => warn!("a link's news that can't be read: {e}"),
+            },
+            (Side::Before, Said::Ended) => {
+                self.before = None;
+                self.taken_over();
+                self.pair();
+            }
+            (Side::After, Said::Ended) => {
+                // Guards against a successor that died: whoever is left serves on.
+                self.after = None;
+                self.takes(true);
+            }
+            (Side::Before, Said::Serves) | (Side::After, Said::Stopped) => {
+                warn!("the link says what it can't know")
+            }
+        }
+    }
+
+    /// This is the process that serves.
+    fn taken_over(&mut self) {
+        self.life.follow(false);
+        self.await_successors();
+    }
+
+    /// Executors tell whichever process their connection leads to. What is of no job here goes to the others, and
+    /// is acknowledged once one of them has it, or none does.
+    fn news(&mut self, news: News, text: String, tell: Option<oneshot::Sender<bool>>, from: Option<Side>) {
+        let others: Vec<Rc<Link>> = self.before.iter().chain(&self.after).cloned().collect();
+        let others: Vec<_> = others.into_iter().filter(|link| Some(link.side) != from).collect();
+        let own = self.engine.knows(&news.call);
+        if own || others.is_empty() {
+            tell.map(|tell| tell.send(own || from.is_none()));
+            return self.tell(Event::News(news));
+        }
+        actix_rt::spawn(async move {
+            let mut known = true;
+            for link in others {
+                match link.pass(text.clone()).await {
+                    Some(true) => {
+                        tell.map(|tell| tell.send(true));
+                        return;
+                    }
+                    Some(false) => {}
+                    None => known = false,
+                }
+            }
+            // Of nobody's job: there is nothing to wait for, unless one has not said so.
+            tell.map(|tell| tell.send(known && from.is_none()));
+        });
     }
 
     fn act(&mut self, action: Action) -> Option<Event<'static>> {
--- a/crates/coveroute-node/src/executors.rs
+++ b/crates/coveroute-node/src/executors.rs
@@ -61,13 +61,15 @@
 pub struct Links {
     links: Vec<Option<Link>>,
     most: usize,
+    /// Of these, the part of this process: all, unless another one of this node lives.
+    part: usize,
     dial: Duration,
     idle: Duration,
 }
 
 impl Links {
     pub fn new(most: usize, dial: Duration, idle: Duration) -> Self {
-        Links { links: Vec::new(), most, dial, idle: idle.mul_f64(IDLE_SHARE) }
+        Links { links: Vec::new(), most, part: most, dial, idle: idle.mul_f64(IDLE_SHARE) }
     }
 
     fn client(&self) -> Client {
@@ -110,7 +112,7 @@
     /// Makes room for one more connection, by closing the idle ones of another executor where it must.
     fn has_room(&mut self, tgt: Tgt) -> bool {
         let open = |links: &Vec<Option<Link>>| links.iter().flatten().map(|link| link.peak).sum::<usize>();
-        if open(&self.links) >= self.most {
+        if open(&self.links) >= self.part {
             let idle = |link: &Link| link.lent.get() == 0 && link.peak > 0;
             let spare =
                 (0..self.links.len()).filter(|&i| i != tgt && self.links[i].as_ref().is_some_and(idle));
@@ -118,7 +120,7 @@
                 self.release(spare);
             }
         }
-        open(&self.links) < self.most
+        open(&self.links) < self.part
     }
 
     /// Closes the idle connections to the executor.
@@ -130,6 +132,11 @@
         }
     }
 
+    /// From now on half of the bound is another process's, or no more.
+    pub fn share(&mut self, paired: bool) {
+        self.part = if paired { self.most / 2 } else { self.most };
+    }
+
     /// From now on connections may take, and stand idle, for so long. Those that are lent end as they began.
     pub fn retune(&mut self, dial: Duration, idle: Duration) {
         let idle = idle.mul_f64(IDLE_SHARE);
--- a/crates/coveroute-node/src/main.rs
+++ b/crates/coveroute-node/src/main.rs
@@ -7,6 +7,7 @@
 mod driver;
 mod executors;
 mod guest;
+mod handed;
 mod hosts;
 mod logger;
 mod needed;
@@ -14,6 +15,7 @@
 mod peers;
 mod phase;
 mod relay;
+mod replace;
 mod send;
 mod server;
 mod take_in;
@@ -22,6 +24,8 @@
 mod wire;
 
 use std::future::Future;
+use std::net::SocketAddr;
+use std::os::fd::{AsFd, OwnedFd};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -29,12 +33,13 @@
 use actix_rt::net::TcpListener;
 use log::{info, LevelFilter};
 use pico_args::Arguments;
+use tokio::net::TcpSocket;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc;
 
 use clock::Clock;
 use config::Config;
-use driver::{Driver, Happening, Happenings};
+use driver::{Driver, Happening, Happenings, Others, Successors};
 use executors::Links;
 use phase::Life;
 use server::Door;
@@ -114,20 +119,32 @@
     let (happenings, happens) = mpsc::unbounded_channel();
     // First: a signal that nobody listens to would end the process.
     actix_rt::spawn(signals(happenings.clone(), path)?);
-    let clock = Clock::new();
-    let listener = TcpListener::bind(config.listen).await.map_err(|e| format!("{}: {e}", config.listen))?;
-    info!("listens on {}", config.listen);
-    let operators = match config.management {
-        Some(addr) => Some(TcpListener::bind(addr).await.map_err(|e| format!("management: {addr}: {e}"))?),
+    let place = replace::place(config.listen);
+    let before = match &place {
+        Some(place) => replace::predecessor(place).await,
         None => None,
     };
-    let life = Rc::new(Life::new());
+    let before = before.map(|before| before.link(happenings.clone()));
+    let (before, sockets) = match before {
+        Some((link, sockets, handed)) => (Some((link, handed)), sockets),
+        None => (None, Vec::new()),
+    };
+    let (listener, datagrams) = listen(&config, sockets)?;
+    let operators = config.management.map(|addr| reuse(addr).map_err(|e| format!("management: {addr}: {e}")));
+    let (operators, clock, life) = (operators.transpose()?, Clock::new(), Rc::new(Life::new()));
     let (executors, clients) = budget(config.sockets, config.memory_mb);
     let links = Links::new(executors, config.dial, config.idle);
     let door = Rc::new(Door::new(clock, life.clone(), happenings.clone(), clients));
     let desk = operators::Desk::new(life.clone(), happenings.clone());
     operators.map(|listener| actix_rt::spawn(operators::accept(listener, desk)));
-    let driver = Driver::new(config, clock, life, links, happenings)?;
+    let own = |socket: std::io::Result<OwnedFd>| socket.map_err(|e| e.to_string());
+    let mut sockets = vec![own(listener.as_fd().try_clone_to_owned())?];
+    if let Some(datagrams) = &datagrams {
+        sockets.push(own(datagrams.as_fd().try_clone_to_owned())?);
+    }
+    let successors = place.map(|place| Successors { place, sockets });
+    let others = Others { datagrams, before, successors };
+    let driver = Driver::new(config, clock, life, links, others, happenings)?;
     actix_rt::spawn(server::accept(listener, door.clone()));
     actix_rt::spawn(server::sweep(door));
     driver.run(happens).await;
@@ -135,6 +152,52 @@
     Ok(())
 }
 
+/// The sockets that the process before handed over, or new ones. The address can be shared: a process that takes this
+/// one's place may come without anything being handed over.
+fn listen(
+    config: &Config,
+    sockets: Vec<OwnedFd>,
+) -> Result<(TcpListener, Option<std::net::UdpSocket>), String> {
+    let mut sockets = sockets.into_iter();
+    let listener = match sockets.next() {
+        Some(socket) => {
+            let handed =
+                TcpListener::from_std(std::net::TcpListener::from(socket)).map_err(|e| e.to_string())?;
+            let there = handed.local_addr().map_err(|e| e.to_string())?;
+            if there != config.listen {
+                return Err(format!("{}: the process before serves at {there}", config.listen));
+            }
+            info!("takes over {there}");
+            handed
+        }
+        None => {
+            let listener = reuse(config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
+            info!("listens on {}", config.listen);
+            listener
+        }
+    };
+    let me = config.settings.me;
+    let datagrams = match (&config.peers, sockets.next()) {
+        (None, _) => None,
+        (Some(_), Some(socket)) => Some(std::net::UdpSocket::from(socket)),
+        (Some(peers), None) => {
+            let addr = peers[me];
+            Some(std::net::UdpSocket::bind(addr).map_err(|e| format!("peers: {addr}: {e}"))?)
+        }
+    };
+    Ok((listener, datagrams))
+}
+
+/// Listens at an address that another process of this user may share.
+fn reuse(addr: SocketAddr) -> std::io::Result<TcpListener> {
+    const BACKLOG: u32 = 1024; // As the standard library's many times over: a burst while both processes start.
+    let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.set_reuseport(true)?;
+    socket.bind(addr)?;
+    socket.listen(BACKLOG)
+}
+
 /// Passes on that the platform wants the node to stop, or the operators its configuration to be read anew.
 fn signals(happenings: Happenings, path: Option<PathBuf>) -> Result<impl Future<Output = ()>, String> {
     let listen = |kind| signal(kind).map_err(|e| e.to_string());
--- a/crates/coveroute-node/src/operators.rs
+++ b/crates/coveroute-node/src/operators.rs
@@ -78,7 +78,7 @@
 
     async fn answer(&self, request: Request) -> Response<BoxBody> {
         let mut answer = match (request.path(), request.method()) {
-            (READY, &Method::GET | &Method::HEAD) if self.life.is_up() => text(StatusCode::OK, "ready\n"),
+            (READY, &Method::GET | &Method::HEAD) if self.life.is_ready() => text(StatusCode::OK, "ready\n"),
             (READY, &Method::GET | &Method::HEAD) => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
             (METRICS, &Method::GET | &Method::HEAD) => self.figures().await,
             (READY | METRICS, _) => {
--- a/crates/coveroute-node/src/peers.rs
+++ b/crates/coveroute-node/src/peers.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use actix_rt::task::JoinHandle;
 use coveroute::types::Told;
 use coveroute_shared::{message, words};
 use log::debug;
@@ -17,16 +18,39 @@
     /// Of all nodes, by their numbers.
     addrs: Rc<[SocketAddr]>,
     me: usize,
+    ear: Rc<UdpSocket>,
+    hears: Option<JoinHandle<()>>,
+    happenings: Happenings,
 }
 
 impl Peers {
-    /// Listens from now on, in a task of its own.
-    pub fn new(me: usize, addrs: Vec<SocketAddr>, happenings: Happenings) -> io::Result<Self> {
-        let socket = std::net::UdpSocket::bind(addrs[me])?;
+    /// Listens at its own address from now on, in a task of its own.
+    pub fn new(
+        me: usize,
+        addrs: Vec<SocketAddr>,
+        socket: std::net::UdpSocket,
+        happenings: Happenings,
+    ) -> io::Result<Self> {
         socket.set_nonblocking(true)?;
         let (ear, addrs) = (UdpSocket::from_std(socket.try_clone()?)?, Rc::from(addrs));
-        actix_rt::spawn(hear(ear, Rc::clone(&addrs), happenings));
-        Ok(Peers { socket, addrs, me })
+        let ear = Rc::new(ear);
+        let hears = Some(actix_rt::spawn(hear(ear.clone(), Rc::clone(&addrs), happenings.clone())));
+        Ok(Peers { socket, addrs, me, ear, hears, happenings })
+    }
+
+    /// Whether what comes is heard here: not once a successor does.
+    pub fn hear(&mut self, hears: bool) {
+        let anew = || {
+            let (ear, addrs, happenings) =
+                (self.ear.clone(), Rc::clone(&self.addrs), self.happenings.clone());
+            actix_rt::spawn(hear(ear, addrs, happenings))
+        };
+        match self.hears.take() {
+            Some(task) if hears => self.hears = Some(task),
+            Some(task) => task.abort(),
+            None if hears => self.hears = Some(anew()),
+            None => {}
+        }
     }
 
     pub fn tell(&self, to: usize, told: Told, mark: u32, count: u8) {
@@ -37,7 +61,7 @@
     }
 }
 
-async fn hear(socket: UdpSocket, addrs: Rc<[SocketAddr]>, happenings: Happenings) {
+async fn hear(socket: Rc<UdpSocket>, addrs: Rc<[SocketAddr]>, happenings: Happenings) {
     const MOST: usize = 256; // The longest message that deployments allow.
     let mut buffer = [0; MOST];
     loop {
--- a/crates/coveroute-node/src/phase.rs
+++ b/crates/coveroute-node/src/phase.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use coveroute_engine::Phase;
+use tokio::sync::watch;
 
 #[derive(Debug)]
 pub struct Life {
@@ -13,6 +14,12 @@
     lists_from: Cell<Option<IpAddr>>,
     /// The longest that a client can be told to stay away.
     max_pause: Cell<f64>,
+    /// Whether clients' connections are taken: not once a successor does.
+    takes: watch::Sender<bool>,
+    /// Another process of this node lives: the limits count for both together.
+    paired: Cell<bool>,
+    /// The process before still takes connections.
+    follows: Cell<bool>,
 }
 
 /// A request in hand, from its head to its answer.
@@ -27,7 +34,9 @@
 impl Life {
     pub fn new() -> Self {
         let (phase, held, lists_from) = (Cell::new(Phase::Starting), Cell::new(0), Cell::new(None));
-        Life { phase, held, lists_from, max_pause: Cell::new(0.0) }
+        let (max_pause, takes) = (Cell::new(0.0), watch::Sender::new(true));
+        let (paired, follows) = (Cell::new(false), Cell::new(false));
+        Life { phase, held, lists_from, max_pause, takes, paired, follows }
     }
 
     pub fn lists_from(&self) -> Option<IpAddr> {
@@ -64,6 +73,42 @@
         self.held.get() == 0
     }
 
+    pub fn takes(&self) -> bool {
+        *self.takes.borrow()
+    }
+
+    pub fn take_connections(&self, takes: bool) {
+        self.takes.send_replace(takes);
+    }
+
+    /// Waits until connections are taken, or are not any more.
+    pub async fn until_takes(&self, takes: bool) {
+        // Can't fail: the sender lives as long as this does.
+        let _ = self.takes.subscribe().wait_for(|now| *now == takes).await;
+    }
+
+    /// Of the node's limits, what is this process's now.
+    pub fn part(&self, of: usize) -> usize {
+        if self.paired.get() {
+            of / 2
+        } else {
+            of
+        }
+    }
+
+    pub fn pair(&self, paired: bool) {
+        self.paired.set(paired);
+    }
+
+    pub fn follow(&self, follows: bool) {
+        self.follows.set(follows);
+    }
+
+    /// Whether operators may stop what was there before.
+    pub fn is_ready(&self) -> bool {
+        self.is_up() && !self.follows.get()
+    }
+
     /// Whether the front may send clients here.
     pub fn is_up(&self) -> bool {
         self.phase().is_up()
--- /dev/null
+++ b/crates/coveroute-node/src/replace.rs
@@ -0,0 +1,368 @@
+//! Replace: a process of this node takes the place of another one that still runs. Both are joined by a link, a Unix
+//! socket in `$TMPDIR`: over it the listening sockets go to the new process with what the old one knows, and for as
+//! long as both live each passes on what executors tell of the other's jobs. docs/design/replacement.md weighs the ways.
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io::{self, IoSlice, IoSliceMut};
+use std::net::SocketAddr;
+use std::os::fd::{AsRawFd, FromRawFd, OwnedFd, RawFd};
+use std::os::unix::fs::MetadataExt;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_rt::time::timeout;
+use bytes::BytesMut;
+use log::{info, warn};
+use nix::sys::socket::{recvmsg, sendmsg, ControlMessage, ControlMessageOwned, MsgFlags};
+use serde::{Deserialize, Serialize};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
+use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{UnixListener, UnixStream};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::driver::{Happening, Happenings};
+use crate::handed::Handed;
+
+/// Of what is said on the link; another one is not understood.
+const VERSION: u32 = 1;
+/// For all that is said before the new process goes its way: a sixth of what it may take to be ready.
+const HANDED_WITHIN: Duration = Duration::from_secs(1);
+/// For the other process to say whether a job is its: many times a busy loop's round, well inside what an executor
+/// waits before it tells again.
+const PASSED_WITHIN: Duration = Duration::from_millis(500);
+/// The longest message: a list of some thousands of executors, with what is known of each.
+const LINE_MOST: usize = 4 * 1024 * 1024;
+/// Words on their way to the other process at a time; who tells more is asked to tell again.
+const ASKED_MOST: usize = 1024;
+
+/// Which process of the node the link leads to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Side {
+    Before,
+    After,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+enum Message {
+    /// The new process, to begin with.
+    Hello(u32),
+    /// The old one, behind its sockets.
+    Handed(Box<Handed>),
+    /// The new one takes connections, and knows executors.
+    Serves,
+    /// The old one takes none any more.
+    Stopped,
+    /// An executor's words of a job that is not the teller's.
+    News(u64, String),
+    /// Whether it was the other's.
+    Heard(u64, bool),
+}
+
+/// What the other process says, for the driver.
+#[derive(Debug)]
+pub enum Said {
+    Serves,
+    Stopped,
+    /// Executors' words, and what is to be told of them.
+    News(String, oneshot::Sender<bool>),
+    Ended,
+}
+
+/// One end of a link.
+pub struct Link {
+    pub side: Side,
+    pub number: u64,
+    out: mpsc::UnboundedSender<Message>,
+    asked: RefCell<BTreeMap<u64, oneshot::Sender<bool>>>,
+    next: Cell<u64>,
+}
+
+impl Link {
+    fn new(side: Side, number: u64, out: mpsc::UnboundedSender<Message>) -> Self {
+        Link { side, number, out, asked: RefCell::default(), next: Cell::new(0) }
+    }
+
+    pub fn serves(&self) {
+        let _ = self.out.send(Message::Serves);
+    }
+
+    pub fn stopped(&self) {
+        let _ = self.out.send(Message::Stopped);
+    }
+
+    /// Passes an executor's words on; whether they were of a job there, or none if that is not known.
+    pub async fn pass(&self, body: String) -> Option<bool> {
+        let number = self.next.get();
+        self.next.set(number + 1);
+        let (tell, told) = oneshot::channel();
+        if self.asked.borrow().len() >= ASKED_MOST {
+            return None;
+        }
+        self.asked.borrow_mut().insert(number, tell);
+        let sent = self.out.send(Message::News(number, body));
+        let answer = match sent {
+            Ok(()) => timeout(PASSED_WITHIN, told).await.ok(),
+            Err(_) => Some(Ok(false)),
+        };
+        self.asked.borrow_mut().remove(&number);
+        // Who has ended holds nothing.
+        answer.map(|answer| answer.unwrap_or(false))
+    }
+
+    fn heard(&self, number: u64, held: bool) {
+        let asked = self.asked.borrow_mut().remove(&number);
+        asked.map(|tell| tell.send(held));
+    }
+}
+
+/// Messages out of a stream: one a line.
+struct Reader {
+    half: OwnedReadHalf,
+    buffer: BytesMut,
+}
+
+impl Reader {
+    async fn next(&mut self) -> io::Result<Message> {
+        loop {
+            if let Some(end) = self.buffer.iter().position(|&b| b == b'\n') {
+                let line = self.buffer.split_to(end + 1);
+                return Ok(serde_json::from_slice(&line)?);
+            }
+            if self.buffer.len() > LINE_MOST {
+                return Err(io::Error::other("a message is too long"));
+            }
+            if self.half.read_buf(&mut self.buffer).await? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+    }
+}
+
+async fn write(half: &mut OwnedWriteHalf, message: &Message) -> io::Result<()> {
+    let mut line = serde_json::to_vec(message)?;
+    line.push(b'\n');
+    half.write_all(&line).await
+}
+
+/// Where the process that serves at this address waits for its successor; none without `$TMPDIR`.
+pub fn place(listen: SocketAddr) -> Option<PathBuf> {
+    let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty())?;
+    let name = format!("coveroute-{listen}.sock").replace([':', '[', ']'], "_");
+    Some(Path::new(&folder).join(name))
+}
+
+/// What the process before hands over.
+pub struct Predecessor {
+    /// The clients' listening socket, and the one for other nodes' messages if it has one.
+    pub sockets: Vec<OwnedFd>,
+    pub handed: Handed,
+    reader: Reader,
+    writer: OwnedWriteHalf,
+}
+
+/// Asks the process that serves there, if one does, for what it has. Whatever goes wrong, a start goes on without.
+pub async fn predecessor(place: &Path) -> Option<Predecessor> {
+    match timeout(HANDED_WITHIN, ask(place)).await {
+        Ok(Ok(predecessor)) => Some(predecessor),
+        Ok(Err(e)) if matches!(e.kind(), io::ErrorKind::NotFound | io::ErrorKind::ConnectionRefused) => None,
+        Ok(Err(e)) => {
+            info!("starts without what a process before knows: {}: {e}", place.display());
+            None
+        }
+        Err(_) => {
+            info!("starts without what a process before knows: {}: no answer in time", place.display());
+            None
+        }
+    }
+}
+
+async fn ask(place: &Path) -> io::Result<Predecessor> {
+    let stream = UnixStream::connect(place).await?;
+    let mut hello = serde_json::to_vec(&Message::Hello(VERSION))?;
+    hello.push(b'\n');
+    let mut sent = &hello[..];
+    while !sent.is_empty() {
+        stream.writable().await?;
+        match stream.try_write(sent) {
+            Ok(many) => sent = &sent[many..],
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+    }
+    let sockets = stream.async_io(Interest::READABLE, || receive(stream.as_raw_fd())).await?;
+    let (half, writer) = stream.into_split();
+    let mut reader = Reader { half, buffer: BytesMut::new() };
+    match reader.next().await? {
+        Message::Handed(handed) => Ok(Predecessor { sockets, handed: *handed, reader, writer }),
+        _ => Err(io::Error::other("it hands nothing over")),
+    }
+}
+
+/// Sockets travel beside one byte of their own.
+const SOCKETS_MOST: usize = 4;
+
+fn receive(from: RawFd) -> io::Result<Vec<OwnedFd>> {
+    let (mut byte, mut space) = ([0], nix::cmsg_space!([RawFd; SOCKETS_MOST]));
+    let mut parts = [IoSliceMut::new(&mut byte)];
+    let message = recvmsg::<()>(from, &mut parts, Some(&mut space), MsgFlags::MSG_CMSG_CLOEXEC)?;
+    if message.bytes == 0 {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    let mut sockets = Vec::new();
+    for control in message.cmsgs()? {
+        if let ControlMessageOwned::ScmRights(raw) = control {
+            // SAFETY: the kernel has just made these for us, and nobody else knows of them.
+            sockets.extend(raw.into_iter().map(|fd| unsafe { OwnedFd::from_raw_fd(fd) }));
+        }
+    }
+    Ok(sockets)
+}
+
+fn send(to: RawFd, sockets: &[RawFd]) -> io::Result<()> {
+    let rights = [ControlMessage::ScmRights(sockets)];
+    sendmsg::<()>(to, &[IoSlice::new(b"s")], &rights, MsgFlags::empty(), None)?;
+    Ok(())
+}
+
+impl Predecessor {
+    /// From now on the link brings what the process before says.
+    pub fn link(self, happenings: Happenings) -> (Rc<Link>, Vec<OwnedFd>, Handed) {
+        let link = join(Side::Before, 0, self.reader, self.writer, happenings);
+        (link, self.sockets, self.handed)
+    }
+}
+
+fn join(
+    side: Side,
+    number: u64,
+    mut reader: Reader,
+    mut writer: OwnedWriteHalf,
+    happenings: Happenings,
+) -> Rc<Link> {
+    let (out, mut outs) = mpsc::unbounded_channel();
+    let link = Rc::new(Link::new(side, number, out.clone()));
+    let hears = link.clone();
+    actix_rt::spawn(async move {
+        let hear = async {
+            loop {
+                let said = match reader.next().await {
+                    Ok(Message::Serves) => Said::Serves,
+                    Ok(Message::Stopped) => Said::Stopped,
+                    Ok(Message::Heard(number, held)) => {
+                        hears.heard(number, held);
+                        continue;
+                    }
+                    Ok(Message::News(number, body)) => {
+                        let ((tell, told), out) = (oneshot::channel(), out.clone());
+                        actix_rt::spawn(async move {
+                            let held = told.await.unwrap_or(false);
+                            let _ = out.send(Message::Heard(number, held));
+                        });
+                        Said::News(body, tell)
+                    }
+                    Ok(Message::Hello(_) | Message::Handed(_)) => return "out of turn".to_owned(),
+                    Err(e) => return e.to_string(),
+                };
+                let _ = happenings.send(Happening::Said(side, number, said));
+            }
+        };
+        let tell = async {
+            while let Some(message) = outs.recv().await {
+                if let Err(e) = write(&mut writer, &message).await {
+                    return e.to_string();
+                }
+            }
+            String::new()
+        };
+        let ended = tokio::select! { ended = hear => ended, ended = tell => ended };
+        info!(
+            "the link to the process {} has ended: {ended}",
+            if side == Side::Before { "before" } else { "after" }
+        );
+        hears.asked.borrow_mut().clear();
+        let _ = happenings.send(Happening::Said(side, number, Said::Ended));
+    });
+    link
+}
+
+/// The place where this process waits for its successor: freed when it ends, unless another one has it by then.
+pub struct Waits {
+    place: PathBuf,
+    inode: u64,
+}
+
+impl Drop for Waits {
+    fn drop(&mut self) {
+        let own = std::fs::symlink_metadata(&self.place).is_ok_and(|found| found.ino() == self.inode);
+        if own {
+            let _ = std::fs::remove_file(&self.place);
+        }
+    }
+}
+
+/// Waits for successors there, in place of whatever was there before: a stale socket, or the process before.
+pub fn wait(place: &Path, sockets: Vec<OwnedFd>, happenings: Happenings) -> Option<Waits> {
+    let own = place.with_extension(format!("{}", std::process::id()));
+    let bound = || -> io::Result<(UnixListener, u64)> {
+        let _ = std::fs::remove_file(&own);
+        let listener = UnixListener::bind(&own)?;
+        let inode = std::fs::symlink_metadata(&own)?.ino();
+        std::fs::rename(&own, place)?;
+        Ok((listener, inode))
+    };
+    match bound() {
+        Ok((listener, inode)) => {
+            actix_rt::spawn(serve(listener, sockets, happenings));
+            Some(Waits { place: place.to_owned(), inode })
+        }
+        Err(e) => {
+            let _ = std::fs::remove_file(&own);
+            info!("a process after this one starts without what it knows: {}: {e}", place.display());
+            None
+        }
+    }
+}
+
+async fn serve(listener: UnixListener, sockets: Vec<OwnedFd>, happenings: Happenings) {
+    for number in 0.. {
+        let Ok((stream, _)) = listener.accept().await else {
+            actix_rt::time::sleep(Duration::from_millis(100)).await;
+            continue;
+        };
+        let handed = timeout(HANDED_WITHIN, hand_over(stream, number, &sockets, &happenings)).await;
+        match handed {
+            Ok(Ok(link)) => drop(happenings.send(Happening::Linked(link))),
+            Ok(Err(e)) => warn!("nothing is handed over: {e}"),
+            Err(_) => warn!("nothing is handed over: no word in time"),
+        }
+    }
+}
+
+async fn hand_over(
+    stream: UnixStream,
+    number: u64,
+    sockets: &[OwnedFd],
+    happenings: &Happenings,
+) -> io::Result<Rc<Link>> {
+    // Guards against others on the machine: whoever may start this node may replace it.
+    let (theirs, ours) = (stream.peer_cred()?.uid(), nix::unistd::geteuid().as_raw());
+    if theirs != ours {
+        return Err(io::Error::other(format!("user {theirs} asks")));
+    }
+    let (half, mut writer) = stream.into_split();
+    let mut reader = Reader { half, buffer: BytesMut::new() };
+    match reader.next().await? {
+        Message::Hello(VERSION) => {}
+        Message::Hello(other) => return Err(io::Error::other(format!("version {other} of the link"))),
+        _ => return Err(io::Error::other("no greeting")),
+    }
+    let (tell, told) = oneshot::channel();
+    let _ = happenings.send(Happening::Handing(tell));
+    let handed = told.await.map_err(io::Error::other)?;
+    let raw: Vec<RawFd> = sockets.iter().map(AsRawFd::as_raw_fd).collect();
+    let socket: &UnixStream = writer.as_ref();
+    socket.async_io(Interest::WRITABLE, || send(socket.as_raw_fd(), &raw)).await?;
+    write(&mut writer, &Message::Handed(Box::new(handed))).await?;
+    Ok(join(Side::After, number, reader, writer, happenings.clone()))
+}
--- a/crates/coveroute-node/src/server.rs
+++ b/crates/coveroute-node/src/server.rs
@@ -75,10 +75,11 @@
     async fn place(&self) {
         const AT_ONCE: usize = 16; // Idle ones closed for each that comes: clients that only connect lose.
         let open = || self.guests.borrow().len();
-        if open() >= self.most + self.beyond / 2 {
+        let (most, beyond) = (self.life.part(self.most), self.life.part(self.beyond));
+        if open() >= most + beyond / 2 {
             self.make_room(AT_ONCE);
         }
-        while open() >= self.most + self.beyond {
+        while open() >= most + beyond {
             self.make_room(AT_ONCE);
             let _ = timeout(Duration::from_millis(10), self.left.notified()).await;
         }
@@ -99,6 +100,8 @@
     pub fn keeps(&self, answer: &Answer) -> bool {
         match self.life.phase() {
             _ if matches!(answer, Answer::Unfit(..)) => false,
+            // Its clients come to the process after this one.
+            _ if !self.life.takes() => false,
             Phase::Starting | Phase::Serving | Phase::Reloading => true,
             Phase::Leaving => !matches!(answer, Answer::Throttled { pause } if *pause <= 0.0),
             Phase::Closing | Phase::Ended => false,
@@ -110,10 +113,7 @@
         let answer = match (request.path(), request.method()) {
             (wire::UP, &Method::GET | &Method::HEAD) if self.life.is_up() => Answer::Succeeded("up\n".into()),
             (wire::UP, _) => Answer::Throttled { pause: 0.0 },
-            (wire::NEWS, &Method::POST) => {
-                let news = |body: &[u8]| callbacks::parse(body).map(Happening::News);
-                self.told(&mut request, wire::BODY_MOST, "news", news).await
-            }
+            (wire::NEWS, &Method::POST) => self.news(&mut request).await,
             (wire::NEWS, _) => Answer::Unfit(StatusCode::METHOD_NOT_ALLOWED, "news come by POST"),
             (wire::HOSTS, _) => self.pushed(request).await,
             _ => {
@@ -135,6 +135,20 @@
         (answer, Next::Asks)
     }
 
+    /// What an executor tells. It is acknowledged once the process has it that serves the job.
+    async fn news(&self, request: &mut Request) -> Answer {
+        let (tell, told) = oneshot::channel();
+        let tell = Cell::new(Some(tell));
+        let news = |body: &[u8]| {
+            let (news, text) = (callbacks::parse(body)?, String::from_utf8_lossy(body).into_owned());
+            Ok(Happening::News(news, text, tell.take()))
+        };
+        match self.told(request, wire::BODY_MOST, "news", news).await {
+            Answer::Succeeded(_) if told.await == Ok(false) => Answer::Throttled { pause: 0.0 },
+            answer => answer,
+        }
+    }
+
     /// A list that comes unasked. Guards against clients that push one: it is taken from discovery's host alone.
     async fn pushed(&self, mut request: Request) -> Answer {
         let peer = request.peer_addr().map(|peer| peer.ip());
@@ -179,7 +193,7 @@
     async fn job(&self, job: take_in::Job) -> (Answer, Next) {
         let _held = self.life.hold();
         let waits = |guest: &&Rc<Guest>| guest.doing() == Doing::Waiting;
-        if self.guests.borrow().values().filter(waits).count() > self.most {
+        if self.guests.borrow().values().filter(waits).count() > self.life.part(self.most) {
             let _ = self.happenings.send(Happening::Ended(job.call.class, Verdict::Throttled));
             return (Answer::Throttled { pause: CROWDED_FOR.min(self.life.max_pause()) }, Next::Closes);
         }
@@ -229,8 +243,15 @@
     let Ok(service) = service.await else { return };
     let service = Rc::new(service);
     loop {
+        door.life.until_takes(true).await;
         door.place().await;
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            // First: what comes once a successor takes connections is its.
+            biased;
+            () = door.life.until_takes(false) => continue,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
             Ok((socket, peer)) => {
                 let _ = socket.set_nodelay(true);
                 welcome(&door, &service, socket, peer);
--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -19,7 +19,7 @@
 use crate::clock::{seconds, Clock};
 use crate::config::{self, Config};
 use crate::discovery::Lines;
-use crate::driver::{Driver, Happening};
+use crate::driver::{Driver, Happening, Others};
 use crate::executors::{probe, Links, Patience};
 use crate::guest::{Claim, Doing, Guest};
 use crate::hosts::Hosts;
@@ -99,7 +99,11 @@
     let (config, clock, life) = (config(&entries.join(",")), Clock::new(), Rc::new(Life::new()));
     let (events, happens) = unbounded_channel();
     let links = Links::new(64, config.dial, config.idle);
-    (Driver::new(config, clock, life.clone(), links, events).expect("a driver"), happens, life)
+    (
+        Driver::new(config, clock, life.clone(), links, Others::default(), events).expect("a driver"),
+        happens,
+        life,
+    )
 }
 
 fn links(addr: SocketAddr) -> Links {
@@ -594,7 +598,8 @@
         let (happenings, mut happens) = unbounded_channel();
         let links = Links::new(64, config.dial, config.idle);
         let door = Rc::new(Door::new(clock, life.clone(), happenings.clone(), (2, 1)));
-        let mut driver = Driver::new(config, clock, life.clone(), links, happenings).expect("a driver");
+        let mut driver =
+            Driver::new(config, clock, life.clone(), links, Others::default(), happenings).expect("a driver");
         let listener = actix_rt::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let addr = listener.local_addr().expect("an address");
         actix_rt::spawn(server::accept(listener, door));
@@ -634,7 +639,8 @@
         let (config, clock, life) = (parse(&[PUSHED]), Clock::new(), Rc::new(Life::new()));
         let (happenings, _happens) = unbounded_channel();
         let links = Links::new(64, config.dial, config.idle);
-        let mut driver = Driver::new(config, clock, life.clone(), links, happenings).expect("a driver");
+        let mut driver =
+            Driver::new(config, clock, life.clone(), links, Others::default(), happenings).expect("a driver");
         driver.happened(Happening::Reload(Err("settings.weights: heavy is none of ...".into())));
         assert_eq!(life.lists_from(), Some([127, 0, 0, 1].into()), "a file that is not fit");
         driver.happened(Happening::Reload(Ok(Box::new(parse(pairs)))));
@@ -667,8 +673,9 @@
         drop(sockets);
         let nodes = addrs[..2].to_vec();
         let ((happenings, mut happens), other) = (unbounded_channel(), unbounded_channel().0);
-        let first = Peers::new(0, nodes.clone(), happenings).expect("a port");
-        let second = Peers::new(1, nodes, other).expect("a port");
+        let own = |at: usize| std::net::UdpSocket::bind(addrs[at]).expect("a port");
+        let first = Peers::new(0, nodes.clone(), own(0), happenings).expect("a port");
+        let second = Peers::new(1, nodes, own(1), other).expect("a port");
         let stranger = std::net::UdpSocket::bind(addrs[2]).expect("a port");
         stranger.send_to(b"h00000109", addrs[0]).expect("sent");
         second.tell(0, Told::Held, 0xab, 4);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,5 +2,6 @@
 //! `policy` holds every decision, `types` what goes in and out; neither does I/O or reads a clock.
 mod adopt;
 pub mod chance;
+pub mod learnt;
 pub mod policy;
 pub mod types;
