--- a/crates/coveroute-engine/src/book.rs
+++ b/crates/coveroute-engine/src/book.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 
 use coveroute::types::{InvId, Tgt};
+use serde::{Deserialize, Serialize};
 
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Stage {
     /// Its executor has not answered for it yet.
     Sending,
@@ -37,6 +38,8 @@
     /// Whether the client waits for its final answer.
     pub owed: bool,
     pub end: f64,
+    /// The end, if this process were not to stop before.
+    pub due: f64,
     pub forwards: Vec<Forward>,
 }
 
@@ -86,6 +89,13 @@
         self.records.values().map(|record| &record.call)
     }
 
+    /// Takes the record out, as if its call had never come.
+    pub fn part_with(&mut self, id: InvId) -> Option<Record> {
+        let record = self.records.remove(&id)?;
+        self.calls.remove(&record.call);
+        Some(record)
+    }
+
     /// Jobs whose clients wait for a final answer.
     pub fn owed(&self) -> usize {
         self.records.values().filter(|record| record.owed).count()
--- a/crates/coveroute-engine/src/engine.rs
+++ b/crates/coveroute-engine/src/engine.rs
@@ -6,9 +6,10 @@
 
 use bytes::Bytes;
 use coveroute::learnt::Learnt;
+use coveroute::policy::LOOK;
 use coveroute::types::{
-    Input, InvId, List, Node, Operation, Outcome, Output, Report, Settings, Settled, Standing, Submission,
-    Tgt, Told,
+    Input, Inv, InvId, List, Node, Operation, Outcome, Output, Report, Settings, Settled, Standing,
+    Submission, Tgt, Told,
 };
 use coveroute_shared::Names;
 use log::{debug, error, info};
@@ -19,6 +20,7 @@
 use crate::list::{Fleet, Listing, Move};
 use crate::memory::Memory;
 use crate::operations::{Moved, Operations};
+use crate::parcel::Parcel;
 use crate::phase::{Phase, Step};
 use crate::route::Route;
 use crate::timers::Timers;
@@ -43,6 +45,16 @@
 
     fn recall(&mut self, _: &Learnt) {}
 
+    /// An invocation leaves, or comes, as it stands. What does not know how keeps its own.
+    fn part_with(&mut self, _: InvId) -> Option<Inv> {
+        None
+    }
+
+    fn take_in(&mut self, _: InvId, _: Inv) {}
+
+    /// The operations' entries, which have grown.
+    fn extend(&mut self, _: Vec<Operation>) {}
+
     /// What cold executors can stand of this process from now on, in their capacity.
     fn share_cold(&mut self, factor: f64);
 }
@@ -73,6 +85,18 @@
         Node::recall(self, learnt);
     }
 
+    fn part_with(&mut self, id: InvId) -> Option<Inv> {
+        Node::part_with(self, id)
+    }
+
+    fn take_in(&mut self, id: InvId, inv: Inv) {
+        Node::take_in(self, id, inv);
+    }
+
+    fn extend(&mut self, operations: Vec<Operation>) {
+        Node::extend(self, operations);
+    }
+
     fn share_cold(&mut self, factor: f64) {
         Node::share_cold(self, factor);
     }
@@ -133,6 +157,8 @@
     Ended(&'a str, Verdict),
     /// The platform asks the node to stop.
     Stop,
+    /// What was in hand is in another process's: nothing more is waited for.
+    Relieved,
     /// No request is in hand: each answer has left.
     Idle,
 }
@@ -380,6 +406,55 @@
         self.elsewhere = memory.calls.into_iter().collect();
     }
 
+    /// Takes the job out, to go on in another process: no answer, and no word to executors. Not before each of its
+    /// forwards has ended or was acknowledged: their connections stay here.
+    pub fn part_with(&mut self, id: InvId) -> Option<Parcel> {
+        let record = self.book.get(id).filter(|record| record.owed)?;
+        if record.forwards.iter().any(|forward| forward.stage == Stage::Sending) {
+            return None;
+        }
+        let (call, operation, end) = (record.call.to_string(), record.operation.to_string(), record.due);
+        let ids = record.forwards.iter().map(|f| (self.fleet.id(f.tgt).to_owned(), f.sent, f.stage));
+        let forwards: Vec<_> = ids.collect();
+        let mut inv = self.route.decide_mut().part_with(id)?;
+        inv.end = end; // There nobody has told it to stop.
+        let entry = self.entries[inv.op].clone();
+        let (timeout, kind) =
+            (self.operations.timeout(inv.op), entry.kind.and_then(|kind| self.fleet.kind(kind)));
+        let kind = kind.cloned();
+        let parcel = Parcel { call, operation, entry, timeout, kind, end, inv, forwards };
+        if parcel.inv.forwards.len() != parcel.forwards.len() || !parcel.travels() {
+            self.route.decide_mut().take_in(id, parcel.inv);
+            return None;
+        }
+        self.book.part_with(id);
+        Some(parcel)
+    }
+
+    /// Goes on with a job of another process, under an id of this one.
+    pub fn take_in(&mut self, now: f64, id: InvId, parcel: Parcel, out: &mut Vec<Action>) {
+        let Parcel { call, operation, mut entry, timeout, kind, end, mut inv, forwards } = parcel;
+        entry.kind = kind.map(|kind| self.fleet.numbered_kind(&kind));
+        let known = self.entries.len();
+        inv.op = self.operations.entry(&operation, timeout, &entry, &mut self.entries);
+        if self.entries.len() > known {
+            self.route.decide_mut().extend(self.entries.clone());
+        }
+        let forwards: Vec<Forward> = forwards
+            .into_iter()
+            .map(|(executor, sent, stage)| Forward { tgt: self.fleet.number(&executor), sent, stage })
+            .collect();
+        inv.forwards.iter_mut().zip(&forwards).for_each(|(fwd, forward)| fwd.tgt = forward.tgt);
+        self.elsewhere.remove(&call);
+        let (call, operation) = (Arc::from(call), self.operations.name(inv.op).clone());
+        self.counts.show(&operation);
+        self.timers.set(end, Timer::End(id));
+        self.book.open(id, Record { call, operation, owed: true, end, due: end, forwards });
+        self.route.decide_mut().take_in(id, inv);
+        self.route.push(Input::Timer(LOOK));
+        self.carry_on(now, out);
+    }
+
     /// Whether the call is served here, or was.
     pub fn knows(&self, call: &str) -> bool {
         self.book.knows(call)
@@ -417,6 +492,10 @@
             Event::NotReread => self.counts.rejected += 1,
             Event::Ended(operation, verdict) => self.counts.ended(operation, verdict),
             Event::Stop => self.stop(now),
+            Event::Relieved => {
+                self.step(Step::Quiet);
+                self.end_from = now;
+            }
             Event::Idle if now >= self.end_from => drop(self.step(Step::Idle)),
             Event::Idle => {}
         }
@@ -490,10 +569,11 @@
     }
 
     fn open(&mut self, now: f64, call: Arc<str>, submission: Submission) {
-        let end = (now + submission.timeout).min(self.leave_by);
+        let due = now + submission.timeout;
+        let end = due.min(self.leave_by);
         self.timers.set(end, Timer::End(submission.id));
         let operation = self.operations.name(submission.operation).clone();
-        let record = Record { call, operation, owed: true, end, forwards: Vec::new() };
+        let record = Record { call, operation, owed: true, end, due, forwards: Vec::new() };
         self.book.open(submission.id, record);
         self.route.push(Input::Submitted(submission));
     }
--- a/crates/coveroute-engine/src/lib.rs
+++ b/crates/coveroute-engine/src/lib.rs
@@ -9,6 +9,7 @@
 mod list;
 mod memory;
 mod operations;
+mod parcel;
 mod phase;
 mod route;
 mod timers;
@@ -20,6 +21,7 @@
 pub use list::{Host, Listing};
 pub use memory::{Memory, Rows};
 pub use operations::Moved;
+pub use parcel::Parcel;
 pub use phase::{Phase, Step};
 
 #[cfg(test)]
--- a/crates/coveroute-engine/src/list.rs
+++ b/crates/coveroute-engine/src/list.rs
@@ -102,6 +102,19 @@
         Listing { version, full: true, hosts: self.listed.values().cloned().collect() }
     }
 
+    /// The executor's number, also of one that was never listed here.
+    pub fn number(&mut self, id: &str) -> Tgt {
+        self.roster.number(id)
+    }
+
+    pub fn kind(&self, kind: usize) -> Option<&String> {
+        self.names.kinds.get(kind)
+    }
+
+    pub fn numbered_kind(&mut self, kind: &str) -> usize {
+        position(&mut self.names.kinds, kind)
+    }
+
     pub fn known(&self, id: &str) -> Option<Tgt> {
         self.roster.known(id)
     }
--- a/crates/coveroute-engine/src/operations.rs
+++ b/crates/coveroute-engine/src/operations.rs
@@ -125,6 +125,29 @@
         moved
     }
 
+    /// An entry of the name that holds just this, for a job that comes from another process: one that is there, or
+    /// one of its own.
+    pub fn entry(
+        &mut self,
+        name: &str,
+        timeout: f64,
+        operation: &Operation,
+        held: &mut Vec<Operation>,
+    ) -> usize {
+        let same = |(at, kept): (usize, &Kept)| {
+            kept.standing != Standing::Free
+                && &*kept.name == name
+                && kept.timeout == timeout
+                && held[at] == *operation
+        };
+        if let Some(at) = (0..self.kept.len()).find(|&at| same((at, &self.kept[at]))) {
+            return at;
+        }
+        self.kept.push(Kept { name: name.into(), timeout, standing: Standing::Replaced });
+        held.push(operation.clone());
+        self.kept.len() - 1
+    }
+
     /// The entry that last had the name, if it can be taken up again.
     fn named(&self, name: &str) -> Option<usize> {
         let last = |kept: &Kept| matches!(kept.standing, Standing::Current | Standing::Vanished(_));
--- a/crates/coveroute-engine/src/tests.rs
+++ b/crates/coveroute-engine/src/tests.rs
@@ -479,3 +479,102 @@
     let figures = engine.figures(NOW);
     assert_eq!((figures.avoided, figures.listed), (0, 2), "a drain is the list's doing");
 }
+
+/// What another process of the node begins with.
+fn successor(old: &Engine) -> Engine {
+    let operations = vec![operation(Effect::Idempotent), operation(Effect::NonIdempotent)];
+    let settings = Settings { nodes: 1, operations, max_forwards: 4, ..Settings::default() };
+    let (names, memory) = (names(), Some(old.memory()));
+    let setup = Setup { settings, names, seed: 2, timeouts: vec![5.0, 10.0], known: None, memory };
+    Engine::new(NOW, setup, &mut Vec::new())
+}
+
+#[test]
+fn a_successor_begins_with_the_list_and_what_was_learnt() {
+    let mut old = engine().0;
+    for _ in 0..4 {
+        told(&mut old, NOW, Event::Probed(1, Outcome::Unreachable, Report::default()));
+    }
+    let drained = listing(5, false, vec![host(0, Standing::Draining)]);
+    told(&mut old, NOW, Event::Watch(1, Watched::Listed(drained)));
+    let mut new = successor(&old);
+    assert_eq!((new.phase(), new.figures(NOW).listed, new.figures(NOW).avoided), (Phase::Serving, 2, 1));
+    let out = told(&mut new, NOW, Event::Taken(1, &call("a", "look", 5.0)));
+    assert!(!out.iter().any(|action| matches!(action, Action::Send { tgt: 0, .. })), "it drains: {out:?}");
+}
+
+#[test]
+fn a_call_that_the_process_before_serves_is_not_taken_again() {
+    let mut old = engine().0;
+    told(&mut old, NOW, Event::Taken(1, &call("a", "look", 5.0)));
+    let mut new = successor(&old);
+    let out = told(&mut new, NOW, Event::Taken(1, &call("a", "look", 5.0)));
+    assert_eq!(answers(&out), [&Answer::Unfit(Unfit::Again)]);
+    assert!(!new.knows("a"), "what executors tell of it is passed on");
+}
+
+// A job goes on where it stands; the old process neither answers it nor has executors stop.
+#[test]
+fn a_job_goes_on_in_the_next_process() {
+    let mut old = engine().0;
+    let out = told(&mut old, NOW, Event::Taken(1, &call("a", "pay", 9.0)));
+    let sent = |out: &[Action]| {
+        out.iter().find_map(|a| if let Action::Send { tgt, .. } = a { Some(*tgt) } else { None })
+    };
+    let tgt = sent(&out).expect("a forward");
+    let mut new = successor(&old);
+    assert!(old.part_with(1).is_none(), "its connection to the executor is still in use here");
+    told(&mut old, NOW, Event::Replied(1, 0, Reply::Taken));
+    let parcel = old.part_with(1).expect("a parcel");
+    assert!(parcel.travels() && !old.knows("a") && old.held() == 0);
+    let mut out = Vec::new();
+    old.advance(NOW + 20.0, &mut out);
+    assert!(answers(&out).is_empty() && !out.iter().any(|a| matches!(a, Action::GiveUp { .. })), "{out:?}");
+    let mut out = Vec::new();
+    new.take_in(NOW, 7, parcel, &mut out);
+    assert!(new.knows("a") && sent(&out).is_none(), "it is out: {out:?}");
+    let done = News { call: "a".into(), from: format!("s-{tgt}"), word: done(), report: Report::default() };
+    let out = told(&mut new, NOW + 1.0, Event::News(done));
+    assert_eq!(answers(&out), [&Answer::Succeeded("r".into())]);
+    let pay = new.figures(NOW).operations.into_iter().find(|op| &*op.0 == "pay").expect("figures");
+    assert_eq!((pay.1.succeeded, new.held()), (1, 0));
+}
+
+// Guards against a job that runs twice, or gets another deadline, because the next process has other settings.
+#[test]
+fn a_job_that_moves_keeps_its_operation() {
+    let mut old = engine().0;
+    told(&mut old, NOW, Event::Taken(1, &call("a", "pay", 9.0)));
+    told(&mut old, NOW, Event::Replied(1, 0, Reply::Taken));
+    let mut new = successor(&old);
+    let free = [operation(Effect::Idempotent), operation(Effect::Idempotent)];
+    retuned(&mut new, NOW, tuning(&["look", "pay"], &free, &[5.0, 3.0], 4));
+    let parcel = old.part_with(1).expect("a parcel");
+    new.take_in(NOW, 7, parcel, &mut Vec::new());
+    let reset = Reply::Ended(Outcome::Reset, Report::default());
+    let out = told(&mut new, NOW + 5.0, Event::Replied(7, 0, reset));
+    assert_eq!(answers(&out), [&Answer::Errored], "it may have run, and may not run again");
+}
+
+#[test]
+fn what_cold_executors_can_stand_is_parted() {
+    let mut engine = engine().0;
+    let factor = |engine: &Engine| engine.decisions().settings().cold.factor;
+    let mut with = tuning(&["look"], &[operation(Effect::Idempotent)], &[5.0], 4);
+    with.settings.cold.factor = 4.0;
+    told(&mut engine, NOW, Event::Part(0.25));
+    retuned(&mut engine, NOW, with);
+    assert_eq!(factor(&engine), 1.0, "also of new settings");
+    told(&mut engine, NOW, Event::Part(1.0));
+    assert_eq!(factor(&engine), 4.0);
+}
+
+#[test]
+fn a_stop_does_not_shorten_what_a_job_has_in_the_next_process() {
+    let mut old = engine().0;
+    told(&mut old, NOW, Event::Taken(1, &call("a", "pay", 9.0)));
+    told(&mut old, NOW, Event::Stop);
+    told(&mut old, NOW, Event::Replied(1, 0, Reply::Taken));
+    let parcel = old.part_with(1).expect("a parcel");
+    assert!(parcel.end > NOW + 8.0 && parcel.inv.end == parcel.end, "{} {}", parcel.end, parcel.inv.end);
+}
--- a/crates/coveroute-node/src/driver.rs
+++ b/crates/coveroute-node/src/driver.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
+use actix_rt::net::TcpStream;
 use actix_rt::task::JoinHandle;
 use coveroute::types::{InvId, Outcome, Report, Reports, Tgt, Told};
 use coveroute_engine::{Action, Engine, Event, Figures, News, Phase, Reply, Setup, Verdict, Watched};
@@ -17,13 +18,15 @@
 use crate::config::Config;
 use crate::discovery::Discovery;
 use crate::executors::{give_up, probe, Links};
-use crate::handed::Handed;
+use crate::guest::{Guests, Leaves};
+use crate::handed::{Handed, HandedJob};
 use crate::needed::Keys;
 use crate::peers::Peers;
 use crate::phase::Life;
 use crate::relay::Answer;
 use crate::replace::{self, Link, Said, Side, Waits};
 use crate::send;
+use crate::server::Comes;
 use crate::take_in::Job;
 
 pub type Happenings = mpsc::UnboundedSender<Happening>;
@@ -36,6 +39,8 @@
     Replied(InvId, usize, Reply),
     /// What an executor tells, as it came too, and who waits for whether a process has it.
     News(News, String, Option<oneshot::Sender<bool>>),
+    /// What an executor tells, of no other process's job: whether it is then acknowledged.
+    Returned(News, Option<oneshot::Sender<bool>>, bool),
     /// A successor asks for what it begins with.
     Handing(oneshot::Sender<Handed>),
     /// It has it.
@@ -117,6 +122,9 @@
     /// The process before, and what it has handed over.
     pub before: Option<(Rc<Link>, Handed)>,
     pub successors: Option<Successors>,
+    /// The clients' connections, and where those of the process before go.
+    pub guests: Guests,
+    pub comes: Option<mpsc::UnboundedSender<Comes>>,
 }
 
 /// Where successors come, and the sockets that they get.
@@ -144,6 +152,8 @@
     /// Where it will wait for its successor, and does.
     successors: Option<Successors>,
     waits: Option<Waits>,
+    guests: Guests,
+    comes: Option<mpsc::UnboundedSender<Comes>>,
     /// It has told the process before that it serves.
     announced: bool,
     happenings: Happenings,
@@ -160,7 +170,7 @@
         others: Others,
         happenings: Happenings,
     ) -> Result<Self, String> {
-        let Others { datagrams, before, successors } = others;
+        let Others { datagrams, before, successors, guests, comes } = others;
         life.take_lists_from(config.pushed_by());
         life.take_max_pause(config.settings.max_pause);
         let running = Running::of(&config);
@@ -190,6 +200,8 @@
             before,
             after: None,
             successors,
+            guests,
+            comes,
             waits: None,
             announced: false,
             happenings,
@@ -208,7 +220,8 @@
     pub async fn run(mut self, mut happenings: mpsc::UnboundedReceiver<Happening>) {
         while self.life.phase() != Phase::Ended {
             let look = Instant::now() + seconds(LOOK_EVERY);
-            let closing = (self.life.phase() == Phase::Closing).then_some(look);
+            let handing = !self.life.takes();
+            let closing = (self.life.phase() == Phase::Closing || handing).then_some(look);
             let due = self.engine.next_due().map(|due| self.clock.instant(due));
             let next = due.into_iter().chain(closing).min();
             tokio::select! {
@@ -217,6 +230,9 @@
                 () = tokio::time::sleep_until(next.unwrap_or(look).into()) => {}
             }
             self.advance();
+            if handing {
+                self.hand_over();
+            }
             // An answer has left once its request is no longer in hand.
             if closing.is_some() && self.life.idle() {
                 self.tell(Event::Idle);
@@ -257,6 +273,11 @@
                 self.tell(Event::Replied(id, forward, reply));
             }
             Happening::News(news, text, tell) => self.news(news, text, tell, None),
+            Happening::Returned(news, tell, told) => {
+                let told = told || self.engine.knows(&news.call);
+                self.tell(Event::News(news));
+                tell.map(|tell| tell.send(told));
+            }
             Happening::Handing(tell) => {
                 let _ = tell.send(Handed::of(self.running.discovery, self.engine.memory()));
             }
@@ -271,7 +292,11 @@
             Happening::Reload(Err(words)) => self.not_reloaded(&words),
             Happening::Ended(operation, verdict) => self.tell(Event::Ended(&operation, verdict)),
             Happening::Asked(tell) => drop(tell.send(self.engine.figures(self.clock.now()))),
-            Happening::Stop => self.tell(Event::Stop),
+            Happening::Stop => {
+                // Before anything is given back or cut for the stop.
+                self.hand_over();
+                self.tell(Event::Stop);
+            }
         }
     }
 
@@ -372,8 +397,12 @@
                 info!("the process after this one serves: no connections are taken here any more");
                 self.takes(false);
                 own.stopped();
+                self.hand_over();
             }
             (Side::Before, Said::Stopped) => self.taken_over(),
+            (Side::Before, Said::Guest(socket)) => self.come(socket, Comes::Idle),
+            (Side::Before, Said::Job(job, socket)) => self.take_in(*job, socket),
+            (Side::After, Said::Guest(_) | Said::Job(..)) => warn!("a successor hands nothing over"),
             (side, Said::News(text, tell)) => match callbacks::parse(text.as_bytes()) {
                 Ok(news) => self.news(news, text, Some(tell), Some(side)),
                 Err(e) => warn!("a link's news that can't be read: {e}"),
@@ -394,6 +423,48 @@
         }
     }
 
+    fn come(&mut self, socket: OwnedFd, how: impl FnOnce(TcpStream) -> Comes) {
+        let stream = TcpStream::from_std(std::net::TcpStream::from(socket));
+        match (stream, &self.comes) {
+            (Ok(stream), Some(comes)) => drop(comes.send(how(stream))),
+            (Ok(_), None) => {}
+            (Err(e), _) => warn!("a connection of the process before is lost: {e}"),
+        }
+    }
+
+    /// Goes on with a job of the process before.
+    fn take_in(&mut self, handed: HandedJob, socket: OwnedFd) {
+        let Some(job) = handed.job() else { return error!("a job of the process before can't be read") };
+        let (id, (answer, answered)) = (self.life.next_id(), oneshot::channel());
+        self.held.insert(id, Held { job: Rc::new(job), answer });
+        self.come(socket, |stream| Comes::Waiting(stream, id, answered));
+        self.engine.take_in(self.clock.now(), id, handed.parcel, &mut self.actions);
+        self.carry_out();
+    }
+
+    /// Hands over what can go now: idle connections, and jobs with their clients' connections. Once told to stop, this
+    /// process ends when nothing is left.
+    fn hand_over(&mut self) {
+        let Some(after) = self.after.clone().filter(|_| !self.life.takes()) else { return };
+        let guests: Vec<_> = self.guests.borrow().values().cloned().collect();
+        for guest in &guests {
+            let Some((leaves, socket)) = guest.leaves().zip(guest.socket().ok()) else { continue };
+            match leaves {
+                Leaves::Idle => after.guest(socket),
+                Leaves::Waiting(id) => {
+                    let Some(held) = self.held.get(&id).map(|held| held.job.clone()) else { continue };
+                    let Some(parcel) = self.engine.part_with(id) else { continue };
+                    self.held.remove(&id);
+                    after.job(HandedJob::of(parcel, &held), socket);
+                }
+            }
+            guest.goes();
+        }
+        if guests.is_empty() && after.is_written() && self.life.phase() == Phase::Leaving {
+            self.tell(Event::Relieved);
+        }
+    }
+
     /// This is the process that serves.
     fn taken_over(&mut self) {
         self.life.follow(false);
@@ -410,6 +481,7 @@
             tell.map(|tell| tell.send(own || from.is_none()));
             return self.tell(Event::News(news));
         }
+        let happenings = self.happenings.clone();
         actix_rt::spawn(async move {
             let mut known = true;
             for link in others {
@@ -422,8 +494,8 @@
                     None => known = false,
                 }
             }
-            // Of nobody's job: there is nothing to wait for, unless one has not said so.
-            tell.map(|tell| tell.send(known && from.is_none()));
+            // Of nobody's job: there is nothing to wait for, unless one has not said so. It may have come here meanwhile.
+            let _ = happenings.send(Happening::Returned(news, tell, known && from.is_none()));
         });
     }
 
--- a/crates/coveroute-node/src/guest.rs
+++ b/crates/coveroute-node/src/guest.rs
@@ -1,12 +1,16 @@
 //! A guest: one accepted connection, what it does now and since when, and the stream that notes what it says.
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::io;
+use std::net::SocketAddr;
+use std::os::fd::{BorrowedFd, OwnedFd, RawFd};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 use actix_rt::net::TcpStream;
+use coveroute::types::InvId;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::Notify;
 
@@ -44,18 +48,43 @@
 pub struct Guest {
     doing: Cell<Doing>,
     since: Cell<Instant>,
+    /// Its socket, which is open for as long as it is a guest.
+    socket: RawFd,
+    /// The job that it waits for.
+    job: Cell<Option<InvId>>,
+    /// More came while it waited, and stands in the server's buffer.
+    ahead: Cell<bool>,
+    /// Not all of an answer could be written yet.
+    stuck: Cell<bool>,
+    /// It is on its way to another process.
+    gone: Cell<bool>,
     pub close: Notify,
 }
 
+/// All guests of a door, by their addresses.
+pub type Guests = Rc<RefCell<BTreeMap<SocketAddr, Rc<Guest>>>>;
+
+/// What of a guest may go to another process.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Leaves {
+    Idle,
+    Waiting(InvId),
+}
+
 impl Guest {
-    pub fn new() -> Self {
-        Guest { doing: Cell::new(Doing::Silent), since: Cell::new(Instant::now()), close: Notify::new() }
+    pub fn new(socket: RawFd) -> Self {
+        let (doing, since, job) = (Cell::new(Doing::Silent), Cell::new(Instant::now()), Cell::new(None));
+        let (ahead, stuck, gone) = (Cell::new(false), Cell::new(false), Cell::new(false));
+        Guest { doing, since, socket, job, ahead, stuck, gone, close: Notify::new() }
     }
 
     #[cfg(test)]
     pub fn since_long(doing: Doing, age: Duration) -> Self {
         let since = Instant::now().checked_sub(age).expect("a machine that is up for longer");
-        Guest { doing: Cell::new(doing), since: Cell::new(since), close: Notify::new() }
+        let guest = Guest::new(-1);
+        guest.doing.set(doing);
+        guest.since.set(since);
+        guest
     }
 
     pub fn doing(&self) -> Doing {
@@ -85,7 +114,8 @@
         match self.doing() {
             Doing::Silent => self.doing.set(Doing::Asking),
             Doing::Resting => self.now(Doing::Asking),
-            Doing::Asking | Doing::Waiting => {}
+            Doing::Asking => {}
+            Doing::Waiting => self.ahead.set(true),
         }
     }
 
@@ -93,7 +123,36 @@
         self.now(Doing::Waiting);
     }
 
+    /// The job that it waits for has this id.
+    pub fn waits_for(&self, id: InvId) {
+        self.job.set(Some(id));
+    }
+
+    /// Whether it can go as it is: all that it said is known, and all that it was told is written.
+    pub fn leaves(&self) -> Option<Leaves> {
+        match (self.doing(), self.job.get()) {
+            _ if self.ahead.get() || self.stuck.get() || self.gone.get() => None,
+            (Doing::Waiting, Some(id)) => Some(Leaves::Waiting(id)),
+            (Doing::Silent | Doing::Resting, _) => Some(Leaves::Idle),
+            (Doing::Waiting | Doing::Asking, _) => None,
+        }
+    }
+
+    /// It has gone to another process: what serves it here ends, before it reads on.
+    pub fn goes(&self) {
+        self.gone.set(true);
+        self.close.notify_one();
+    }
+
+    /// Its socket, once more.
+    pub fn socket(&self) -> io::Result<OwnedFd> {
+        // SAFETY: what serves a guest drops its socket after it was taken off the list of guests, and nobody else has
+        // a guest for longer than it takes to look at the list.
+        unsafe { BorrowedFd::borrow_raw(self.socket) }.try_clone_to_owned()
+    }
+
     pub fn rests(&self) {
+        self.job.set(None);
         self.now(Doing::Resting);
     }
 
@@ -123,7 +182,9 @@
 
 impl AsyncWrite for Stream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write(cx, bytes)
+        let written = Pin::new(&mut self.socket).poll_write(cx, bytes);
+        self.guest.stuck.set(written.is_pending());
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
--- a/crates/coveroute-node/src/handed.rs
+++ b/crates/coveroute-node/src/handed.rs
@@ -1,10 +1,14 @@
 //! Handed: what one process of a node tells the next, in the words of the link between them.
 use std::net::SocketAddr;
 
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
+use actix_http::Method;
 use coveroute::types::Standing;
-use coveroute_engine::{Host, Listing, Memory, Rows};
+use coveroute_engine::{Call, Host, Listing, Memory, Parcel, Rows};
 use serde::{Deserialize, Serialize};
 
+use crate::take_in::Job;
+
 #[derive(Debug, Deserialize, Serialize)]
 pub struct Handed {
     /// Whom the list is followed at: another service's versions count otherwise.
@@ -60,3 +64,48 @@
         Memory { listing, calls, executors, operations, tenants, kinds, node }
     }
 }
+
+/// A job under way: what the engine knows of it, and its bytes.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct HandedJob {
+    pub parcel: Parcel,
+    method: String,
+    target: String,
+    headers: Vec<(String, Vec<u8>)>,
+    body: Vec<u8>,
+}
+
+impl HandedJob {
+    pub fn of(parcel: Parcel, job: &Job) -> Self {
+        let headers = job.headers.iter().map(|(name, value)| (name.as_str().into(), value.as_bytes().into()));
+        HandedJob {
+            parcel,
+            method: job.method.as_str().into(),
+            target: job.target.as_str().into(),
+            headers: headers.collect(),
+            body: job.body.to_vec(),
+        }
+    }
+
+    /// The job's bytes again, if they can be read.
+    pub fn job(&self) -> Option<Job> {
+        let mut headers = HeaderMap::with_capacity(self.headers.len());
+        for (name, value) in &self.headers {
+            let name = HeaderName::try_from(name.as_str()).ok()?;
+            headers.append(name, HeaderValue::from_bytes(value).ok()?);
+        }
+        let call = Call {
+            call: self.parcel.call.as_str().into(),
+            class: self.parcel.operation.clone(),
+            caller: None,
+            budget: self.parcel.timeout,
+            hint: None,
+            memory: None,
+            key: None,
+            again: false,
+            came: 0.0,
+        };
+        let method = Method::from_bytes(self.method.as_bytes()).ok()?;
+        Some(Job { call, method, target: self.target.parse().ok()?, headers, body: self.body.clone().into() })
+    }
+}
--- a/crates/coveroute-node/src/main.rs
+++ b/crates/coveroute-node/src/main.rs
@@ -143,9 +143,10 @@
         sockets.push(own(datagrams.as_fd().try_clone_to_owned())?);
     }
     let successors = place.map(|place| Successors { place, sockets });
-    let others = Others { datagrams, before, successors };
+    let (adopts, comes) = mpsc::unbounded_channel();
+    let others = Others { datagrams, before, successors, guests: door.guests(), comes: Some(adopts) };
     let driver = Driver::new(config, clock, life, links, others, happenings)?;
-    actix_rt::spawn(server::accept(listener, door.clone()));
+    actix_rt::spawn(server::accept(listener, door.clone(), comes));
     actix_rt::spawn(server::sweep(door));
     driver.run(happens).await;
     info!("stopped");
--- a/crates/coveroute-node/src/phase.rs
+++ b/crates/coveroute-node/src/phase.rs
@@ -3,6 +3,7 @@
 use std::net::IpAddr;
 use std::rc::Rc;
 
+use coveroute::types::InvId;
 use coveroute_engine::Phase;
 use tokio::sync::watch;
 
@@ -20,6 +21,7 @@
     paired: Cell<bool>,
     /// The process before still takes connections.
     follows: Cell<bool>,
+    next: Cell<InvId>,
 }
 
 /// A request in hand, from its head to its answer.
@@ -36,7 +38,7 @@
         let (phase, held, lists_from) = (Cell::new(Phase::Starting), Cell::new(0), Cell::new(None));
         let (max_pause, takes) = (Cell::new(0.0), watch::Sender::new(true));
         let (paired, follows) = (Cell::new(false), Cell::new(false));
-        Life { phase, held, lists_from, max_pause, takes, paired, follows }
+        Life { phase, held, lists_from, max_pause, takes, paired, follows, next: Cell::new(0) }
     }
 
     pub fn lists_from(&self) -> Option<IpAddr> {
@@ -47,6 +49,13 @@
         self.lists_from.set(who);
     }
 
+    /// An id for an invocation that comes to this process.
+    pub fn next_id(&self) -> InvId {
+        let id = self.next.get();
+        self.next.set(id.wrapping_add(1));
+        id
+    }
+
     pub fn max_pause(&self) -> f64 {
         self.max_pause.get()
     }
--- a/crates/coveroute-node/src/relay.rs
+++ b/crates/coveroute-node/src/relay.rs
@@ -39,13 +39,31 @@
 }
 
 impl Answer {
-    pub fn response(self, keep: bool) -> Response<BoxBody> {
-        let (status, body, pause) = match self {
+    /// As it is written to a connection that no server of ours has.
+    pub fn bytes(self, keep: bool) -> Vec<u8> {
+        let (status, body, pause) = self.parts();
+        let (code, reason) = (status.as_u16(), status.canonical_reason().unwrap_or_default());
+        let mut head = format!("HTTP/1.1 {code} {reason}\r\ncontent-length: {}\r\n", body.len());
+        if pause > 0.0 {
+            head += &format!("retry-after: {pause:.3}\r\n");
+        }
+        if !keep {
+            head += "connection: close\r\n";
+        }
+        [head.as_bytes(), b"\r\n", &body].concat()
+    }
+
+    fn parts(self) -> (StatusCode, Bytes, f64) {
+        match self {
             Answer::Succeeded(result) => (StatusCode::OK, result, 0.0),
             Answer::Throttled { pause } => (StatusCode::SERVICE_UNAVAILABLE, "try again\n".into(), pause),
             Answer::Errored => (StatusCode::INTERNAL_SERVER_ERROR, "failed\n".into(), 0.0),
             Answer::Unfit(status, words) => (status, format!("{words}\n").into(), 0.0),
-        };
+        }
+    }
+
+    pub fn response(self, keep: bool) -> Response<BoxBody> {
+        let (status, body, pause) = self.parts();
         let mut response = Response::with_body(status, body).map_into_boxed_body();
         let after = HeaderValue::from_str(&format!("{pause:.3}")).ok().filter(|_| pause > 0.0);
         after.map(|after| response.headers_mut().insert(RETRY_AFTER, after));
--- a/crates/coveroute-node/src/replace.rs
+++ b/crates/coveroute-node/src/replace.rs
@@ -2,7 +2,7 @@
 //! socket in `$TMPDIR`: over it the listening sockets go to the new process with what the old one knows, and for as
 //! long as both live each passes on what executors tell of the other's jobs. docs/design/replacement.md weighs the ways.
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, IoSlice, IoSliceMut};
 use std::net::SocketAddr;
 use std::os::fd::{AsRawFd, FromRawFd, OwnedFd, RawFd};
@@ -16,13 +16,13 @@
 use log::{info, warn};
 use nix::sys::socket::{recvmsg, sendmsg, ControlMessage, ControlMessageOwned, MsgFlags};
 use serde::{Deserialize, Serialize};
-use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
+use tokio::io::{AsyncWriteExt, Interest};
 use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::driver::{Happening, Happenings};
-use crate::handed::Handed;
+use crate::handed::{Handed, HandedJob};
 
 /// Of what is said on the link; another one is not understood.
 const VERSION: u32 = 1;
@@ -47,21 +47,30 @@
 enum Message {
     /// The new process, to begin with.
     Hello(u32),
-    /// The old one, behind its sockets.
-    Handed(Box<Handed>),
+    /// The old one, with its sockets: so many.
+    Handed(Box<Handed>, usize),
     /// The new one takes connections, and knows executors.
     Serves,
     /// The old one takes none any more.
     Stopped,
+    /// A connection that asks for nothing now, with its socket.
+    Guest,
+    /// A job under way, with its client's socket.
+    Job(Box<HandedJob>),
     /// An executor's words of a job that is not the teller's.
     News(u64, String),
     /// Whether it was the other's.
     Heard(u64, bool),
 }
 
+/// A message, and the sockets that go with it.
+type Parted = (Message, Vec<OwnedFd>);
+
 /// What the other process says, for the driver.
 #[derive(Debug)]
 pub enum Said {
+    Guest(OwnedFd),
+    Job(Box<HandedJob>, OwnedFd),
     Serves,
     Stopped,
     /// Executors' words, and what is to be told of them.
@@ -73,22 +82,43 @@
 pub struct Link {
     pub side: Side,
     pub number: u64,
-    out: mpsc::UnboundedSender<Message>,
+    out: mpsc::UnboundedSender<Parted>,
     asked: RefCell<BTreeMap<u64, oneshot::Sender<bool>>>,
     next: Cell<u64>,
+    /// Messages that are not written yet.
+    unwritten: Cell<usize>,
 }
 
 impl Link {
-    fn new(side: Side, number: u64, out: mpsc::UnboundedSender<Message>) -> Self {
-        Link { side, number, out, asked: RefCell::default(), next: Cell::new(0) }
+    fn new(side: Side, number: u64, out: mpsc::UnboundedSender<Parted>) -> Self {
+        Link { side, number, out, asked: RefCell::default(), next: Cell::new(0), unwritten: Cell::new(0) }
+    }
+
+    fn send(&self, message: Message, sockets: Vec<OwnedFd>) -> bool {
+        let sent = self.out.send((message, sockets)).is_ok();
+        self.unwritten.set(self.unwritten.get() + usize::from(sent));
+        sent
+    }
+
+    /// Whether the other process has all that was sent, or has ended.
+    pub fn is_written(&self) -> bool {
+        self.unwritten.get() == 0
     }
 
     pub fn serves(&self) {
-        let _ = self.out.send(Message::Serves);
+        self.send(Message::Serves, Vec::new());
     }
 
     pub fn stopped(&self) {
-        let _ = self.out.send(Message::Stopped);
+        self.send(Message::Stopped, Vec::new());
+    }
+
+    pub fn guest(&self, socket: OwnedFd) {
+        self.send(Message::Guest, vec![socket]);
+    }
+
+    pub fn job(&self, job: HandedJob, socket: OwnedFd) {
+        self.send(Message::Job(Box::new(job)), vec![socket]);
     }
 
     /// Passes an executor's words on; whether they were of a job there, or none if that is not known.
@@ -100,10 +130,9 @@
             return None;
         }
         self.asked.borrow_mut().insert(number, tell);
-        let sent = self.out.send(Message::News(number, body));
-        let answer = match sent {
-            Ok(()) => timeout(PASSED_WITHIN, told).await.ok(),
-            Err(_) => Some(Ok(false)),
+        let answer = match self.send(Message::News(number, body), Vec::new()) {
+            true => timeout(PASSED_WITHIN, told).await.ok(),
+            false => Some(Ok(false)),
         };
         self.asked.borrow_mut().remove(&number);
         // Who has ended holds nothing.
@@ -116,13 +145,18 @@
     }
 }
 
-/// Messages out of a stream: one a line.
+/// Messages out of a stream: one a line. Sockets come with a message's first byte, and so in the messages' order.
 struct Reader {
     half: OwnedReadHalf,
     buffer: BytesMut,
+    sockets: VecDeque<OwnedFd>,
 }
 
 impl Reader {
+    fn new(half: OwnedReadHalf) -> Self {
+        Reader { half, buffer: BytesMut::new(), sockets: VecDeque::new() }
+    }
+
     async fn next(&mut self) -> io::Result<Message> {
         loop {
             if let Some(end) = self.buffer.iter().position(|&b| b == b'\n') {
@@ -132,17 +166,55 @@
             if self.buffer.len() > LINE_MOST {
                 return Err(io::Error::other("a message is too long"));
             }
-            if self.half.read_buf(&mut self.buffer).await? == 0 {
+            let Reader { half, buffer, sockets } = self;
+            let socket: &UnixStream = half.as_ref();
+            let read = || receive(socket.as_raw_fd(), buffer, sockets);
+            if socket.async_io(Interest::READABLE, read).await? == 0 {
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
         }
     }
+
+    fn socket(&mut self) -> io::Result<OwnedFd> {
+        self.sockets.pop_front().ok_or(io::Error::other("a socket is missing"))
+    }
 }
 
-async fn write(half: &mut OwnedWriteHalf, message: &Message) -> io::Result<()> {
+async fn write(half: &mut OwnedWriteHalf, message: &Message, sockets: &[OwnedFd]) -> io::Result<()> {
     let mut line = serde_json::to_vec(message)?;
     line.push(b'\n');
-    half.write_all(&line).await
+    let mut rest = &line[..];
+    if !sockets.is_empty() {
+        let socket: &UnixStream = (*half).as_ref();
+        let written =
+            socket.async_io(Interest::WRITABLE, || send(socket.as_raw_fd(), &line, sockets)).await?;
+        rest = &line[written..];
+    }
+    half.write_all(rest).await
+}
+
+/// The most sockets that one message brings.
+const SOCKETS_MOST: usize = 4;
+
+fn receive(from: RawFd, buffer: &mut BytesMut, sockets: &mut VecDeque<OwnedFd>) -> io::Result<usize> {
+    let (mut chunk, mut space) = ([0; 16 * 1024], nix::cmsg_space!([RawFd; SOCKETS_MOST]));
+    let mut parts = [IoSliceMut::new(&mut chunk)];
+    let message = recvmsg::<()>(from, &mut parts, Some(&mut space), MsgFlags::MSG_CMSG_CLOEXEC)?;
+    for control in message.cmsgs()? {
+        if let ControlMessageOwned::ScmRights(raw) = control {
+            // SAFETY: the kernel has just made these for us, and nobody else knows of them.
+            sockets.extend(raw.into_iter().map(|fd| unsafe { OwnedFd::from_raw_fd(fd) }));
+        }
+    }
+    let many = message.bytes;
+    buffer.extend_from_slice(&chunk[..many]);
+    Ok(many)
+}
+
+fn send(to: RawFd, line: &[u8], sockets: &[OwnedFd]) -> io::Result<usize> {
+    let raw: Vec<RawFd> = sockets.iter().map(AsRawFd::as_raw_fd).collect();
+    let rights = [ControlMessage::ScmRights(&raw)];
+    Ok(sendmsg::<()>(to, &[IoSlice::new(line)], &rights, MsgFlags::empty(), None)?)
 }
 
 /// Where the process that serves at this address waits for its successor; none without `$TMPDIR`.
@@ -178,51 +250,16 @@
 }
 
 async fn ask(place: &Path) -> io::Result<Predecessor> {
-    let stream = UnixStream::connect(place).await?;
-    let mut hello = serde_json::to_vec(&Message::Hello(VERSION))?;
-    hello.push(b'\n');
-    let mut sent = &hello[..];
-    while !sent.is_empty() {
-        stream.writable().await?;
-        match stream.try_write(sent) {
-            Ok(many) => sent = &sent[many..],
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-            Err(e) => return Err(e),
-        }
-    }
-    let sockets = stream.async_io(Interest::READABLE, || receive(stream.as_raw_fd())).await?;
-    let (half, writer) = stream.into_split();
-    let mut reader = Reader { half, buffer: BytesMut::new() };
+    let (half, mut writer) = UnixStream::connect(place).await?.into_split();
+    let mut reader = Reader::new(half);
+    write(&mut writer, &Message::Hello(VERSION), &[]).await?;
     match reader.next().await? {
-        Message::Handed(handed) => Ok(Predecessor { sockets, handed: *handed, reader, writer }),
-        _ => Err(io::Error::other("it hands nothing over")),
-    }
-}
-
-/// Sockets travel beside one byte of their own.
-const SOCKETS_MOST: usize = 4;
-
-fn receive(from: RawFd) -> io::Result<Vec<OwnedFd>> {
-    let (mut byte, mut space) = ([0], nix::cmsg_space!([RawFd; SOCKETS_MOST]));
-    let mut parts = [IoSliceMut::new(&mut byte)];
-    let message = recvmsg::<()>(from, &mut parts, Some(&mut space), MsgFlags::MSG_CMSG_CLOEXEC)?;
-    if message.bytes == 0 {
-        return Err(io::ErrorKind::UnexpectedEof.into());
-    }
-    let mut sockets = Vec::new();
-    for control in message.cmsgs()? {
-        if let ControlMessageOwned::ScmRights(raw) = control {
-            // SAFETY: the kernel has just made these for us, and nobody else knows of them.
-            sockets.extend(raw.into_iter().map(|fd| unsafe { OwnedFd::from_raw_fd(fd) }));
+        Message::Handed(handed, many) => {
+            let sockets = (0..many).map(|_| reader.socket()).collect::<io::Result<_>>()?;
+            Ok(Predecessor { sockets, handed: *handed, reader, writer })
         }
+        _ => Err(io::Error::other("it hands nothing over")),
     }
-    Ok(sockets)
-}
-
-fn send(to: RawFd, sockets: &[RawFd]) -> io::Result<()> {
-    let rights = [ControlMessage::ScmRights(sockets)];
-    sendmsg::<()>(to, &[IoSlice::new(b"s")], &rights, MsgFlags::empty(), None)?;
-    Ok(())
 }
 
 impl Predecessor {
@@ -240,9 +277,9 @@
     mut writer: OwnedWriteHalf,
     happenings: Happenings,
 ) -> Rc<Link> {
-    let (out, mut outs) = mpsc::unbounded_channel();
-    let link = Rc::new(Link::new(side, number, out.clone()));
-    let hears = link.clone();
+    let (out, mut outs) = mpsc::unbounded_channel::<Parted>();
+    let link = Rc::new(Link::new(side, number, out));
+    let (hears, told) = (link.clone(), link.clone());
     actix_rt::spawn(async move {
         let hear = async {
             loop {
@@ -254,24 +291,33 @@
                         continue;
                     }
                     Ok(Message::News(number, body)) => {
-                        let ((tell, told), out) = (oneshot::channel(), out.clone());
+                        let ((tell, told), hears) = (oneshot::channel(), hears.clone());
                         actix_rt::spawn(async move {
                             let held = told.await.unwrap_or(false);
-                            let _ = out.send(Message::Heard(number, held));
+                            hears.send(Message::Heard(number, held), Vec::new());
                         });
                         Said::News(body, tell)
                     }
-                    Ok(Message::Hello(_) | Message::Handed(_)) => return "out of turn".to_owned(),
+                    Ok(Message::Guest) => match reader.socket() {
+                        Ok(socket) => Said::Guest(socket),
+                        Err(e) => return e.to_string(),
+                    },
+                    Ok(Message::Job(job)) => match reader.socket() {
+                        Ok(socket) => Said::Job(job, socket),
+                        Err(e) => return e.to_string(),
+                    },
+                    Ok(Message::Hello(_) | Message::Handed(..)) => return "out of turn".to_owned(),
                     Err(e) => return e.to_string(),
                 };
                 let _ = happenings.send(Happening::Said(side, number, said));
             }
         };
         let tell = async {
-            while let Some(message) = outs.recv().await {
-                if let Err(e) = write(&mut writer, &message).await {
+            while let Some((message, sockets)) = outs.recv().await {
+                if let Err(e) = write(&mut writer, &message, &sockets).await {
                     return e.to_string();
                 }
+                told.unwritten.set(told.unwritten.get() - 1);
             }
             String::new()
         };
@@ -281,6 +327,7 @@
             if side == Side::Before { "before" } else { "after" }
         );
         hears.asked.borrow_mut().clear();
+        hears.unwritten.set(0);
         let _ = happenings.send(Happening::Said(side, number, Said::Ended));
     });
     link
@@ -351,7 +398,7 @@
         return Err(io::Error::other(format!("user {theirs} asks")));
     }
     let (half, mut writer) = stream.into_split();
-    let mut reader = Reader { half, buffer: BytesMut::new() };
+    let mut reader = Reader::new(half);
     match reader.next().await? {
         Message::Hello(VERSION) => {}
         Message::Hello(other) => return Err(io::Error::other(format!("version {other} of the link"))),
@@ -360,9 +407,6 @@
     let (tell, told) = oneshot::channel();
     let _ = happenings.send(Happening::Handing(tell));
     let handed = told.await.map_err(io::Error::other)?;
-    let raw: Vec<RawFd> = sockets.iter().map(AsRawFd::as_raw_fd).collect();
-    let socket: &UnixStream = writer.as_ref();
-    socket.async_io(Interest::WRITABLE, || send(socket.as_raw_fd(), &raw)).await?;
-    write(&mut writer, &Message::Handed(Box::new(handed))).await?;
+    write(&mut writer, &Message::Handed(Box::new(handed), sockets.len()), sockets).await?;
     Ok(join(Side::After, number, reader, writer, happenings.clone()))
 }
--- a/crates/coveroute-node/src/server.rs
+++ b/crates/coveroute-node/src/server.rs
@@ -1,7 +1,7 @@
 //! The door: accepts clients' and executors' connections, within a bound, and serves each by actix-http.
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::os::fd::AsRawFd;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,11 +13,12 @@
 use coveroute::types::InvId;
 use coveroute_engine::{Phase, Verdict, Watched};
 use log::{debug, warn};
-use tokio::sync::{oneshot, Notify};
+use tokio::io::AsyncWriteExt;
+use tokio::sync::{mpsc, oneshot, Notify};
 
 use crate::clock::Clock;
 use crate::driver::{Happening, Happenings};
-use crate::guest::{Claim, Doing, Guest, Stream};
+use crate::guest::{Claim, Doing, Guest, Guests, Stream};
 use crate::hosts::Hosts;
 use crate::phase::Life;
 use crate::relay::Answer;
@@ -41,8 +42,7 @@
     clock: Clock,
     life: Rc<Life>,
     happenings: Happenings,
-    next: Cell<InvId>,
-    guests: RefCell<BTreeMap<SocketAddr, Rc<Guest>>>,
+    guests: Guests,
     /// Connections that wait for an answer, and connections beyond those, idle or only answered.
     most: usize,
     beyond: usize,
@@ -52,8 +52,12 @@
 
 impl Door {
     pub fn new(clock: Clock, life: Rc<Life>, happenings: Happenings, (most, beyond): (usize, usize)) -> Self {
-        let (next, guests, left) = (Cell::new(0), RefCell::default(), Notify::new());
-        Door { clock, life, happenings, next, guests, most, beyond, left }
+        let (guests, left) = (Guests::default(), Notify::new());
+        Door { clock, life, happenings, guests, most, beyond, left }
+    }
+
+    pub fn guests(&self) -> Guests {
+        self.guests.clone()
     }
 
     fn close(&self, which: impl Fn(&Guest) -> bool) {
@@ -85,6 +89,19 @@
         }
     }
 
+    /// The next connection, while they are taken here.
+    async fn accepts(&self, listener: &TcpListener) -> std::io::Result<(TcpStream, SocketAddr)> {
+        loop {
+            self.life.until_takes(true).await;
+            self.place().await;
+            tokio::select! {
+                biased;
+                () = self.life.until_takes(false) => {}
+                accepted = listener.accept() => return accepted,
+            }
+        }
+    }
+
     async fn serve(self: Rc<Self>, request: Request) -> Response<BoxBody> {
         let guest = request.peer_addr().and_then(|peer| self.guests.borrow().get(&peer).cloned());
         let (answer, next) = self.answer(request, guest.as_deref()).await;
@@ -100,8 +117,8 @@
     pub fn keeps(&self, answer: &Answer) -> bool {
         match self.life.phase() {
             _ if matches!(answer, Answer::Unfit(..)) => false,
-            // Its clients come to the process after this one.
-            _ if !self.life.takes() => false,
+            // It goes to the process after this one.
+            _ if !self.life.takes() => true,
             Phase::Starting | Phase::Serving | Phase::Reloading => true,
             Phase::Leaving => !matches!(answer, Answer::Throttled { pause } if *pause <= 0.0),
             Phase::Closing | Phase::Ended => false,
@@ -121,7 +138,7 @@
                 match take_in::job(request, came).await {
                     Ok(job) => {
                         guest.iter().for_each(|guest| guest.waits());
-                        return self.job(job).await;
+                        return self.job(job, guest).await;
                     }
                     Err(unfit) => {
                         if !matches!(unfit, Answer::Unfit(_, take_in::BROKE_OFF)) {
@@ -190,15 +207,15 @@
         }
     }
 
-    async fn job(&self, job: take_in::Job) -> (Answer, Next) {
+    async fn job(&self, job: take_in::Job, guest: Option<&Guest>) -> (Answer, Next) {
         let _held = self.life.hold();
         let waits = |guest: &&Rc<Guest>| guest.doing() == Doing::Waiting;
         if self.guests.borrow().values().filter(waits).count() > self.life.part(self.most) {
             let _ = self.happenings.send(Happening::Ended(job.call.class, Verdict::Throttled));
             return (Answer::Throttled { pause: CROWDED_FOR.min(self.life.max_pause()) }, Next::Closes);
         }
-        let id = self.next.get();
-        self.next.set(id.wrapping_add(1));
+        let id = self.life.next_id();
+        guest.iter().for_each(|guest| guest.waits_for(id));
         let (answer, answered) = oneshot::channel();
         let _ = self.happenings.send(Happening::Taken(id, Box::new(job), answer));
         // Dropped with this future, when the client has closed the connection.
@@ -225,7 +242,7 @@
 }
 
 /// Accepts connections until the node's life ends.
-pub async fn accept(listener: TcpListener, door: Rc<Door>) {
+pub async fn accept(listener: TcpListener, door: Rc<Door>, mut comes: mpsc::UnboundedReceiver<Comes>) {
     let serve = door.clone();
     let service = HttpService::build()
         // What stands idle is closed here, by the bound; a library's time-out might cross a request.
@@ -243,13 +260,14 @@
     let Ok(service) = service.await else { return };
     let service = Rc::new(service);
     loop {
-        door.life.until_takes(true).await;
-        door.place().await;
         let accepted = tokio::select! {
             // First: what comes once a successor takes connections is its.
             biased;
-            () = door.life.until_takes(false) => continue,
-            accepted = listener.accept() => accepted,
+            Some(come) = comes.recv() => {
+                come.welcome(&door, &service);
+                continue;
+            }
+            accepted = door.accepts(&listener) => accepted,
         };
         match accepted {
             Ok((socket, peer)) => {
@@ -264,12 +282,88 @@
     }
 }
 
+/// A connection that comes from the process before.
+pub enum Comes {
+    Idle(TcpStream),
+    /// Its client waits for this job.
+    Waiting(TcpStream, InvId, oneshot::Receiver<Answer>),
+}
+
+impl Comes {
+    fn welcome<S>(self, door: &Rc<Door>, service: &Rc<S>)
+    where
+        S: Service<(Stream, Option<SocketAddr>), Response = ()> + 'static,
+        S::Error: std::fmt::Debug,
+    {
+        let (socket, job) = match self {
+            Comes::Idle(socket) => (socket, None),
+            Comes::Waiting(socket, id, answered) => (socket, Some((id, answered))),
+        };
+        match (socket.peer_addr(), job) {
+            (Ok(peer), None) => welcome(door, service, socket, peer),
+            (Ok(peer), Some((id, answered))) => {
+                let (door, service) = (door.clone(), service.clone());
+                actix_rt::spawn(async move {
+                    if let Some(socket) = door.attend(socket, peer, id, answered).await {
+                        welcome(&door, &service, socket, peer);
+                    }
+                });
+            }
+            // It has gone on its way here.
+            (Err(_), Some((id, _))) => drop(door.happenings.send(Happening::Left(id))),
+            (Err(_), None) => {}
+        }
+    }
+}
+
+impl Door {
+    /// Waits for a job's answer and writes it; the connection, if it may be used again.
+    async fn attend(
+        &self,
+        mut socket: TcpStream,
+        peer: SocketAddr,
+        id: InvId,
+        answered: oneshot::Receiver<Answer>,
+    ) -> Option<TcpStream> {
+        let (_held, guest) = (self.life.hold(), Rc::new(Guest::new(socket.as_raw_fd())));
+        guest.waits();
+        guest.waits_for(id);
+        let mine = guest.clone();
+        self.guests.borrow_mut().insert(peer, guest);
+        let mut visit = Visit { id, happenings: &self.happenings, over: false };
+        let answer = tokio::select! {
+            biased;
+            answer = answered => Some(answer.unwrap_or(Answer::Errored)),
+            () = mine.close.notified() => None,
+            () = gone(&socket) => None,
+        };
+        let kept = match answer {
+            Some(answer) => {
+                visit.over = true;
+                let keep = self.keeps(&answer);
+                socket.write_all(&answer.bytes(keep)).await.is_ok() && keep
+            }
+            None => false,
+        };
+        self.guests.borrow_mut().remove(&peer);
+        self.left.notify_one();
+        kept.then_some(socket)
+    }
+}
+
+/// Until the client has closed; one that says more meanwhile has not.
+async fn gone(socket: &TcpStream) {
+    if let Ok(1..) = socket.peek(&mut [0]).await {
+        std::future::pending().await
+    }
+}
+
 fn welcome<S>(door: &Rc<Door>, service: &Rc<S>, socket: TcpStream, peer: SocketAddr)
 where
     S: Service<(Stream, Option<SocketAddr>), Response = ()> + 'static,
     S::Error: std::fmt::Debug,
 {
-    let guest = Rc::new(Guest::new());
+    let guest = Rc::new(Guest::new(socket.as_raw_fd()));
     door.guests.borrow_mut().insert(peer, guest.clone());
     let stream = Stream { socket, guest: guest.clone() };
     let (door, serving) = (door.clone(), service.call((stream, Some(peer))));
--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -380,7 +380,7 @@
         actix_rt::spawn(server::sweep(door.clone()));
         let listener = actix_rt::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let addr = listener.local_addr().expect("an address");
-        actix_rt::spawn(server::accept(listener, door));
+        actix_rt::spawn(server::accept(listener, door, unbounded_channel().1));
         let made = actix_rt::task::spawn_blocking(move || client(addr)).await.expect("a client");
         let taken = |what: &Happening| matches!(what, Happening::Taken(..));
         (made, std::iter::from_fn(|| happens.try_recv().ok()).filter(taken).count())
@@ -602,7 +602,7 @@
             Driver::new(config, clock, life.clone(), links, Others::default(), happenings).expect("a driver");
         let listener = actix_rt::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let addr = listener.local_addr().expect("an address");
-        actix_rt::spawn(server::accept(listener, door));
+        actix_rt::spawn(server::accept(listener, door, unbounded_channel().1));
         let request = format!(
             "{method} /discovery/hosts HTTP/1.1\r\nHost: n\r\nContent-Length: {}\r\n\r\n{list}",
             list.len()
--- a/crates/coveroute-node/tests/replace.rs
+++ b/crates/coveroute-node/tests/replace.rs
@@ -66,7 +66,8 @@
             let answer =
                 if head[0].starts_with("POST") { ("202 Accepted", "") } else { ("200 OK", "{\"x0\":8}") };
             let (status, text) = answer;
-            let _ = write!(answers, "HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{text}", text.len());
+            let answer = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{text}", text.len());
+            let _ = answers.write_all(answer.as_bytes()); // In one piece: a second one would wait for the first.
             if head[0].starts_with("POST") {
                 ran.fetch_add(1, Ordering::Relaxed);
                 let id = head
@@ -352,3 +353,50 @@
     answered(load(&world, "a", 5, 50));
     answered(load(&world, "b", 5, 50));
 }
+
+// Guards against jobs that are cut when a process stops: they go on in the next one, with their clients.
+#[test]
+fn jobs_and_connections_go_on_in_the_next_process() {
+    let world = World::new();
+    let mut old = world.replaceable();
+    let mut kept = TcpStream::connect(world.node).expect("a connection");
+    let ask = |kept: &mut TcpStream, id: &str| {
+        let text = format!(
+            "POST /pay HTTP/1.1\r\nHost: b\r\nX-Call-Id: {id}\r\nX-Budget-Ms: 9000\r\nContent-Length: 2\r\n\r\n10"
+        );
+        kept.write_all(text.as_bytes()).expect("written");
+        let (_, body) =
+            read_message(&mut BufReader::new(kept.try_clone().expect("a stream"))).expect("an answer");
+        assert_eq!(String::from_utf8_lossy(&body), format!("r-{id}"));
+    };
+    ask(&mut kept, "first");
+    let long = load(&world, "long", 3, 4500); // Longer than a process that is told to stop may stay.
+    thread::sleep(Duration::from_millis(200));
+    let _new = world.replaceable();
+    old.signal("-TERM");
+    let begun = Instant::now();
+    assert!(old.ends() && begun.elapsed() < Duration::from_secs(1), "{:?}: {}", begun.elapsed(), world.log());
+    ask(&mut kept, "second"); // On the connection that the old process had.
+    answered(long);
+    assert_eq!(world.ran.load(Ordering::Relaxed), 5, "none ran twice");
+}
+
+#[test]
+fn a_client_that_leaves_after_its_job_has_moved_is_noticed() {
+    let world = World::new();
+    let _old = world.replaceable();
+    let mut client = TcpStream::connect(world.node).expect("a connection");
+    let text =
+        "POST /pay HTTP/1.1\r\nHost: b\r\nX-Call-Id: 1\r\nX-Budget-Ms: 9000\r\nContent-Length: 4\r\n\r\n8000";
+    client.write_all(text.as_bytes()).expect("written");
+    until(|| world.ran.load(Ordering::Relaxed) == 1);
+    let new = world.replaceable();
+    let outstanding = || {
+        let (_, body) = call(new.door, "GET /v1/metrics HTTP/1.1\r\nHost: n\r\n\r\n").expect("figures");
+        let told = String::from_utf8_lossy(&body).into_owned();
+        told.contains("\"outstanding\":1")
+    };
+    until(outstanding);
+    drop(client);
+    until(|| !outstanding());
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,5 +3,6 @@
 mod adopt;
 pub mod chance;
 pub mod learnt;
+mod parcel;
 pub mod policy;
 pub mod types;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -5,7 +5,7 @@
 use crate::types::*;
 
 const SOLVE: u64 = 0; // Timers: the solve,
-const LOOK: u64 = 1; // another look at what waits,
+pub const LOOK: u64 = 1; // another look at what waits,
 const ASK: u64 = 2; // asking again for the list.
 
 /// State, input, next state, effect. What is not listed changes nothing: late, double or unknown events.
--- a/src/types.rs
+++ b/src/types.rs
@@ -2,6 +2,8 @@
 //! decision stands here.
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Serialize};
+
 use crate::chance::Chance;
 
 /// An invocation's id, as the protocol gave it.
@@ -10,7 +12,7 @@
 pub type Tgt = usize;
 
 /// How far an operation's effect may be repeated.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
 pub enum Effect {
     Idempotent,
     Deduplicated { group: Group, window: f64 },
@@ -18,14 +20,14 @@
 }
 
 /// The executors that drop each other's repeats.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
 pub enum Group {
     All,
     Zone,
     Cell,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct Operation {
     pub effect: Effect,
     /// Latency objective: this long plus `stretch` times the invocation's own running time.
@@ -280,7 +282,7 @@
 
 /// Where an invocation stands. `Suspect`: nothing is out, but an earlier forward may have run.
 /// `Again`: out, and an earlier forward may have run or is out too.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize, Serialize)]
 pub enum Life {
     #[default]
     Waiting,
@@ -310,14 +312,14 @@
     Answer,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
 pub enum Fate {
     Out,
     NotRun,
     MayHaveRun,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Fwd {
     pub tgt: Tgt,
     pub sent: f64,
@@ -332,7 +334,7 @@
 /// `aim`, given up while it waits after `until`, client timeout at `end`; it crosses zones from `cross` on.
 /// `load`: how long it keeps an ordinary slot busy. `press`: its place in the queue.
 /// `sample`: executors drawn for it; drawn anew from `again` on, `gap` after the last draw.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct Inv {
     pub op: usize,
     pub life: Life,
