--- a/crates/coveroute-engine/src/engine.rs
+++ b/crates/coveroute-engine/src/engine.rs
@@ -423,7 +423,7 @@
             (self.operations.timeout(inv.op), entry.kind.and_then(|kind| self.fleet.kind(kind)));
         let kind = kind.cloned();
         let parcel = Parcel { call, operation, entry, timeout, kind, end, inv, forwards };
-        if parcel.inv.forwards.len() != parcel.forwards.len() || !parcel.travels() {
+        if !parcel.is_sound() || !parcel.travels() {
             self.route.decide_mut().take_in(id, parcel.inv);
             return None;
         }
--- a/crates/coveroute-engine/src/parcel.rs
+++ b/crates/coveroute-engine/src/parcel.rs
@@ -21,6 +21,11 @@
 }
 
 impl Parcel {
+    /// Whether it is of one piece. Guards against a link that says what no engine has parted with.
+    pub fn is_sound(&self) -> bool {
+        self.inv.forwards.len() == self.forwards.len() && self.timeout > 0.0
+    }
+
     /// Whether it comes out of its words as it went in. Guards against a figure that they can't hold: the job stays.
     pub fn travels(&self) -> bool {
         let words = serde_json::to_vec(self);
--- a/crates/coveroute-node/src/driver.rs
+++ b/crates/coveroute-node/src/driver.rs
@@ -434,7 +434,8 @@
 
     /// Goes on with a job of the process before.
     fn take_in(&mut self, handed: HandedJob, socket: OwnedFd) {
-        let Some(job) = handed.job() else { return error!("a job of the process before can't be read") };
+        let job = handed.job().filter(|_| handed.parcel.is_sound());
+        let Some(job) = job else { return error!("a job of the process before can't be read") };
         let (id, (answer, answered)) = (self.life.next_id(), oneshot::channel());
         self.held.insert(id, Held { job: Rc::new(job), answer });
         self.come(socket, |stream| Comes::Waiting(stream, id, answered));
