Emulator rehearses replacements and new settings; figures held against clients'

On loopback nodes-replace starts a second process beside each node's, waits for its yes, stops the old one, kills it at 3.7 s; nodes-retune sends a file that is cut off, then one with the operations in another order, shorter objectives and one forward less, and wants one file counted each way. After each loopback run the figures of nodes that had one process are held against the answers that clients read: an independent count, under resets, departures and hand-backs, in the short rehearsal as well. Turned down: replacing engines in virtual time. Forwards that are not acknowledged stay with the old engine, so a host there would need two engines a node; virtual time refuses such a scenario in one line. It showed a fault of its own while it was written: both files stood on disk before the first signal, and two were counted as applied.

--- a/crates/coveroute-emu/src/loopback.rs
+++ b/crates/coveroute-emu/src/loopback.rs
@@ -43,6 +43,8 @@
 const QUIET_LINE: Duration = Duration::from_secs(2);
 /// Nodes have this long to be up.
 const UP_WITHIN: Duration = Duration::from_secs(20);
+/// A new process is ready within this.
+const READY_WITHIN: Duration = Duration::from_secs(6);
 /// A node that was asked to stop is killed after this.
 const KILLED_AFTER: Duration = Duration::from_millis(3700);
 
@@ -62,6 +64,9 @@
     pub late: f64,
 }
 
+/// Answers that clients had of a node, by operation: served, refused, failed.
+type Answers = BTreeMap<(NodeId, String), [u64; 3]>;
+
 type Pending = HashMap<(WorkerId, TryId), oneshot::Sender<Ack>>;
 
 /// What a worker answers to a job.
@@ -74,6 +79,8 @@
 
 struct Process {
     pid: i32,
+    /// Its operators' door.
+    door: SocketAddr,
     /// Told to end: its end is no crash.
     ordered: bool,
 }
@@ -90,6 +97,11 @@
     watches: RefCell<BTreeMap<(NodeId, u64), mpsc::UnboundedSender<Bytes>>>,
     watch: Cell<u64>,
     processes: RefCell<Vec<Option<Process>>>,
+    /// Processes that have been started, of all nodes.
+    started: Cell<u16>,
+    answers: RefCell<Answers>,
+    /// Nodes that have had one process alone: its figures are all of the node's.
+    single: RefCell<Vec<bool>>,
     lives: Vec<Notify>,
     stir: Notify,
     options: Options,
@@ -106,6 +118,11 @@
     ([127, block, 254 - (node >> 8) as u8, node as u8], 9100).into()
 }
 
+/// Each process has an operators' door of its own.
+fn door_addr(block: u8, node: NodeId, started: u16) -> SocketAddr {
+    ([127, block, 254 - (node >> 8) as u8, node as u8], 12_000 + started % 20_000).into()
+}
+
 fn list_addr(block: u8, node: NodeId) -> SocketAddr {
     ([127, block, 254 - (node >> 8) as u8, node as u8], 8500).into()
 }
@@ -148,6 +165,9 @@
         watches: RefCell::default(),
         watch: Cell::new(0),
         processes: RefCell::new((0..nodes).map(|_| None).collect()),
+        started: Cell::new(0),
+        answers: RefCell::default(),
+        single: RefCell::new(vec![true; nodes]),
         lives: (0..workers).map(|_| Notify::new()).collect(),
         stir: Notify::new(),
         options,
@@ -200,7 +220,10 @@
     }
     for node in 0..nodes {
         stage.measure(node);
+        let untrue = stage.untrue(node).await;
+        stage.fault.borrow_mut().get_or_insert_with(String::new).push_str(&untrue);
     }
+    stage.fault.borrow_mut().take_if(|words| words.is_empty());
     stage.end_all();
     let fault = stage.fault.borrow_mut().take();
     fault.map_or_else(|| Ok((stage.world.borrow_mut().result(), stage.machines.get())), Err)
@@ -282,6 +305,19 @@
         }
     }
 
+    /// What the client was told, for the figures to be held against.
+    fn count(&self, node: NodeId, tri: TryId, answer: Final) {
+        let world = self.world.borrow();
+        let operation = world.scenario.operations[world.clients.ask_of(tri).op].name.clone();
+        let mut answers = self.answers.borrow_mut();
+        let seen = answers.entry((node, operation)).or_default();
+        match answer {
+            Final::Served => seen[0] += 1,
+            Final::Refused => seen[1] += 1,
+            Final::Failed | Final::Unfit => seen[2] += 1,
+        }
+    }
+
     // Nodes as processes.
 
     fn start(self: &Rc<Self>, node: NodeId) {
@@ -295,28 +331,47 @@
 
     fn begin(self: &Rc<Self>, node: NodeId) -> Result<(), String> {
         let now = self.now();
-        let (config, sockets) = {
+        let known = {
             let mut world = self.world.borrow_mut();
             let known = world.known(node);
             world.node_began(node);
             world.listed(now, node, &Listing { full: false, ..known.clone() });
-            let (zone, scenario) = (world.nodes[node].zone.clone(), &world.scenario);
-            let all = 0..scenario.nodes.count.0;
-            let peers: Vec<String> = all.map(|node| node_addr(self.block, node).to_string()).collect();
-            let config = json!({
-                "name": format!("n{node}"),
-                "peers": scenario.platform.peers.then_some(peers),
-                "listen": node_addr(self.block, node).to_string(),
-                "discovery": list_addr(self.block, node).to_string(),
-                "seed": format!("{:x}", world.seed.wrapping_mul(7919).wrapping_add(node as u64) & 0xffff_ffff),
-                "limits": { "cores": 1.0, "memory_mb": scenario.nodes.memory_mb.0, "sockets": scenario.nodes.sockets.0 },
-                "known": settings::hosts(&known, self.base),
-                "settings": settings::settings(scenario, node, &zone),
-            });
-            (config, scenario.nodes.sockets.0)
+            known
         };
-        let path = self.dir.join(format!("n{node}.json"));
-        std::fs::write(&path, config.to_string()).map_err(|e| format!("{}: {e}", path.display()))?;
+        self.configure(node, &known, false)?;
+        let process = self.spawn(node)?;
+        let pid = process.pid;
+        self.processes.borrow_mut()[node] = Some(process);
+        spawn_local(wait_up(self.clone(), node, pid));
+        Ok(())
+    }
+
+    fn file(&self, node: NodeId) -> PathBuf {
+        self.dir.join(format!("n{node}.json"))
+    }
+
+    /// Writes the node's configuration: as at the start, or with other settings.
+    fn configure(&self, node: NodeId, known: &Listing, anew: bool) -> Result<(), String> {
+        let world = self.world.borrow();
+        let (zone, scenario) = (world.nodes[node].zone.clone(), &world.scenario);
+        let all = 0..scenario.nodes.count.0;
+        let peers: Vec<String> = all.map(|node| node_addr(self.block, node).to_string()).collect();
+        let config = json!({
+            "name": format!("n{node}"),
+            "peers": scenario.platform.peers.then_some(peers),
+            "listen": node_addr(self.block, node).to_string(),
+            "discovery": list_addr(self.block, node).to_string(),
+            "seed": format!("{:x}", world.seed.wrapping_mul(7919).wrapping_add(node as u64) & 0xffff_ffff),
+            "limits": { "cores": 1.0, "memory_mb": scenario.nodes.memory_mb.0, "sockets": scenario.nodes.sockets.0 },
+            "known": settings::hosts(known, self.base),
+            "settings": settings::retuned(scenario, node, &zone, anew),
+        });
+        let path = self.file(node);
+        std::fs::write(&path, config.to_string()).map_err(|e| format!("{}: {e}", path.display()))
+    }
+
+    fn spawn(self: &Rc<Self>, node: NodeId) -> Result<Process, String> {
+        let sockets = self.world.borrow().scenario.nodes.sockets.0;
         let log = match &self.options.logs {
             None => Stdio::null(),
             Some(dir) => {
@@ -325,27 +380,113 @@
                 opened.map_err(|e| format!("{}: {e}", path.display()))?.into()
             }
         };
+        let (folder, started) = (self.dir.join(format!("t{node}")), self.started.get());
+        std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+        self.started.set(started.wrapping_add(1));
+        let door = door_addr(self.block, node, started);
         let run = format!("ulimit -n {sockets}; exec \"$0\" serve --config \"$1\"");
         let mut command = tokio::process::Command::new("/bin/sh");
-        command.arg("-c").arg(run).arg(&self.options.node).arg(&path);
+        command.arg("-c").arg(run).arg(&self.options.node).arg(self.file(node));
         command.env_remove("BALANCER_LISTEN").env_remove("BALANCER_DISCOVERY").env_remove("BALANCER_CONFIG");
+        command.env("BALANCER_MANAGEMENT", door.to_string()).env("TMPDIR", folder);
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).kill_on_drop(true);
         let mut child = command.spawn().map_err(|e| format!("{}: {e}", self.options.node.display()))?;
         let pid = child.id().map_or(0, |pid| pid as i32);
-        self.processes.borrow_mut()[node] = Some(Process { pid, ordered: false });
         let stage = self.clone();
         spawn_local(async move {
             let ended = child.wait().await;
             stage.gone(node, pid, ended.is_ok_and(|status| status.success()));
         });
-        spawn_local(wait_up(self.clone(), node, pid));
-        Ok(())
+        Ok(Process { pid, door, ordered: false })
+    }
+
+    fn fails(&self, words: String) {
+        self.fault.borrow_mut().get_or_insert(words);
+        self.stir.notify_one();
+    }
+
+    /// Starts a process beside the node's; once it is ready the old one is stopped, and killed in time.
+    async fn replace(self: Rc<Self>, node: NodeId) {
+        let Some(old) = self.processes.borrow()[node].as_ref().map(|process| process.pid) else { return };
+        self.single.borrow_mut()[node] = false;
+        let new = match self.spawn(node) {
+            Ok(new) => new,
+            Err(words) => return self.fails(words),
+        };
+        let ready = timeout(READY_WITHIN, async {
+            while ask(new.door, "/v1/readyz").await.is_none_or(|answer| answer.0 != 200) {
+                sleep(Duration::from_millis(20)).await;
+            }
+        });
+        if ready.await.is_err() {
+            return self.fails(format!("node {node}: its new process is not ready in time"));
+        }
+        self.processes.borrow_mut()[node] = Some(new);
+        let _ = kill(Pid::from_raw(old), Signal::SIGTERM);
+        sleep(KILLED_AFTER).await;
+        // Gone by now, unless it hangs: then nothing answers to this number any more.
+        let _ = kill(Pid::from_raw(old), Signal::SIGKILL);
+    }
+
+    /// Sends a file that is cut off, then a fit one with other settings; the figures must tell of both.
+    async fn retune(self: Rc<Self>, node: NodeId) {
+        let Some((pid, door)) = self.processes.borrow()[node].as_ref().map(|p| (p.pid, p.door)) else {
+            return;
+        };
+        let known = self.world.borrow().known(node);
+        let path = self.file(node);
+        let cut = || std::fs::read(&path).and_then(|text| std::fs::write(&path, &text[..text.len() / 2]));
+        for fit in [false, true] {
+            let written =
+                if fit { self.configure(node, &known, true) } else { cut().map_err(|e| e.to_string()) };
+            if let Err(words) = written {
+                return self.fails(words);
+            }
+            let _ = kill(Pid::from_raw(pid), Signal::SIGHUP);
+            sleep(Duration::from_millis(300)).await;
+        }
+        let told = ask(door, "/v1/metrics").await.map(|(_, body)| body).unwrap_or_default();
+        if told["sighup_applied"].as_u64() < Some(1) || told["sighup_rejected"].as_u64() < Some(1) {
+            self.fails(format!("node {node}: new settings were not taken over, or a cut file was: {told}"));
+        }
+    }
+
+    /// Where the node's figures are not what its clients saw.
+    async fn untrue(&self, node: NodeId) -> String {
+        if !self.single.borrow()[node] {
+            return String::new();
+        }
+        let Some(door) = self.processes.borrow()[node].as_ref().map(|process| process.door) else {
+            return String::new();
+        };
+        let Some((200, told)) = ask(door, "/v1/metrics").await else {
+            return format!("node {node} shows no figures. ");
+        };
+        let mut untrue = String::new();
+        for ((_, operation), seen) in self.answers.borrow().iter().filter(|answers| answers.0 .0 == node) {
+            let results = &told["results"][operation];
+            for (name, seen) in ["succeeded", "declined", "aborted"].iter().zip(seen) {
+                let shown = results[name].as_u64().unwrap_or(u64::MAX);
+                // What a client leaves may stand under any count: those that leave do so in some hundred.
+                if shown.abs_diff(*seen) > 3.max(seen / 50) {
+                    untrue +=
+                        &format!("node {node} shows {shown} {name} of {operation}, clients saw {seen}. ");
+                }
+            }
+        }
+        untrue
     }
 
     /// Its process has ended.
     fn gone(self: &Rc<Self>, node: NodeId, pid: i32, well: bool) {
         let process = self.processes.borrow_mut()[node].take_if(|process| process.pid == pid);
-        let Some(process) = process else { return };
+        let Some(process) = process else {
+            // Another process has its place, or will have.
+            if !well {
+                self.fails(format!("node {node}: a process that was replaced failed"));
+            }
+            return;
+        };
         if !process.ordered {
             *self.fault.borrow_mut() = Some(format!("node {node} has ended by itself, well: {well}"));
         }
@@ -364,7 +505,10 @@
             Order::Kill => Signal::SIGKILL,
             Order::Stop => Signal::SIGTERM,
             Order::Reload => Signal::SIGHUP,
+            Order::Retune => return drop(spawn_local(self.clone().retune(node))),
+            Order::Replace => return drop(spawn_local(self.clone().replace(node))),
         };
+        self.single.borrow_mut()[node] &= order == Order::Reload;
         self.measure(node);
         let now = self.now();
         let Some(pid) = self.processes.borrow_mut()[node].as_mut().map(|process| {
@@ -386,7 +530,7 @@
                     }
                 });
             }
-            Order::Start | Order::Reload => {}
+            Order::Start | Order::Reload | Order::Retune | Order::Replace => {}
         }
         let _ = kill(Pid::from_raw(pid), signal);
     }
@@ -453,6 +597,16 @@
     Ok(sender)
 }
 
+/// A call at an operators' door: the status, and what it tells.
+async fn ask(door: SocketAddr, path: &str) -> Option<(u16, Value)> {
+    let mut sender = dial(door).await.ok()?;
+    let request = Request::get(path).header("host", "n").body(Full::default()).ok()?;
+    let answer = timeout(Duration::from_secs(1), sender.send_request(request)).await.ok()?.ok()?;
+    let status = answer.status().as_u16();
+    let body = answer.into_body().collect().await.ok()?.to_bytes();
+    Some((status, serde_json::from_slice(&body).unwrap_or_default()))
+}
+
 // Clients.
 
 fn request(stage: &Stage, tri: TryId) -> Option<Request<Full<Bytes>>> {
@@ -520,6 +674,7 @@
                     400..=499 => Final::Unfit,
                     _ => Final::Failed,
                 };
+                stage.count(node, tri, answer);
                 stage.world.borrow_mut().answered(now, tri, answer, pause);
                 if !sender.is_closed() {
                     stage.idle.borrow_mut()[node].push(sender);
--- a/crates/coveroute-emu/src/prove.rs
+++ b/crates/coveroute-emu/src/prove.rs
@@ -34,7 +34,7 @@
     }
 }
 
-pub const NAMES: [&str; 1] = ["emulator"];
+pub const NAMES: [&str; 2] = ["emulator", "daily"];
 
 /// Where the scenarios lie; a proof is run from the repository.
 pub struct Place {
@@ -46,6 +46,7 @@
 pub fn prove(name: &str, place: &Place) -> Result<Proof, String> {
     match name {
         "emulator" => emulator(place),
+        "daily" => daily(place),
         other => Err(format!("no proof {other}; there are: {}", NAMES.join(", "))),
     }
 }
@@ -112,6 +113,25 @@
     Ok(proof)
 }
 
+/// Daily running, with real processes under load: new processes in the place of old ones, new settings, and figures that
+/// are what clients saw.
+fn daily(place: &Place) -> Result<Proof, String> {
+    let mut proof = Proof::new();
+    for name in ["replace.toml", "retune.toml"] {
+        let scenario = Scenario::read(&place.scenarios.join(name))?;
+        let options = loopback::Options { node: place.node.clone(), logs: None };
+        let (outcome, _) = loopback::run(&scenario, scenario.seed, options)?;
+        proof.note(name, outcome.figure());
+        proof.want(outcome.broken == 0, format!("{name}: {:?}", outcome.breaches.first()));
+        proof.want(outcome.counts.duplicates == 0, format!("{name}: a payment ran twice"));
+        proof.want(
+            outcome.figure() >= 0.9,
+            format!("{name}: {:.3} served in time, 0.9 wanted", outcome.figure()),
+        );
+    }
+    Ok(proof)
+}
+
 /// Short ones that CI plays in virtual time.
 const SCENARIOS: [&str; 4] =
     ["silent-worker.toml", "cold-worker.toml", "mass-loss.toml", "rolling-restart.toml"];
--- a/crates/coveroute-emu/src/scenario.rs
+++ b/crates/coveroute-emu/src/scenario.rs
@@ -431,6 +431,10 @@
     /// Nodes are asked to stop, and start again at the end.
     NodesStop,
     NodesReload,
+    /// Nodes are sent a configuration that is cut off, then one with other settings.
+    NodesRetune,
+    /// A new process is started beside each, and takes its place. On loopback alone.
+    NodesReplace,
     /// So many times the invocations.
     Surge,
     /// So many times the work.
@@ -458,6 +462,7 @@
 }
 
 impl What {
+    /// What search draws from: all that virtual time plays by itself, in an order that recorded seeds rest on.
     pub const ALL: [What; 29] = [
         What::Silent,
         What::SilentThenDies,
@@ -494,7 +499,11 @@
         match self {
             What::ResetsBefore | What::ResetsAfter | What::Latency | What::Partition => Place::Network,
             What::ListDown | What::ListLate | What::ListStale | What::ListEmpty => Place::List,
-            What::NodesKilled | What::NodesStop | What::NodesReload => Place::Nodes,
+            What::NodesKilled
+            | What::NodesStop
+            | What::NodesReload
+            | What::NodesRetune
+            | What::NodesReplace => Place::Nodes,
             What::Surge | What::Heavy => Place::Clients,
             _ => Place::Workers,
         }
--- a/crates/coveroute-emu/src/settings.rs
+++ b/crates/coveroute-emu/src/settings.rs
@@ -1,6 +1,6 @@
 //! A scenario as a node is told of it: the settings object and the configuration file, the same for engines in
 //! virtual time and for processes.
-use coveroute_engine::{Listing, Setup};
+use coveroute_engine::{Listing, Setup, Tuning};
 use coveroute_shared::decode;
 use serde_json::value::RawValue;
 use serde_json::{json, Value};
@@ -14,6 +14,12 @@
 
 /// The settings object of one node.
 pub fn settings(scenario: &Scenario, node: NodeId, zone: &str) -> Value {
+    retuned(scenario, node, zone, false)
+}
+
+/// The same, or as operators send it once more: operations in another order, objectives a tenth shorter, one forward
+/// less.
+pub fn retuned(scenario: &Scenario, node: NodeId, zone: &str, anew: bool) -> Value {
     let zones = scenario.zones();
     let mut kinds: Vec<&str> = Vec::new();
     for workers in &scenario.workers {
@@ -22,8 +28,13 @@
         }
     }
     let platform = &scenario.platform;
-    let categories: Vec<Value> = scenario
-        .operations
+    let mut operations: Vec<_> = scenario.operations.iter().collect();
+    let (mut forwards, mut objective) = (platform.forwards.0, 1.0);
+    if anew {
+        operations.reverse();
+        (forwards, objective) = (forwards.max(2) - 1, 0.9);
+    }
+    let categories: Vec<Value> = operations
         .iter()
         .map(|op| {
             let effect = match op.effect {
@@ -38,7 +49,7 @@
             };
             json!({
                 "name": op.name, "effect": effect, "group": group, "window": millis(op.window.0),
-                "onTime": millis(op.objective.0), "aimStretch": op.stretch.0, "deadline": millis(op.timeout.0),
+                "onTime": millis(objective * op.objective.0), "aimStretch": op.stretch.0, "deadline": millis(op.timeout.0),
                 "credit": op.value.0, "lateValue": op.late_value.0,
             })
         })
@@ -63,13 +74,13 @@
         "orgs": orgs,
         "goal": { "whole": 1.0, "worstClass": 0.0 },
         "familyInfo": {
-            "classKind": scenario.operations.iter().map(kind_of).collect::<Vec<_>>(),
-            "classStretch": scenario.operations.iter().map(|op| op.stretch.0).collect::<Vec<_>>(),
+            "classKind": operations.iter().map(|op| kind_of(op)).collect::<Vec<_>>(),
+            "classStretch": operations.iter().map(|op| op.stretch.0).collect::<Vec<_>>(),
             "progress": millis(platform.progress.0),
             "tellsStart": platform.tells_start,
         },
         "limits": {
-            "maxAttempts": platform.forwards.0,
+            "maxAttempts": forwards,
             "dialTimeout": millis(platform.dial.0),
             "connIdle": millis(platform.idle.0),
             "cancelling": platform.cancelling,
@@ -89,6 +100,18 @@
     })
 }
 
+/// What an engine is given of them.
+pub fn tuning(scenario: &Scenario, node: NodeId, zone: &str, anew: bool) -> Result<Tuning, String> {
+    let text = retuned(scenario, node, zone, anew).to_string();
+    let raw: Box<RawValue> = serde_json::from_str(&text).map_err(|e| e.to_string())?;
+    let (settings, names) = decode(&raw)?;
+    let mut timeouts: Vec<f64> = scenario.operations.iter().map(|op| op.timeout.0).collect();
+    if anew {
+        timeouts.reverse();
+    }
+    Ok(Tuning { settings, names, timeouts })
+}
+
 /// What an engine is begun with.
 pub fn setup(
     scenario: &Scenario,
@@ -97,10 +120,7 @@
     seed: u64,
     known: Listing,
 ) -> Result<Setup, String> {
-    let text = settings(scenario, node, zone).to_string();
-    let raw: Box<RawValue> = serde_json::from_str(&text).map_err(|e| e.to_string())?;
-    let (settings, names) = decode(&raw)?;
-    let timeouts = scenario.operations.iter().map(|op| op.timeout.0).collect();
+    let Tuning { settings, names, timeouts } = tuning(scenario, node, zone, false)?;
     Ok(Setup { settings, names, seed, timeouts, known: Some(known), memory: None })
 }
 
--- a/crates/coveroute-emu/src/virtual_time.rs
+++ b/crates/coveroute-emu/src/virtual_time.rs
@@ -14,7 +14,7 @@
 use crate::baseline::{Baseline, Choice, Truth, Wrong};
 use crate::queue::Queue;
 use crate::report::Sample;
-use crate::scenario::Scenario;
+use crate::scenario::{Scenario, What};
 use crate::settings;
 use crate::trace::Sink;
 use crate::world::referee::Final;
@@ -252,6 +252,9 @@
     sink: Option<&'a mut dyn Sink>,
     samples: Option<&'a mut Vec<Sample>>,
 ) -> Result<(Outcome, Pace), String> {
+    if scenario.faults.iter().any(|fault| fault.what == What::NodesReplace) {
+        return Err("nodes-replace is played on loopback alone: run it with --loopback".into());
+    }
     let began = std::time::Instant::now();
     let world = World::new(scenario.clone(), seed, addr);
     let truth: Option<Truth> =
@@ -397,6 +400,16 @@
             }
             Order::Stop => {}
             Order::Reload => self.tell(now, node, Event::Reread { tuning: None, moved: true }),
+            Order::Retune => {
+                let world = &self.world;
+                let tuning = settings::tuning(&world.scenario, node, &world.nodes[node].zone, true);
+                self.tell(now, node, Event::NotReread); // The file that is cut off.
+                if let Ok(tuning) = tuning {
+                    self.tell(now, node, Event::Reread { tuning: Some(Box::new(tuning)), moved: false });
+                }
+            }
+            // Refused at the start.
+            Order::Replace => {}
         }
     }
 
--- a/crates/coveroute-emu/src/world/mod.rs
+++ b/crates/coveroute-emu/src/world/mod.rs
@@ -104,6 +104,8 @@
     Kill,
     Stop,
     Reload,
+    Retune,
+    Replace,
 }
 
 /// How a message fares between a node and a worker.
@@ -794,6 +796,8 @@
                 What::NodesKilled => self.at(now, Due::Order(target, Order::Kill)),
                 What::NodesStop => self.at(now, Due::Order(target, Order::Stop)),
                 What::NodesReload => self.at(now, Due::Order(target, Order::Reload)),
+                What::NodesRetune => self.at(now, Due::Order(target, Order::Retune)),
+                What::NodesReplace => self.at(now, Due::Order(target, Order::Replace)),
                 _ => self.ail(now, target),
             }
         }
@@ -835,7 +839,7 @@
                     self.at(now + RESTARTS, Due::Restart(target));
                 }
                 What::NodesKilled | What::NodesStop => self.at(now, Due::Order(target, Order::Start)),
-                What::Release | What::NodesReload => {}
+                What::Release | What::NodesReload | What::NodesRetune | What::NodesReplace => {}
                 _ => self.ail(now, target),
             }
         }
