A job handed on twice keeps its answer; operators' doors are not shared between processes

Cause, found by reading the hand-over once more: who serves a moved job in the second process waits for its answer before it looks whether the guest is to go (Door::attend). When that process hands the job on to a third one, the driver lets go of the answer's sender first, so the wait ended with none and the client got a 500 while its job went on. Seen in a test with three replacements under jobs of 2.5 s: failed; with the order turned, all answered. The other way a job is served (through the HTTP server) looks at the close first already. Second: the operators' door was bound like the clients' address, shared (SO_REUSEPORT), so a process started with the same management would have answered for the old one at random. It is bound alone now, and before anything is handed over: one line, exit 1, the old process serves on. Third: a job that comes to a process which is itself about to stop ends with that stop.

--- a/crates/coveroute-engine/src/engine.rs
+++ b/crates/coveroute-engine/src/engine.rs
@@ -448,8 +448,9 @@
         self.elsewhere.remove(&call);
         let (call, operation) = (Arc::from(call), self.operations.name(inv.op).clone());
         self.counts.show(&operation);
+        let (due, end) = (end, end.min(self.leave_by));
         self.timers.set(end, Timer::End(id));
-        self.book.open(id, Record { call, operation, owed: true, end, due: end, forwards });
+        self.book.open(id, Record { call, operation, owed: true, end, due, forwards });
         self.route.decide_mut().take_in(id, inv);
         self.route.push(Input::Timer(LOOK));
         self.carry_on(now, out);
--- a/crates/coveroute-node/src/main.rs
+++ b/crates/coveroute-node/src/main.rs
@@ -119,6 +119,11 @@
     let (happenings, happens) = mpsc::unbounded_channel();
     // First: a signal that nobody listens to would end the process.
     actix_rt::spawn(signals(happenings.clone(), path)?);
+    // Not shared, and before anything is handed over: two processes that answer here would be told apart by nobody.
+    let operators = match config.management {
+        Some(addr) => Some(TcpListener::bind(addr).await.map_err(|e| format!("management: {addr}: {e}"))?),
+        None => None,
+    };
     let place = replace::place(config.listen);
     let before = match &place {
         Some(place) => replace::predecessor(place).await,
@@ -130,8 +135,7 @@
         None => (None, Vec::new()),
     };
     let (listener, datagrams) = listen(&config, sockets)?;
-    let operators = config.management.map(|addr| reuse(addr).map_err(|e| format!("management: {addr}: {e}")));
-    let (operators, clock, life) = (operators.transpose()?, Clock::new(), Rc::new(Life::new()));
+    let (clock, life) = (Clock::new(), Rc::new(Life::new()));
     let (executors, clients) = budget(config.sockets, config.memory_mb);
     let links = Links::new(executors, config.dial, config.idle);
     let door = Rc::new(Door::new(clock, life.clone(), happenings.clone(), clients));
--- a/crates/coveroute-node/src/server.rs
+++ b/crates/coveroute-node/src/server.rs
@@ -332,9 +332,10 @@
         self.guests.borrow_mut().insert(peer, guest);
         let mut visit = Visit { id, happenings: &self.happenings, over: false };
         let answer = tokio::select! {
+            // First: guards against an answer to a job that has gone on to the next process, where nobody answers here.
             biased;
-            answer = answered => Some(answer.unwrap_or(Answer::Errored)),
             () = mine.close.notified() => None,
+            answer = answered => Some(answer.unwrap_or(Answer::Errored)),
             () = gone(&socket) => None,
         };
         let kept = match answer {
--- a/crates/coveroute-node/tests/replace.rs
+++ b/crates/coveroute-node/tests/replace.rs
@@ -177,7 +177,10 @@
     }
 
     fn start(&self, folder: Option<&Path>) -> Process {
-        let door = free();
+        self.start_at(folder, free())
+    }
+
+    fn start_at(&self, folder: Option<&Path>, door: SocketAddr) -> Process {
         let log = std::fs::OpenOptions::new().create(true).append(true).open(self.folder.join("log"));
         let mut command = Command::new(env!("CARGO_BIN_EXE_coveroute"));
         command.arg("serve").arg("--config").arg(self.folder.join("config.json"));
@@ -400,3 +403,30 @@
     drop(client);
     until(|| !outstanding());
 }
+
+// Guards against an answer by a process in the middle, which had the job and has handed it on.
+#[test]
+fn a_job_goes_on_through_two_processes() {
+    let world = World::new();
+    let mut old = world.replaceable();
+    let long = load(&world, "long", 3, 2500);
+    for _ in 0..3 {
+        thread::sleep(Duration::from_millis(200));
+        let new = world.replaceable();
+        old.signal("-TERM");
+        assert!(old.ends(), "{}", world.log());
+        old = new;
+    }
+    answered(long);
+    assert_eq!(world.ran.load(Ordering::Relaxed), 3, "none ran twice");
+}
+
+#[test]
+fn two_processes_do_not_share_an_operators_door() {
+    let world = World::new();
+    let old = world.replaceable();
+    let mut new = world.start_at(Some(&world.folder), old.door);
+    assert!(!new.ends() && world.log().contains("management: "), "{}", world.log());
+    answered(load(&world, "a", 5, 50));
+    assert_eq!(status(old.door, "/v1/readyz").as_deref(), Some("200"));
+}
