--- a/crates/coveroute-node/tests/replace.rs
+++ b/crates/coveroute-node/tests/replace.rs
@@ -430,3 +430,38 @@
     answered(load(&world, "a", 5, 50));
     assert_eq!(status(old.door, "/v1/readyz").as_deref(), Some("200"));
 }
+
+// What the running process has applied is what holds: a file that broke meanwhile costs the new one alone.
+#[test]
+fn a_broken_file_ends_the_new_process_and_not_the_old_one() {
+    let world = World::new();
+    let old = world.replaceable();
+    let file = world.folder.join("config.json");
+    let text = std::fs::read_to_string(&file).expect("the file");
+    std::fs::write(&file, &text[..text.len() / 2]).expect("written");
+    let mut new = world.start(Some(&world.folder));
+    old.signal("-HUP");
+    assert!(!new.ends(), "{}", world.log());
+    until(|| world.log().contains("not reloaded, all stays as it is"));
+    answered(load(&world, "a", 5, 50));
+    assert_eq!(status(old.door, "/v1/readyz").as_deref(), Some("200"));
+}
+
+// SIGHUP and SIGTERM to either process in the middle: each has a defined end, and no job is lost.
+#[test]
+fn signals_in_the_middle_of_a_replacement_lose_nothing() {
+    let world = World::new();
+    let mut old = world.replaceable();
+    let jobs = load(&world, "before", 10, 600);
+    let new = world.start(Some(&world.folder));
+    old.signal("-HUP");
+    until(|| status(new.door, "/v1/readyz").as_deref() == Some("200"));
+    old.signal("-HUP");
+    new.signal("-HUP");
+    old.signal("-TERM");
+    let after = load(&world, "after", 10, 50);
+    assert!(old.ends(), "{}", world.log());
+    answered(jobs);
+    answered(after);
+    assert_eq!(world.ran.load(Ordering::Relaxed), 20, "none ran twice");
+}
