Review: what goes to a successor is the engine's own record; news are not copied

New: a test that two processes share the bounds on descriptors; it fails when either keeps all. Looked at and left: the operations' entries stand in the engine and in the module's settings (the module may not be asked for them in the middle of a decision); a parcel is written twice, once to see that it can be read.

--- a/crates/coveroute-emu/src/baseline.rs
+++ b/crates/coveroute-emu/src/baseline.rs
@@ -4,10 +4,11 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use coveroute::adopt::Moved;
 use coveroute::types::{
     Effect, Entry, Group, Input, InvId, List, Output, Settings, Settled, Standing, Submission, Tgt,
 };
-use coveroute_engine::{Decide, Moved};
+use coveroute_engine::Decide;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
--- a/crates/coveroute-emu/src/virtual_time.rs
+++ b/crates/coveroute-emu/src/virtual_time.rs
@@ -5,9 +5,10 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use coveroute::adopt::Moved;
 use coveroute::types::{InvId, Node, Outcome as Ended, Report, Settings, Tgt, Told};
 use coveroute_engine::{
-    Action, Answer, Call, Decide, Engine, Event, Listing, Moved, News, Phase, Reply, Watched, Word as Heard,
+    Action, Answer, Call, Decide, Engine, Event, Listing, News, Phase, Reply, Watched, Word as Heard,
 };
 use coveroute_shared::mark;
 
--- a/crates/coveroute-engine/src/engine.rs
+++ b/crates/coveroute-engine/src/engine.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use coveroute::adopt::Moved;
 use coveroute::learnt::Learnt;
 use coveroute::policy::LOOK;
 use coveroute::types::{
@@ -19,7 +20,7 @@
 use crate::counts::{Counts, Figures, Verdict};
 use crate::list::{Fleet, Listing, Move};
 use crate::memory::Memory;
-use crate::operations::{Moved, Operations};
+use crate::operations::Operations;
 use crate::parcel::Parcel;
 use crate::phase::{Phase, Step};
 use crate::route::Route;
@@ -65,8 +66,7 @@
     }
 
     fn adopt(&mut self, settings: Settings, moved: &[Moved], tenants: &[Option<usize>]) {
-        let moved: Vec<_> = moved.iter().map(|moved| (moved.from, moved.to)).collect();
-        Node::adopt(self, settings, &moved, tenants);
+        Node::adopt(self, settings, moved, tenants);
     }
 
     fn has(&self, operation: usize) -> bool {
--- a/crates/coveroute-engine/src/lib.rs
+++ b/crates/coveroute-engine/src/lib.rs
@@ -19,8 +19,7 @@
 pub use counts::{Figures, Tally, Verdict};
 pub use engine::{Action, Answer, Decide, Engine, Event, News, Reply, Setup, Tuning, Unfit, Watched, Word};
 pub use list::{Host, Listing};
-pub use memory::{Memory, Rows};
-pub use operations::Moved;
+pub use memory::Memory;
 pub use parcel::Parcel;
 pub use phase::{Phase, Step};
 
--- a/crates/coveroute-engine/src/list.rs
+++ b/crates/coveroute-engine/src/list.rs
@@ -4,12 +4,13 @@
 
 use coveroute::types::{Entry, List, Settings, Standing, Tgt};
 use coveroute_shared::{position, Listed, Names, Roster};
+use serde::{Deserialize, Serialize};
 
 /// After this nothing can come from an executor that has gone: many times the longest client timeouts.
 const FORGET_AFTER: f64 = 600.0;
 
 /// One executor, as a source of the list words it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Host {
     pub id: String,
     pub addr: Option<SocketAddr>,
@@ -24,7 +25,7 @@
 }
 
 /// A whole list, or the entries that changed.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Listing {
     pub version: u64,
     pub full: bool,
--- a/crates/coveroute-engine/src/memory.rs
+++ b/crates/coveroute-engine/src/memory.rs
@@ -1,13 +1,14 @@
 //! Memory: what one process of a node hands to the next, by names, as both number things by themselves.
 use coveroute::learnt::{Learnt, Row};
 use coveroute_shared::Names;
+use serde::{Deserialize, Serialize};
 
 use crate::list::{Fleet, Listing};
 use crate::operations::Operations;
 
-pub type Rows = Vec<(String, Row)>;
+type Rows = Vec<(String, Row)>;
 
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Memory {
     pub listing: Listing,
     /// Ids of calls that the process before still serves.
--- a/crates/coveroute-engine/src/operations.rs
+++ b/crates/coveroute-engine/src/operations.rs
@@ -2,6 +2,7 @@
 //! changes while a job has it: new settings make a new one, and the name points there.
 use std::sync::Arc;
 
+use coveroute::adopt::Moved;
 use coveroute::types::Operation;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -28,13 +29,6 @@
     kept: Vec<Kept>,
 }
 
-/// An entry that is new, and the one whose name it took over.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Moved {
-    pub from: Option<usize>,
-    pub to: usize,
-}
-
 impl Operations {
     pub fn new(names: Vec<String>, timeouts: &[f64]) -> Self {
         let kept = |(name, timeout): (String, &f64)| {
--- a/crates/coveroute-node/src/config.rs
+++ b/crates/coveroute-node/src/config.rs
@@ -11,7 +11,7 @@
 
 use crate::clock::seconds;
 use crate::hosts::Hosts;
-use crate::needed::{unfit, Figure, Keys};
+use crate::needed::{fit, Figure, Keys};
 
 pub const PATH: &str = "BALANCER_CONFIG";
 const LISTEN: &str = "BALANCER_LISTEN";
@@ -157,15 +157,22 @@
     }
 
     pub fn parse(text: &str, told: Told) -> Result<Self, String> {
-        let mut file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
-        (file.listen, file.discovery) = (told.listen.or(file.listen), told.discovery.or(file.discovery));
-        file.management = told.management.or(file.management);
-        Ok(Config { keys: Keys::of(text), ..file.config()? })
+        Self::parsed(text, told, |file, told| told.or(file))
     }
 
     pub fn parse_again(text: &str, told: Told) -> Result<Self, String> {
+        Self::parsed(text, told, Option::or)
+    }
+
+    /// `discovery` chooses between what the file says of it and what the platform does.
+    fn parsed(
+        text: &str,
+        told: Told,
+        discovery: impl Fn(Option<String>, Option<String>) -> Option<String>,
+    ) -> Result<Self, String> {
         let mut file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
-        (file.listen, file.discovery) = (told.listen.or(file.listen), file.discovery.or(told.discovery));
+        file.listen = told.listen.or(file.listen);
+        file.discovery = discovery(file.discovery, told.discovery);
         file.management = told.management.or(file.management);
         Ok(Config { keys: Keys::of(text), ..file.config()? })
     }
@@ -223,7 +230,7 @@
         Figure::Over("settings.rules.overloadFactor", rules.overload_factor),
         Figure::Least("settings.rules.fall", rules.fall),
     ];
-    unfit(&whole).map_or(Ok(()), Err)?;
+    fit(&whole)?;
     if sockets.categories.is_empty() {
         return Err("settings.categories: there is none".into());
     }
@@ -236,7 +243,7 @@
             Figure::Least(&credit, category.credit),
             Figure::Least(&window, category.window),
         ];
-        unfit(&own).map_or(Ok(()), Err)?;
+        fit(&own)?;
         if sockets.categories[..at].iter().any(|other| other.name == category.name) {
             return Err(format!("settings.categories: {} is there twice", category.name));
         }
--- a/crates/coveroute-node/src/driver.rs
+++ b/crates/coveroute-node/src/driver.rs
@@ -8,6 +8,7 @@
 
 use actix_rt::net::TcpStream;
 use actix_rt::task::JoinHandle;
+use bytes::Bytes;
 use coveroute::types::{InvId, Outcome, Report, Reports, Tgt, Told};
 use coveroute_engine::{Action, Engine, Event, Figures, News, Phase, Reply, Setup, Verdict, Watched};
 use log::{error, info, warn};
@@ -38,7 +39,7 @@
     Left(InvId),
     Replied(InvId, usize, Reply),
     /// What an executor tells, as it came too, and who waits for whether a process has it.
-    News(News, String, Option<oneshot::Sender<bool>>),
+    News(News, Bytes, Option<oneshot::Sender<bool>>),
     /// What an executor tells, of no other process's job: whether it is then acknowledged.
     Returned(News, Option<oneshot::Sender<bool>>, bool),
     /// A successor asks for what it begins with.
@@ -272,7 +273,7 @@
                 }
                 self.tell(Event::Replied(id, forward, reply));
             }
-            Happening::News(news, text, tell) => self.news(news, text, tell, None),
+            Happening::News(news, body, tell) => self.news(news, body, tell, None),
             Happening::Returned(news, tell, told) => {
                 let told = told || self.engine.knows(&news.call);
                 self.tell(Event::News(news));
@@ -403,8 +404,8 @@
             (Side::Before, Said::Guest(socket)) => self.come(socket, Comes::Idle),
             (Side::Before, Said::Job(job, socket)) => self.take_in(*job, socket),
             (Side::After, Said::Guest(_) | Said::Job(..)) => warn!("a successor hands nothing over"),
-            (side, Said::News(text, tell)) => match callbacks::parse(text.as_bytes()) {
-                Ok(news) => self.news(news, text, Some(tell), Some(side)),
+            (side, Said::News(body, tell)) => match callbacks::parse(&body) {
+                Ok(news) => self.news(news, body, Some(tell), Some(side)),
                 Err(e) => warn!("a link's news that can't be read: {e}"),
             },
             (Side::Before, Said::Ended) => {
@@ -449,7 +450,8 @@
         let Some(after) = self.after.clone().filter(|_| !self.life.takes()) else { return };
         let guests: Vec<_> = self.guests.borrow().values().cloned().collect();
         for guest in &guests {
-            let Some((leaves, socket)) = guest.leaves().zip(guest.socket().ok()) else { continue };
+            let Some(leaves) = guest.leaves() else { continue };
+            let Ok(socket) = guest.socket() else { continue };
             match leaves {
                 Leaves::Idle => after.guest(socket),
                 Leaves::Waiting(id) => {
@@ -474,7 +476,7 @@
 
     /// Executors tell whichever process their connection leads to. What is of no job here goes to the others, and
     /// is acknowledged once one of them has it, or none does.
-    fn news(&mut self, news: News, text: String, tell: Option<oneshot::Sender<bool>>, from: Option<Side>) {
+    fn news(&mut self, news: News, body: Bytes, tell: Option<oneshot::Sender<bool>>, from: Option<Side>) {
         let others: Vec<Rc<Link>> = self.before.iter().chain(&self.after).cloned().collect();
         let others: Vec<_> = others.into_iter().filter(|link| Some(link.side) != from).collect();
         let own = self.engine.knows(&news.call);
@@ -486,7 +488,7 @@
         actix_rt::spawn(async move {
             let mut known = true;
             for link in others {
-                match link.pass(text.clone()).await {
+                match link.pass(&body).await {
                     Some(true) => {
                         tell.map(|tell| tell.send(true));
                         return;
--- a/crates/coveroute-node/src/main.rs
+++ b/crates/coveroute-node/src/main.rs
@@ -129,12 +129,8 @@
         Some(place) => replace::predecessor(place).await,
         None => None,
     };
-    let before = before.map(|before| before.link(happenings.clone()));
-    let (before, sockets) = match before {
-        Some((link, sockets, handed)) => (Some((link, handed)), sockets),
-        None => (None, Vec::new()),
-    };
-    let (listener, datagrams) = listen(&config, sockets)?;
+    let (before, sockets) = before.map(|before| before.link(happenings.clone())).unzip();
+    let (listener, datagrams) = listen(&config, sockets.unwrap_or_default())?;
     let (clock, life) = (Clock::new(), Rc::new(Life::new()));
     let (executors, clients) = budget(config.sockets, config.memory_mb);
     let links = Links::new(executors, config.dial, config.idle);
--- a/crates/coveroute-node/src/needed.rs
+++ b/crates/coveroute-node/src/needed.rs
@@ -55,15 +55,15 @@
     Least(&'a str, f64),
 }
 
-/// The first figure that does not hold, as a line.
-pub fn unfit(figures: &[Figure]) -> Option<String> {
-    figures.iter().find_map(|figure| match *figure {
+/// Whether all hold; if not, the first that does not, as a line.
+pub fn fit(figures: &[Figure]) -> Result<(), String> {
+    figures.iter().try_for_each(|figure| match *figure {
         Figure::Over(key, value) if value.is_nan() || value <= 0.0 => {
-            Some(format!("{key}: {value} is not over 0"))
+            Err(format!("{key}: {value} is not over 0"))
         }
         Figure::Least(key, value) if value.is_nan() || value < 0.0 => {
-            Some(format!("{key}: {value} is below 0"))
+            Err(format!("{key}: {value} is below 0"))
         }
-        _ => None,
+        _ => Ok(()),
     })
 }
--- a/crates/coveroute-node/src/replace.rs
+++ b/crates/coveroute-node/src/replace.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use actix_rt::time::timeout;
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use log::{info, warn};
 use nix::sys::socket::{recvmsg, sendmsg, ControlMessage, ControlMessageOwned, MsgFlags};
 use serde::{Deserialize, Serialize};
@@ -74,7 +74,7 @@
     Serves,
     Stopped,
     /// Executors' words, and what is to be told of them.
-    News(String, oneshot::Sender<bool>),
+    News(Bytes, oneshot::Sender<bool>),
     Ended,
 }
 
@@ -122,7 +122,7 @@
     }
 
     /// Passes an executor's words on; whether they were of a job there, or none if that is not known.
-    pub async fn pass(&self, body: String) -> Option<bool> {
+    pub async fn pass(&self, body: &[u8]) -> Option<bool> {
         let number = self.next.get();
         self.next.set(number + 1);
         let (tell, told) = oneshot::channel();
@@ -130,6 +130,7 @@
             return None;
         }
         self.asked.borrow_mut().insert(number, tell);
+        let body = String::from_utf8_lossy(body).into_owned(); // JSON was read out of it: it is text.
         let answer = match self.send(Message::News(number, body), Vec::new()) {
             true => timeout(PASSED_WITHIN, told).await.ok(),
             false => Some(Ok(false)),
@@ -264,9 +265,9 @@
 
 impl Predecessor {
     /// From now on the link brings what the process before says.
-    pub fn link(self, happenings: Happenings) -> (Rc<Link>, Vec<OwnedFd>, Handed) {
+    pub fn link(self, happenings: Happenings) -> ((Rc<Link>, Handed), Vec<OwnedFd>) {
         let link = join(Side::Before, 0, self.reader, self.writer, happenings);
-        (link, self.sockets, self.handed)
+        ((link, self.handed), self.sockets)
     }
 }
 
@@ -296,7 +297,7 @@
                             let held = told.await.unwrap_or(false);
                             hears.send(Message::Heard(number, held), Vec::new());
                         });
-                        Said::News(body, tell)
+                        Said::News(body.into(), tell)
                     }
                     Ok(Message::Guest) => match reader.socket() {
                         Ok(socket) => Said::Guest(socket),
--- a/crates/coveroute-node/src/server.rs
+++ b/crates/coveroute-node/src/server.rs
@@ -10,6 +10,7 @@
 use actix_rt::net::{TcpListener, TcpStream};
 use actix_rt::time::{sleep, timeout};
 use actix_service::{fn_service, Service, ServiceFactory};
+use bytes::Bytes;
 use coveroute::types::InvId;
 use coveroute_engine::{Phase, Verdict, Watched};
 use log::{debug, warn};
@@ -156,10 +157,7 @@
     async fn news(&self, request: &mut Request) -> Answer {
         let (tell, told) = oneshot::channel();
         let tell = Cell::new(Some(tell));
-        let news = |body: &[u8]| {
-            let (news, text) = (callbacks::parse(body)?, String::from_utf8_lossy(body).into_owned());
-            Ok(Happening::News(news, text, tell.take()))
-        };
+        let news = |body: &Bytes| Ok(Happening::News(callbacks::parse(body)?, body.clone(), tell.take()));
         match self.told(request, wire::BODY_MOST, "news", news).await {
             Answer::Succeeded(_) if told.await == Ok(false) => Answer::Throttled { pause: 0.0 },
             answer => answer,
@@ -175,7 +173,7 @@
         if request.method() != Method::POST {
             return Answer::Unfit(StatusCode::METHOD_NOT_ALLOWED, "lists come by POST");
         }
-        let list = |body: &[u8]| {
+        let list = |body: &Bytes| {
             let hosts = serde_json::from_slice::<Hosts>(body).map_err(|e| e.to_string())?;
             Ok(Happening::Watch(0, Watched::Listed(hosts.into())))
         };
@@ -188,7 +186,7 @@
         request: &mut Request,
         most: usize,
         what: &str,
-        parse: impl Fn(&[u8]) -> Result<Happening, String>,
+        parse: impl Fn(&Bytes) -> Result<Happening, String>,
     ) -> Answer {
         let payload = request.take_payload();
         let body = match take_in::body(payload, &request.head().headers, most).await {
--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -839,3 +839,18 @@
         assert_eq!((life.max_pause(), driver.settings().max_pause), (1.5, 1.5));
     });
 }
+
+// Guards against two processes of one node that together hold twice what it may.
+#[test]
+fn two_processes_share_the_nodes_bounds() {
+    let (mut links, life) = (links(([127, 0, 0, 1], 1).into()), Life::new());
+    let lent = |links: &mut Links| {
+        let leases: Vec<_> = std::iter::from_fn(|| links.lease(0)).take(20).collect();
+        leases.len()
+    };
+    for (paired, most) in [(true, 4), (false, 8)] {
+        links.share(paired);
+        life.pair(paired);
+        assert_eq!((lent(&mut links), life.part(8)), (most, most));
+    }
+}
--- a/src/adopt.rs
+++ b/src/adopt.rs
@@ -1,12 +1,19 @@
 //! New settings under way: they are put in place of the old ones in one step; what was learnt stays. No decision.
 use crate::types::{Class, Node, Settings};
 
+/// An entry of the operations that is new, and the one whose name it took over.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Moved {
+    pub from: Option<usize>,
+    pub to: usize,
+}
+
 impl Node {
-    /// From now on these settings hold. `moved`: entries of operations that are new, each with the one whose name
-    /// it took over; the entries of jobs under way stay as they are. `tenants`: where each was before.
-    pub fn adopt(&mut self, settings: Settings, moved: &[(Option<usize>, usize)], tenants: &[Option<usize>]) {
+    /// From now on these settings hold; the entries of jobs under way stay as they are. `tenants`: where each was
+    /// before.
+    pub fn adopt(&mut self, settings: Settings, moved: &[Moved], tenants: &[Option<usize>]) {
         self.classes.resize(self.classes.len().max(settings.operations.len()), Class::default());
-        for &(from, to) in moved {
+        for &Moved { from, to } in moved {
             self.classes[to] = from.map_or(Class::default(), |from| {
                 let old = &mut self.classes[from];
                 // What comes from now on comes to the new entry; nobody has come to that one with a timeout yet.
--- a/src/types.rs
+++ b/src/types.rs
@@ -107,7 +107,7 @@
     pub tells_start: bool,
 }
 
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize, Serialize)]
 pub enum Standing {
     Ready,
     /// Not listed any more, which need not be so; `Executor::shown` tells whether it was seen to live since.
