--- a/crates/coveroute-node/src/phase.rs
+++ b/crates/coveroute-node/src/phase.rs
@@ -105,6 +105,10 @@
         }
     }
 
+    pub fn paired(&self) -> bool {
+        self.paired.get()
+    }
+
     pub fn pair(&self, paired: bool) {
         self.paired.set(paired);
     }
--- a/crates/coveroute-node/src/server.rs
+++ b/crates/coveroute-node/src/server.rs
@@ -153,14 +153,19 @@
         (answer, Next::Asks)
     }
 
-    /// What an executor tells. It is acknowledged once the process has it that serves the job.
+    /// What an executor tells. While another process of this node lives it is acknowledged once the one has it that
+    /// serves the job; else at once, as before.
     async fn news(&self, request: &mut Request) -> Answer {
-        let (tell, told) = oneshot::channel();
-        let tell = Cell::new(Some(tell));
+        let (tell, told) = self.life.paired().then(oneshot::channel).unzip();
+        let tell = Cell::new(tell);
         let news = |body: &Bytes| Ok(Happening::News(callbacks::parse(body)?, body.clone(), tell.take()));
-        match self.told(request, wire::BODY_MOST, "news", news).await {
-            Answer::Succeeded(_) if told.await == Ok(false) => Answer::Throttled { pause: 0.0 },
-            answer => answer,
+        let answer = self.told(request, wire::BODY_MOST, "news", news).await;
+        match (answer, told) {
+            (Answer::Succeeded(had), Some(told)) => match told.await {
+                Ok(false) => Answer::Throttled { pause: 0.0 },
+                _ => Answer::Succeeded(had),
+            },
+            (answer, _) => answer,
         }
     }
 
