--- a/crates/coveroute-shared/src/settings.rs
+++ b/crates/coveroute-shared/src/settings.rs
@@ -84,6 +84,10 @@
 struct Limits {
     max_attempts: usize,
     #[serde(default)]
+    second_copies: bool,
+    #[serde(default)]
+    conn_idle: f64,
+    #[serde(default)]
     max_retry_after: f64,
     #[serde(default)]
     retry_after: bool,
@@ -113,6 +117,7 @@
 #[derive(Default, Deserialize)]
 #[serde(rename_all = "camelCase", default)]
 struct Penalties {
+    connection: f64,
     cross_zone: f64,
 }
 
@@ -201,6 +206,9 @@
         ask_within: info.rules.ask_within / 1e3,
         budget: budget(&info.rules)?,
         full_may_have_run: info.rules.late_shedding,
+        second_copies: info.limits.second_copies,
+        idle: info.limits.conn_idle / 1e3,
+        connection_price: info.penalties.connection,
         cold: Cold {
             start: info.rules.start_capacity,
             warm: info.rules.warm_up / 1e3,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -10,9 +10,11 @@
 const ASK: u64 = 2; // asking again for the list.
 
 /// State, input, next state, effect. What is not listed changes nothing: late, double or unknown events.
-const TABLE: [(Life, Turn, Life, Act); 12] = [
+const TABLE: [(Life, Turn, Life, Act); 14] = [
     (Life::Waiting, Turn::Sent, Life::Out, Act::Keep),
     (Life::Suspect, Turn::Sent, Life::Again, Act::Keep),
+    (Life::Out, Turn::Sent, Life::Again, Act::Keep),
+    (Life::Again, Turn::Sent, Life::Again, Act::Keep),
     (Life::Out, Turn::NotRun, Life::Waiting, Act::Queue),
     (Life::Out, Turn::MayHaveRun, Life::Suspect, Act::Queue),
     (Life::Again, Turn::NotRun, Life::Waiting, Act::Queue),
@@ -25,10 +27,37 @@
     (Life::Again, Turn::Finished, Life::Ended, Act::Close),
 ];
 
+const DOUBT: [f64; 2] = [0.65, 0.75]; // Doubtful below this part, until above that: against wavering.
+const GOOD_LEFT: f64 = 0.7; // Of remembered successes, after a failure: two in a row outweigh them.
+const GOOD_MOST: f64 = 8.0; // The most successes that count, so that failures soon outweigh them.
+
+impl Record {
+    /// From its posterior.
+    fn draw(&self, chance: &mut Chance) -> f64 {
+        chance.beta(1 + self.good.round() as usize, 1 + self.bad.round().min(12.0) as usize)
+    }
+
+    fn fail(&mut self, weight: f64) {
+        self.bad += weight;
+        self.good *= GOOD_LEFT.powf(weight);
+    }
+}
+
 impl Executor {
+    /// Guards against executors that let down one operation and serve the rest: the failure counts against the
+    /// executor as a whole only if no other operation has fared well there of late.
+    fn blame(&mut self, now: f64, op: usize, weight: f64, level: f64, out: &mut Vec<Output>) {
+        const OF_LATE: f64 = 10.0; // Some of a node's visits to one executor.
+        let fares = |(at, r): (usize, &Record)| at != op && now - r.seen < OF_LATE && r.bad < 0.5;
+        let other = self.records.iter().enumerate().any(fares);
+        let record = self.record(op);
+        record.fail(weight);
+        record.shut = record.mean() < level * DOUBT[0];
+        self.failed(if other { 0.0 } else { weight }, level, out);
+    }
+
     /// Guards against doubting all where a network breaks to all: `level` is what the better ones reach.
     fn judge(&mut self, level: f64, out: &mut Vec<Output>) {
-        const DOUBT: [f64; 2] = [0.65, 0.75]; // Doubtful below this part, until above that: against wavering.
         let doubtful = self.mean() < level * DOUBT[usize::from(self.doubtful)];
         let words = if doubtful { "is doubtful" } else { "is trusted again" };
         let news = doubtful != std::mem::replace(&mut self.doubtful, doubtful);
@@ -36,7 +65,6 @@
     }
 
     fn failed(&mut self, weight: f64, level: f64, out: &mut Vec<Output>) {
-        const GOOD_LEFT: f64 = 0.7; // Of remembered successes, after a failure: two in a row outweigh them.
         self.bad += weight;
         self.good *= GOOD_LEFT.powf(weight);
         self.judge(level, out);
@@ -283,6 +311,9 @@
         inv.hopeless |= self.set.tells_start && outcome == Outcome::Reset && !ran;
         let (tgt, op, took) = (fwd.tgt, inv.op, (took - fwd.wait.unwrap_or(0.0)) / inv.hint);
         fwd.errored = outcome == Outcome::Errored;
+        // A copy of what brings down who begins it does more harm than any other.
+        self.vain -= if fwd.late && outcome == Outcome::Reset { VAIN_NEW * self.vain } else { 0.0 };
+        let (fwd_kept, fwd_late) = (fwd.kept, std::mem::take(&mut fwd.late));
         inv.sample.clear();
         let blamed = inv.forwards[..forward].iter().rfind(|f| f.errored).map(|f| f.tgt);
         if let Some(other) = blamed.filter(|_| matches!(outcome, Outcome::Errored | Outcome::Succeeded)) {
@@ -291,31 +322,41 @@
             self.theirs += THEIRS_NEW * (fault - self.theirs);
             self.tgts[other].bad = (self.tgts[other].bad - fault).max(0.0);
         }
+        let (outs, ran, life, memory) = (inv.still_out().count(), inv.anchor().is_some(), inv.life, inv.memory);
+        self.way(now, tgt, fwd_kept, fwd_late, outcome);
         let t = &mut self.tgts[tgt];
         t.held = t.held.saturating_sub(1);
-        t.memory = if t.held == 0 { 0.0 } else { (t.memory - inv.memory).max(0.0) };
+        t.memory = if t.held == 0 { 0.0 } else { (t.memory - memory).max(0.0) };
         t.running = t.running.saturating_sub(usize::from(began.is_finite()));
         t.kept &= outcome == Outcome::Succeeded;
         let kind = &mut self.kinds[t.entry.kind].slow;
         match outcome {
-            Outcome::Succeeded => Self::succeeded(now, t, &mut self.classes[op], kind, took),
+            Outcome::Succeeded => {
+                t.record(op).succeeded(now, GOOD_MOST);
+                Self::succeeded(now, t, &mut self.classes[op], kind, took);
+            }
             Outcome::Full => (t.refused, t.refusals) = (now, t.refusals + 1),
             Outcome::Cancelled | Outcome::Moot => {}
             Outcome::Unreachable => {
                 t.shown = false;
-                t.failed(3.0, self.level, out); // The next would lose as much time.
+                // The next would lose as much time; unless it is connections that fail, there and everywhere.
+                t.failed(3.0 * self.ways[NEW].mean() / Record::default().mean(), self.level, out);
             }
             // Two executors that fail the same job are not to blame; how often that is so tells of others.
             Outcome::Errored if blamed.is_some() => {}
-            Outcome::Errored => t.failed(1.0 - self.theirs, self.level, out),
-            _ => t.failed(if outcome == Outcome::Unfit { 0.25 } else { 1.0 }, self.level, out),
+            Outcome::Errored => t.blame(now, op, 1.0 - self.theirs, self.level, out),
+            Outcome::Unfit => t.failed(0.25, self.level, out),
+            _ => t.blame(now, op, 1.0, self.level, out),
         }
+        let t = &mut self.tgts[tgt];
         t.judge(self.level, out);
         // Guards against connect failures: hundreds of nodes' idle connections fill an executor's table.
         let idle = t.held == 0 && !t.kept && outcome != Outcome::Errored; // It answers, and will again.
-        let (outs, ran, life) = (inv.still_out().count(), inv.anchor().is_some(), inv.life);
+        let idle = idle && !self.ways[NEW].shut && self.crowds();
         self.tell(tgt, out);
-        out.extend((idle && !self.whole()).then_some(Output::Release(tgt)));
+        if idle && !self.whole() {
+            self.close(tgt, out);
+        }
         // Full beside reported room: the report speaks of another time than now.
         let late = outcome == Outcome::Full && report.free >= Some(ONE) && report.queue < Some(0.5);
         self.misled += MISLED_NEW * (f64::from(u8::from(late)) - self.misled);
@@ -329,11 +370,42 @@
         }
     }
 
+    fn close(&mut self, tgt: Tgt, out: &mut Vec<Output>) {
+        self.tgts[tgt].open = self.tgts[tgt].held;
+        out.push(Output::Release(tgt));
+    }
+
+    /// Idle connections of all nodes, if they hold as many, take more of an executor's table than is sure to be there.
+    fn crowds(&self) -> bool {
+        const TABLE: f64 = 100.0; // Connections: half of the smallest table met.
+        let open: usize = self.tgts.iter().map(|t| t.open).sum();
+        self.set.connection_price > 0.0
+            || (open * self.set.nodes) as f64 > TABLE * self.rank.len().max(1) as f64
+    }
+
+    /// How the connection that it went over has fared.
+    fn way(&mut self, now: f64, tgt: Tgt, kept: bool, late: bool, outcome: Outcome) {
+        const GOOD_MOST: f64 = 8.0;
+        let t = &mut self.tgts[tgt];
+        let way = &mut self.ways[if kept { KEPT } else { NEW }];
+        match outcome {
+            Outcome::Succeeded | Outcome::Errored | Outcome::Unfit | Outcome::Full => {
+                t.parked = now;
+                way.bad = (way.bad - f64::from(u8::from(late))).max(0.0);
+                way.succeeded(now, GOOD_MOST);
+            }
+            _ => {
+                t.open = t.open.saturating_sub(1).max(t.held.saturating_sub(1));
+                let lost = self.set.tells_start && !late && outcome == Outcome::Unreachable;
+                way.fail(f64::from(u8::from(lost)));
+            }
+        }
+    }
+
     /// Only answers that succeeded count as latencies: an executor that fails fast must not look fast.
     fn succeeded(now: f64, t: &mut Executor, class: &mut Class, kind: &mut f64, took: f64) {
         const SLOW_NEW: f64 = 0.1; // Weight of a latency in its executor's mean: some ten answers.
         const PACE_NEW: f64 = 0.02; // And in its operation's: some fifty, the first ones evenly.
-        const GOOD_MOST: f64 = 8.0; // The most successes that count, so that failures soon outweigh them.
         let log = took.max(1e-4).ln();
         let pace = class.pace.get_or_insert(log);
         let ratio = (log - *pace - *kind).clamp(-3.0, 3.0);
@@ -354,11 +426,21 @@
         let Some(fwd) = inv.forwards.get_mut(forward).filter(|f| f.fate == Fate::Out) else { return };
         let (t, sent, wait, first) = (&mut self.tgts[fwd.tgt], fwd.sent, now - fwd.sent, fwd.wait.is_none());
         let late = (first && self.set.tells_start).then_some(wait > LATE * inv.spare);
+        let blamed = std::mem::take(&mut fwd.late);
+        self.vain *= if blamed { 1.0 - 2.0 * VAIN_NEW } else { 1.0 }; // Also after all: it was a queue.
         if first {
             (t.running, t.kept) = (t.running + 1, wait < AT_ONCE);
             fwd.wait = Some(if self.set.tells_start { wait } else { 0.0 });
         }
         t.woke(now);
+        if late.is_some() {
+            let forgiven = f64::from(u8::from(blamed));
+            let way = &mut self.ways[if fwd.kept { KEPT } else { NEW }];
+            way.succeeded(now, GOOD_MOST);
+            way.bad = (way.bad - forgiven).max(0.0);
+            let record = t.record(inv.op);
+            record.bad = (record.bad - forgiven).max(0.0);
+        }
         if late.is_some() && fwd.told {
             self.empty += EMPTY_NEW * (f64::from(u8::from(wait >= AT_ONCE)) - self.empty);
         }
@@ -509,7 +591,8 @@
     /// May go there, and it is trusted; if not, on the posterior's draw, with what could be sent again.
     fn able(&self, now: f64, inv: &Inv, t: &Executor) -> bool {
         let again = self.set.operations[inv.op].effect != Effect::NonIdempotent;
-        (t.trusted(now, self.fog) || (t.trial && again)) && self.may_go(now, inv, t)
+        let shut = now >= self.fog && t.records.get(inv.op).is_some_and(|record| record.shut);
+        !shut && (t.trusted(now, self.fog) || (t.trial && again)) && self.may_go(now, inv, t)
     }
 
     /// Able, and in a large fleet, where a draw is dear, not known to be full or closed to so much work.
@@ -533,6 +616,12 @@
             pool.retain(fresh);
         }
         // Guards against queues that nothing tells of: an executor that began at once is drawn again.
+        if self.ways[NEW].shut {
+            let idle = |i: &Tgt| self.tgts[*i].has_idle(now, self.set.idle);
+            if pool.iter().any(idle) {
+                pool.retain(idle);
+            }
+        }
         let kept = |i: &Tgt| self.tgts[*i].kept && self.tgts[*i].held == 0;
         if !self.asks() && pool.iter().any(kept) {
             pool.retain(kept);
@@ -626,13 +715,22 @@
 
     fn send(&mut self, now: f64, id: InvId, tgt: Tgt, out: &mut Vec<Output>) {
         let turn = self.tgts[tgt].turn(now, self.set.cold.fall);
+        let t = &mut self.tgts[tgt];
+        let (idle, fresh) = (t.open > t.held, t.has_idle(now, self.set.idle));
+        let sure = t.held == 0 && t.kept;
+        if idle && (!fresh || self.ways[KEPT].shut) {
+            self.close(tgt, out);
+        }
+        let kept = self.tgts[tgt].open > self.tgts[tgt].held;
         let told = self.told(now) && self.tgts[tgt].free - self.tgts[tgt].unseen >= ONE;
         let Some(inv) = self.invs.get_mut(&id) else { return };
         if !inv.forwards.is_empty() && self.set.budget.is_some() {
             self.further.push_back(now);
         }
-        inv.forwards.push(Fwd { told, ..Fwd::new(tgt, now) });
+        inv.forwards.push(Fwd { told, kept, sure: sure || told, ..Fwd::new(tgt, now) });
         let t = &mut self.tgts[tgt];
+        t.record(inv.op).shut |= t.record(inv.op).mean() < self.level * DOUBT[0];
+        t.open = t.open.max(t.held + 1);
         t.memory += inv.memory;
         t.spent = inv.load + if t.turn == turn { t.spent } else { 0.0 };
         t.heard = if t.held == 0 { now } else { t.heard };
@@ -655,12 +753,54 @@
                 Place::Never => self.step(now, id, Turn::GaveUp, out),
             }
         }
-        if !self.waiting.is_empty() && !self.looking {
+        let (unsure, copies) = (self.set.tells_start, &mut Vec::new());
+        if unsure {
+            self.overdue(now, copies);
+            for id in copies.drain(..) {
+                if let Place::Here(tgt) = self.place(now, id, out) {
+                    self.send(now, id, tgt, out);
+                }
+            }
+        }
+        let open = |inv: &Inv| inv.forwards.last().is_some_and(|f| f.sure && !f.vain && f.fate == Fate::Out && f.wait.is_none());
+        let unsure = unsure && self.invs.values().any(|inv| inv.life != Life::Ended && open(inv));
+        if (unsure || !self.waiting.is_empty()) && !self.looking {
             self.looking = true;
             out.push(Output::Wake { after: LOOK_EVERY, timer: LOOK });
         }
     }
 
+    /// Guards against forwards that had every reason to start and have not: a connection that was dropped unseen, an
+    /// executor that swallows an operation or has gone. Notes it, and tells which may be sent a second copy.
+    fn overdue(&mut self, now: f64, copies: &mut Vec<InvId>) {
+        const PAST: f64 = 2.0; // Of the half of what it could wait: it will not be in time.
+        let mut late = Vec::new();
+        for (&id, inv) in &mut self.invs {
+            let (spare, op, over) = (inv.spare, inv.op, now > inv.end - BEFORE_END || inv.life == Life::Ended);
+            let Some(fwd) = inv.forwards.last_mut().filter(|f| f.fate == Fate::Out && f.wait.is_none()) else {
+                continue;
+            };
+            let age = now - fwd.sent;
+            if fwd.sure && !fwd.late && age > LATE * spare {
+                fwd.late = true;
+                late.push((fwd.tgt, op, fwd.kept));
+                copies.extend((self.set.second_copies && self.vain > 0.5 && !over).then_some(id));
+            }
+            if fwd.late && !fwd.vain && age > PAST * spare {
+                fwd.vain = true;
+                self.vain += VAIN_NEW * (1.0 - self.vain);
+            }
+        }
+        for (tgt, op, kept) in late {
+            self.ways[if kept { KEPT } else { NEW }].fail(1.0);
+            let level = self.level;
+            let t = &mut self.tgts[tgt];
+            t.kept = false;
+            t.record(op).fail(1.0);
+            t.record(op).shut = t.record(op).mean() < level * DOUBT[0];
+        }
+    }
+
     /// Guards against answers cut off at a stop: what usually takes longer is given back (see `place`).
     fn leave(&mut self, end: f64) {
         self.leaving = Some(end);
@@ -710,15 +850,20 @@
             let others = t.others.iter_mut().zip(&self.peer_heard);
             others.filter(|o| now - o.1 > PEER_SILENT).for_each(|(count, _)| *count = 0);
             t.bad *= (-passed / FORGET).exp();
-            let (a, b) = (1 + t.good.round() as usize, 1 + t.bad.round().min(12.0) as usize);
-            t.trial = (t.doubtful || t.silent) && self.chance.beta(a, b) >= TRY_AT;
+            let record = Record { good: t.good, bad: t.bad, ..Record::default() };
+            t.trial = (t.doubtful || t.silent) && record.draw(&mut self.chance) >= TRY_AT;
             let limit = if self.set.tells_start && t.running == 0 { 2.5 * limit } else { limit };
             if t.held > 0 && now - t.heard > limit {
                 (t.heard, t.silent) = (now, true);
                 t.failed(2.0, self.level, out);
             }
             t.judge(self.level, out);
+            for record in &mut t.records {
+                record.bad *= (-passed / FORGET).exp();
+                record.shut = record.mean() < self.level * DOUBT[0] && record.draw(&mut self.chance) < TRY_AT;
+            }
         }
+        self.open_ways(passed);
         self.seek(now, out);
         self.solve(now);
         // Each second all that it holds, and once more what has changed, as messages may be lost.
@@ -735,6 +880,20 @@
         out.push(Output::Wake { after, timer: SOLVE });
     }
 
+    /// Guards against connections that fail by their sort: open ones that were dropped unseen, or new ones that come
+    /// up too late. The sort that fares much worse is left, but for a trial now and then.
+    fn open_ways(&mut self, passed: f64) {
+        const FORGET: f64 = 20.0; // Such troubles last for tens of seconds, and each trial costs an invocation.
+        const WORSE: f64 = 0.75; // Of the other's mean.
+        for way in [KEPT, NEW] {
+            let other = self.ways[1 - way];
+            let way = &mut self.ways[way];
+            way.bad *= (-passed / FORGET).exp();
+            let worse = way.mean() < WORSE * other.mean();
+            way.shut = worse && way.draw(&mut self.chance) < other.draw(&mut self.chance);
+        }
+    }
+
     /// Asks some of those that are missing whether they live, or takes it for granted where none is left.
     fn seek(&mut self, now: f64, out: &mut Vec<Output>) {
         const SOUGHT: usize = 3; // At a time: some seconds later there are dozens, more than one node needs.
@@ -838,6 +997,7 @@
 }
 
 const LATE: f64 = 0.5; // Of what it can wait: without a start until then the queue is too long.
+const VAIN_NEW: f64 = 0.2; // Weight of a forward that should have started in how many never do: some five.
 const AT_ONCE: f64 = 0.05; // A forward's way, a new connection and some batches: it waited for nothing.
 const EMPTY: f64 = 0.35; // Room that is not there so often is no guide: own forwards tell more.
 const ONE: f64 = 0.9; // One free slot, allowing for noise in reports.
--- a/src/types.rs
+++ b/src/types.rs
@@ -107,6 +107,11 @@
     pub budget: Option<Budget>,
     /// An executor answers 'full' also for work that it has begun.
     pub full_may_have_run: bool,
+    /// An invocation may have two forwards out at a time.
+    pub second_copies: bool,
+    /// Connections that stand idle for longer are closed; 0 where that is not stated.
+    pub idle: f64,
+    pub connection_price: f64,
     pub max_forwards: usize,
     pub cancelling: bool,
     pub probing: bool,
@@ -350,13 +355,24 @@
     /// It was sent there as a report told of room.
     #[serde(default)]
     pub told: bool,
+    /// It went over a connection that was open.
+    #[serde(default)]
+    pub kept: bool,
+    /// It had every reason to start at once.
+    #[serde(default)]
+    pub sure: bool,
+    /// And has not: that was noted; and again, once it was past all use.
+    #[serde(default)]
+    pub late: bool,
+    #[serde(default)]
+    pub vain: bool,
     /// The executor answered with an error.
     pub errored: bool,
 }
 
 impl Fwd {
     pub fn new(tgt: Tgt, sent: f64) -> Self {
-        Fwd { tgt, sent, fate: Fate::Out, wait: None, told: false, errored: false }
+        Fwd { tgt, sent, fate: Fate::Out, wait: None, told: false, kept: false, sure: false, late: false, vain: false, errored: false }
     }
 }
 
@@ -401,6 +417,39 @@
     }
 }
 
+/// How forwards of one sort fared of late: successes, up to a bound, and failures, which fade.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Record {
+    pub good: f64,
+    pub bad: f64,
+    /// Not to be used for now, as it fares badly.
+    pub shut: bool,
+    /// The last success.
+    pub seen: f64,
+}
+
+impl Default for Record {
+    /// As one that is unknown begins: two failures in a row make it doubtful.
+    fn default() -> Self {
+        Record { good: 4.0, bad: 0.0, shut: false, seen: f64::NEG_INFINITY }
+    }
+}
+
+impl Record {
+    /// The mean of what is remembered.
+    pub fn mean(&self) -> f64 {
+        (1.0 + self.good) / (2.0 + self.good + self.bad)
+    }
+
+    pub fn succeeded(&mut self, now: f64, most: f64) {
+        (self.good, self.seen) = ((self.good + 1.0).min(most), now);
+    }
+}
+
+/// Over which connection a forward went: one that was open, or a new one.
+pub const KEPT: usize = 0;
+pub const NEW: usize = 1;
+
 /// What is known of one executor. `slow`: smoothed log of its latency over what the same operation takes
 /// elsewhere. `slots`: 0 while unknown. `unseen`: forwards that its last report can't have seen. `others`:
 /// what the other nodes hold there. `heard`: last sign of life, or when it last got work while it had none.
@@ -445,6 +494,11 @@
     pub bad: f64,
     pub turn: usize,
     pub spent: f64,
+    /// By operation.
+    pub records: Vec<Record>,
+    /// Connections there, in use or not, and when the last was put back.
+    pub open: usize,
+    pub parked: f64,
 }
 
 impl Executor {
@@ -463,6 +517,18 @@
         !self.silent && (!self.doubtful || now < fog)
     }
 
+    pub fn record(&mut self, op: usize) -> &mut Record {
+        if self.records.len() <= op {
+            self.records.resize(op + 1, Record::default());
+        }
+        &mut self.records[op]
+    }
+
+    /// It has a connection that is not in use, and not about to be closed for that.
+    pub fn has_idle(&self, now: f64, idle: f64) -> bool {
+        self.open > self.held && (idle <= 0.0 || now - self.parked < 0.9 * idle)
+    }
+
     /// What the other nodes hold there.
     pub fn elsewhere(&self) -> f64 {
         self.others.iter().map(|&n| f64::from(n)).sum()
@@ -573,6 +639,10 @@
     pub(crate) misled: f64,
     /// How often a forward that was told of room had to wait.
     pub(crate) empty: f64,
+    /// How forwards over open and over new connections fared.
+    pub(crate) ways: [Record; 2],
+    /// How often what should have started, and had not, never did.
+    pub(crate) vain: f64,
     /// What an invocation must press to be taken, in parts of the usual press.
     pub(crate) price: f64,
     pub(crate) usual: f64,
