--- a/src/policy.rs
+++ b/src/policy.rs
@@ -286,7 +286,12 @@
             (Act::Throttle | Act::Answer, _) => out.push(Output::Throttle { id, pause }),
         }
         self.waiting.retain(|&other| other != id);
-        let in_time = inv.forwards.last().is_some_and(|f| turn == Turn::Finished && f.sent <= inv.aim);
+        let starts = self.set.tells_start;
+        let timely = |f: &Fwd| match f.wait.filter(|_| starts) {
+            Some(wait) => f.sent + wait <= inv.aim + inv.spare,
+            None => !starts && f.sent <= inv.aim,
+        };
+        let in_time = turn == Turn::Finished && inv.forwards.iter().any(timely);
         let class = &mut self.classes[inv.op];
         class.timely += TIMELY_NEW * (f64::from(u8::from(in_time)) - class.timely);
         let still_out = inv.still_out().filter(|_| self.set.cancelling);
@@ -533,6 +538,10 @@
             let holds = if room >= ONE { FREE_HOLDS } else { FULL_HOLDS };
             return (t.reported > 0.0 && now - t.reported <= holds).then_some(room);
         }
+        // What was sent there last still waits: so would the next.
+        if self.set.tells_start && t.held > t.running && now - t.last_sent > AT_ONCE {
+            return Some(0.0);
+        }
         let near = self.near > 0 && t.entry.zone == self.set.zone;
         Some(PASS * self.held[usize::from(!near)] + 1.0 - t.held as f64)
     }
