--- a/src/policy.rs
+++ b/src/policy.rs
@@ -189,6 +189,9 @@
     }
 
     fn submitted(&mut self, now: f64, sub: Submission, out: &mut Vec<Output>) {
+        const PATIENCE_NEW: f64 = 0.1; // Weight of an invocation in what its tenant's clients come with: some ten.
+        const LEAST: f64 = 0.05; // Of the worth, so that some are tried still.
+        const IMPATIENT: f64 = 0.5; // Of the longest: those who come again alone would come with more.
         const WAIT: f64 = 0.5; // Of what could be spared on the mean: running times vary as much again.
         if let Some(budget) = self.set.budget {
             self.taken.push_back(now);
@@ -214,19 +217,29 @@
         // that comes first is late by this node's own stall at most.
         class.longest = class.longest.max(sub.timeout);
         let stall = if self.set.marks_again && !sub.again { now - self.turns[0] } else { f64::INFINITY };
-        let aim = now + spare - (class.longest - sub.timeout).min(stall);
         let tenant = sub.tenant.filter(|&t| t < self.tenants.len());
+        // Guards against clients of one tenant that all give up sooner than they did: none of them is late for that.
+        let impatient = tenant.is_some_and(|t| {
+            let patience = &mut self.tenants[t].patience;
+            patience.resize(patience.len().max(sub.operation + 1), 1.0);
+            patience[sub.operation] += PATIENCE_NEW * (sub.timeout / class.longest - patience[sub.operation]);
+            patience[sub.operation] < IMPATIENT
+        });
+        let aim = now + spare - if impatient { 0.0 } else { (class.longest - sub.timeout).min(stall) };
         tenant.iter().for_each(|&t| self.tenants[t].arrived += 1.0);
         let quota = |t: usize| self.set.quotas[t] / self.set.nodes as f64 / self.tenants[t].rate.max(1e-3);
         let in_share = tenant.map_or(1.0, quota).min(1.0);
         let worth = in_share + (1.0 - in_share) * self.set.over_share_value;
+        // Of tries that are soon given up only those that end by then are worth their work.
+        let worth = worth * tenant.filter(|_| impatient).map_or(1.0, |t| self.tenants[t].timely.max(LEAST));
         // A crossing waits for the part of its spare time that it would cost of the value it serves.
         let dear = self.set.cross_zone_price * self.value / self.value(sub.operation, load).max(1e-6);
         let spills = !self.asks() && self.chance.draw() < self.spill;
         let (op, cross) = (sub.operation, if spills { now } else { now + dear * spare });
         let end = self.leaving.unwrap_or(f64::INFINITY).min(now + sub.timeout);
-        let (until, key) = (aim.max(now).min(end - BEFORE_END), sub.key);
-        let inv = Inv { op, worth, aim, spare, until, end, hint, load, memory, cross, key, ..Inv::default() };
+        let hasty = impatient;
+        let (until, key) = (if hasty { now } else { aim.max(now) }.min(end - BEFORE_END), sub.key);
+        let inv = Inv { op, worth, aim, spare, until, end, hint, load, memory, cross, key, tenant, hasty, ..Inv::default() };
         self.invs.insert(sub.id, inv);
         self.queue(sub.id);
         // Met in part by chance: no operation falls out as a whole.
@@ -294,6 +307,10 @@
         let in_time = turn == Turn::Finished && inv.forwards.iter().any(timely);
         let class = &mut self.classes[inv.op];
         class.timely += TIMELY_NEW * (f64::from(u8::from(in_time)) - class.timely);
+        if let Some(tenant) = inv.tenant.filter(|_| !inv.forwards.is_empty()) {
+            let timely = &mut self.tenants[tenant].timely;
+            *timely += TIMELY_NEW * (f64::from(u8::from(in_time)) - *timely);
+        }
         let still_out = inv.still_out().filter(|_| self.set.cancelling);
         out.extend(still_out.map(|forward| Output::Withdraw { id, forward }));
         if inv.still_out().count() == 0 {
@@ -632,7 +649,7 @@
             }
         }
         let kept = |i: &Tgt| self.tgts[*i].kept && self.tgts[*i].held == 0;
-        if !self.asks() && pool.iter().any(kept) {
+        if !self.asks() && (inv.hasty || pool.iter().any(kept)) {
             pool.retain(kept);
         }
         let sums = sums(pool.iter().map(|&i| self.tgts[i].share));
--- a/src/types.rs
+++ b/src/types.rs
@@ -395,6 +395,11 @@
     pub load: f64,
     pub memory: f64,
     pub key: Option<u64>,
+    #[serde(skip)]
+    pub tenant: Option<usize>,
+    /// Its client gives up sooner than it could be late.
+    #[serde(default)]
+    pub hasty: bool,
     pub press: f64,
     /// Its executor died as it began there, or two have failed it: it goes out no more.
     pub hopeless: bool,
@@ -581,6 +586,8 @@
     pub timely: f64,
     /// Longest time that a client came with.
     pub longest: f64,
+    /// Of a tenant, by operation: the mean part of the longest time that its clients come with.
+    pub patience: Vec<f64>,
 }
 
 /// What is known of one kind of machine: the smoothed log of its latency over what the same operation takes
