--- a/src/policy.rs
+++ b/src/policy.rs
@@ -239,7 +239,22 @@
         let end = self.leaving.unwrap_or(f64::INFINITY).min(now + sub.timeout);
         let hasty = impatient;
         let (until, key) = (if hasty { now } else { aim.max(now) }.min(end - BEFORE_END), sub.key);
-        let inv = Inv { op, worth, aim, spare, until, end, hint, load, memory, cross, key, tenant, hasty, ..Inv::default() };
+        let inv = Inv {
+            op,
+            worth,
+            aim,
+            spare,
+            until,
+            end,
+            hint,
+            load,
+            memory,
+            cross,
+            key,
+            tenant,
+            hasty,
+            ..Inv::default()
+        };
         self.invs.insert(sub.id, inv);
         self.queue(sub.id);
         // Met in part by chance: no operation falls out as a whole.
@@ -344,7 +359,8 @@
             self.theirs += THEIRS_NEW * (fault - self.theirs);
             self.tgts[other].bad = (self.tgts[other].bad - fault).max(0.0);
         }
-        let (outs, ran, life, memory) = (inv.still_out().count(), inv.anchor().is_some(), inv.life, inv.memory);
+        let (outs, ran, life, memory) =
+            (inv.still_out().count(), inv.anchor().is_some(), inv.life, inv.memory);
         self.way(now, tgt, fwd_kept, fwd_late, outcome);
         let t = &mut self.tgts[tgt];
         t.held = t.held.saturating_sub(1);
@@ -376,7 +392,7 @@
         let idle = t.held == 0 && !t.kept && outcome != Outcome::Errored; // It answers, and will again.
         let idle = idle && !self.ways[NEW].shut && self.crowds();
         self.tell(tgt, out);
-        if idle && !self.whole() {
+        if idle && !self.whole() || self.ways[KEPT].shut && self.tgts[tgt].open > self.tgts[tgt].held {
             self.close(tgt, out);
         }
         // Full beside reported room: the report speaks of another time than now.
@@ -788,7 +804,9 @@
                 }
             }
         }
-        let open = |inv: &Inv| inv.forwards.last().is_some_and(|f| f.sure && !f.vain && f.fate == Fate::Out && f.wait.is_none());
+        let open = |inv: &Inv| {
+            inv.forwards.last().is_some_and(|f| f.sure && !f.vain && f.fate == Fate::Out && f.wait.is_none())
+        };
         let unsure = unsure && self.invs.values().any(|inv| inv.life != Life::Ended && open(inv));
         if (unsure || !self.waiting.is_empty()) && !self.looking {
             self.looking = true;
@@ -802,16 +820,19 @@
         const PAST: f64 = 2.0; // Of the half of what it could wait: it will not be in time.
         let mut late = Vec::new();
         for (&id, inv) in &mut self.invs {
-            let (spare, op, over) = (inv.spare, inv.op, now > inv.end - BEFORE_END || inv.life == Life::Ended);
-            let Some(fwd) = inv.forwards.last_mut().filter(|f| f.fate == Fate::Out && f.wait.is_none()) else {
+            let (spare, op, over) =
+                (inv.spare, inv.op, now > inv.end - BEFORE_END || inv.life == Life::Ended);
+            let Some(fwd) = inv.forwards.last_mut().filter(|f| f.fate == Fate::Out && f.wait.is_none())
+            else {
                 continue;
             };
             let age = now - fwd.sent;
             if fwd.sure && !fwd.late && age > LATE * spare {
                 fwd.late = true;
                 late.push((fwd.tgt, op, fwd.kept));
-                copies.extend((self.set.second_copies && self.vain > 0.5 && !over).then_some(id));
             }
+            let vain = self.vain > 0.5 || fwd.told && fwd.kept;
+            copies.extend((self.set.second_copies && vain && fwd.late && !fwd.vain && !over).then_some(id));
             if fwd.late && !fwd.vain && age > PAST * spare {
                 fwd.vain = true;
                 self.vain += VAIN_NEW * (1.0 - self.vain);
@@ -889,7 +910,7 @@
                 record.shut = record.mean() < self.level * DOUBT[0] && record.draw(&mut self.chance) < TRY_AT;
             }
         }
-        self.open_ways(passed);
+        self.open_ways(passed, out);
         self.seek(now, out);
         self.solve(now);
         // Each second all that it holds, and once more what has changed, as messages may be lost.
@@ -908,8 +929,9 @@
 
     /// Guards against connections that fail by their sort: open ones that were dropped unseen, or new ones that come
     /// up too late. The sort that fares much worse is left, but for a trial now and then.
-    fn open_ways(&mut self, passed: f64) {
+    fn open_ways(&mut self, passed: f64, out: &mut Vec<Output>) {
         const FORGET: f64 = 20.0; // Such troubles last for tens of seconds, and each trial costs an invocation.
+        let was = self.ways[KEPT].shut;
         const WORSE: f64 = 0.75; // Of the other's mean.
         for way in [KEPT, NEW] {
             let other = self.ways[1 - way];
@@ -918,6 +940,11 @@
             let worse = way.mean() < WORSE * other.mean();
             way.shut = worse && way.draw(&mut self.chance) < other.draw(&mut self.chance);
         }
+        if self.ways[KEPT].shut && !was {
+            let idle = |i: &Tgt| self.tgts[*i].open > self.tgts[*i].held;
+            let idle: Vec<Tgt> = (0..self.tgts.len()).filter(idle).collect();
+            idle.into_iter().for_each(|i| self.close(i, out));
+        }
     }
 
     /// Asks some of those that are missing whether they live, or takes it for granted where none is left.
--- a/src/types.rs
+++ b/src/types.rs
@@ -372,7 +372,18 @@
 
 impl Fwd {
     pub fn new(tgt: Tgt, sent: f64) -> Self {
-        Fwd { tgt, sent, fate: Fate::Out, wait: None, told: false, kept: false, sure: false, late: false, vain: false, errored: false }
+        Fwd {
+            tgt,
+            sent,
+            fate: Fate::Out,
+            wait: None,
+            told: false,
+            kept: false,
+            sure: false,
+            late: false,
+            vain: false,
+            errored: false,
+        }
     }
 }
 
