Two processes of a node have one budget of forwards; settings and copies tested in engine and node

Need: the service reads the new settings too, and during a replacement two processes are one node: each with the whole budget would send twice as much.

Change: what was taken and sent further goes over with what was learnt; the process with the lesser part sends none beyond the first while two live, and has its budget again when alone. An unfit budget is refused in one line by its key. Engine: of two forwards that are out the first answer counts, whichever it is.

--- a/crates/coveroute-emu/src/baseline.rs
+++ b/crates/coveroute-emu/src/baseline.rs
@@ -6,7 +6,7 @@
 
 use coveroute::adopt::Moved;
 use coveroute::types::{
-    Effect, Entry, Group, Input, InvId, List, Output, Settings, Settled, Standing, Submission, Tgt,
+    Budget, Effect, Entry, Group, Input, InvId, List, Output, Settings, Settled, Standing, Submission, Tgt,
 };
 use coveroute_engine::Decide;
 use rand::{Rng, SeedableRng};
@@ -309,8 +309,8 @@
         self.jobs.values().any(|job| job.op == operation)
     }
 
-    fn share_cold(&mut self, factor: f64) {
-        self.set.cold.factor = factor;
+    fn share(&mut self, factor: f64, budget: Option<Budget>) {
+        (self.set.cold.factor, self.set.budget) = (factor, budget);
     }
 
     fn avoided(&self, now: f64) -> usize {
--- a/crates/coveroute-emu/src/virtual_time.rs
+++ b/crates/coveroute-emu/src/virtual_time.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use coveroute::adopt::Moved;
-use coveroute::types::{InvId, Node, Outcome as Ended, Report, Settings, Tgt, Told};
+use coveroute::types::{Budget, InvId, Node, Outcome as Ended, Report, Settings, Tgt, Told};
 use coveroute_engine::{
     Action, Answer, Call, Decide, Engine, Event, Listing, News, Phase, Reply, Watched, Word as Heard,
 };
@@ -77,10 +77,10 @@
         }
     }
 
-    fn share_cold(&mut self, factor: f64) {
+    fn share(&mut self, factor: f64, budget: Option<Budget>) {
         match self {
-            Mind::Node(node) => Decide::share_cold(node.as_mut(), factor),
-            Mind::Baseline(baseline) => baseline.share_cold(factor),
+            Mind::Node(node) => Decide::share(node.as_mut(), factor, budget),
+            Mind::Baseline(baseline) => baseline.share(factor, budget),
         }
     }
 
--- a/crates/coveroute-engine/src/engine.rs
+++ b/crates/coveroute-engine/src/engine.rs
@@ -9,7 +9,7 @@
 use coveroute::learnt::Learnt;
 use coveroute::policy::LOOK;
 use coveroute::types::{
-    Input, Inv, InvId, List, Node, Operation, Outcome, Output, Report, Settings, Settled, Standing,
+    Budget, Input, Inv, InvId, List, Node, Operation, Outcome, Output, Report, Settings, Settled, Standing,
     Submission, Tgt, Told,
 };
 use coveroute_shared::Names;
@@ -56,8 +56,8 @@
     /// The operations' entries, which have grown.
     fn extend(&mut self, _: Vec<Operation>) {}
 
-    /// What cold executors can stand of this process from now on, in their capacity.
-    fn share_cold(&mut self, factor: f64);
+    /// What cold executors can stand of this process from now on, in their capacity, and its budget of forwards.
+    fn share(&mut self, factor: f64, budget: Option<Budget>);
 }
 
 impl Decide for Node {
@@ -97,8 +97,8 @@
         Node::extend(self, operations);
     }
 
-    fn share_cold(&mut self, factor: f64) {
-        Node::share_cold(self, factor);
+    fn share(&mut self, factor: f64, budget: Option<Budget>) {
+        Node::share(self, factor, budget);
     }
 }
 
@@ -310,6 +310,7 @@
     elsewhere: BTreeSet<String>,
     /// What a cold executor can stand, as the settings say, and this process's part of it.
     cold_factor: f64,
+    budget: Option<Budget>,
     part: f64,
     /// By when all must be answered, once the node is to stop.
     leave_by: f64,
@@ -344,6 +345,7 @@
             counts: Counts::default(),
             elsewhere: BTreeSet::new(),
             cold_factor: setup.settings.cold.factor,
+            budget: setup.settings.budget,
             part: 1.0,
             leave_by: f64::INFINITY,
             end_from: f64::INFINITY,
@@ -394,6 +396,13 @@
         }
     }
 
+    /// Two processes of one node have one budget of forwards: who has the lesser part sends none beyond the first,
+    /// as the other goes on from all that was counted.
+    fn own_budget(&self) -> Option<Budget> {
+        let none = |budget| Budget { floor: 0.0, share: 0.0, ..budget };
+        self.budget.map(|budget| if self.part < 0.5 { none(budget) } else { budget })
+    }
+
     /// What the next process of this node is handed.
     pub fn memory(&self) -> Memory {
         let calls = self.book.open_calls().map(|call| call.to_string()).collect();
@@ -488,7 +497,8 @@
             Event::Reread { tuning, moved } => self.reread(now, tuning, moved, out),
             Event::Part(part) => {
                 self.part = part;
-                self.route.decide_mut().share_cold(part * self.cold_factor);
+                let budget = self.own_budget();
+                self.route.decide_mut().share(part * self.cold_factor, budget);
             }
             Event::NotReread => self.counts.rejected += 1,
             Event::Ended(operation, verdict) => self.counts.ended(operation, verdict),
@@ -788,8 +798,9 @@
         let decide = self.route.decide();
         let moved = self.operations.adopt(now, news, &mut self.entries, |at| decide.has(at));
         settings.operations = self.entries.clone();
-        self.cold_factor = settings.cold.factor;
+        (self.cold_factor, self.budget) = (settings.cold.factor, settings.budget);
         settings.cold.factor *= self.part;
+        settings.budget = self.own_budget();
         self.route.decide_mut().adopt(settings, &moved, &tenants);
         self.show();
         info!("settings taken over: {} operations new or changed", moved.len());
--- a/crates/coveroute-engine/src/memory.rs
+++ b/crates/coveroute-engine/src/memory.rs
@@ -18,6 +18,10 @@
     pub tenants: Rows,
     pub kinds: Rows,
     pub node: Row,
+    #[serde(default)]
+    pub taken: Row,
+    #[serde(default)]
+    pub further: Row,
 }
 
 /// Rows by number become rows by name; what has none is left out.
@@ -47,6 +51,8 @@
             tenants: named(learnt.tenants, |at| names.tenants.get(at).map(String::as_str)),
             kinds: named(learnt.kinds, |at| names.kinds.get(at).map(String::as_str)),
             node: learnt.node,
+            taken: learnt.taken,
+            further: learnt.further,
         }
     }
 
@@ -59,6 +65,8 @@
             tenants: numbered(&self.tenants, |name| at(tenants, name)),
             kinds: numbered(&self.kinds, |name| at(kinds, name)),
             node: self.node.clone(),
+            taken: self.taken.clone(),
+            further: self.further.clone(),
         }
     }
 }
--- a/crates/coveroute-engine/src/tests.rs
+++ b/crates/coveroute-engine/src/tests.rs
@@ -1,4 +1,6 @@
 //! Tests of the engine: one event given to it, what it has its host do, how its records stand. No sockets, no clock.
+use bytes::Bytes;
+use coveroute::adopt::Moved;
 use coveroute::types::*;
 use coveroute_shared::Names;
 use test_case::test_case;
@@ -569,6 +571,77 @@
     assert_eq!(factor(&engine), 4.0);
 }
 
+#[test]
+fn two_processes_of_a_node_have_one_budget_of_forwards() {
+    let budgeted = |old: Option<&Engine>| {
+        let mut with = tuning(&["look"], &[operation(Effect::Idempotent)], &[5.0], 4);
+        with.settings.budget = Some(Budget { floor: 2.0, share: 0.5, span: 5.0 });
+        let mut engine = old.map_or_else(|| engine().0, successor);
+        retuned(&mut engine, NOW, with);
+        engine
+    };
+    let left = |engine: &Engine| engine.decisions().settings().budget.map(|b| (b.floor, b.share));
+    let mut old = budgeted(None);
+    let out = told(&mut old, NOW, Event::Taken(1, &call("a", "look", 5.0)));
+    assert!(out.iter().any(|action| matches!(action, Action::Send { .. })));
+    told(&mut old, NOW, Event::Replied(1, 0, Reply::Ended(Outcome::Full, Report::default())));
+    assert!(old.memory().further.len() <= 1 && old.memory().taken.len() == 1);
+    let new = budgeted(Some(&old));
+    assert_eq!((new.memory().taken, new.memory().further), (old.memory().taken, old.memory().further));
+    told(&mut old, NOW, Event::Part(0.25));
+    assert_eq!((left(&old), left(&new)), (Some((0.0, 0.0)), Some((2.0, 0.5))));
+    told(&mut old, NOW, Event::Part(1.0));
+    assert_eq!(left(&old), Some((2.0, 0.5)), "alone again");
+}
+
+/// Sends whatever is submitted to both executors at once, and lets the answers be.
+struct Doubler;
+
+impl Decide for Doubler {
+    fn handle(&mut self, _: f64, input: Input, out: &mut Vec<Output>) {
+        if let Input::Submitted(sub) = input {
+            out.extend([0, 1].map(|tgt| Output::Forward { id: sub.id, tgt }));
+        }
+    }
+
+    fn adopt(&mut self, _: Settings, _: &[Moved], _: &[Option<usize>]) {}
+
+    fn has(&self, _: usize) -> bool {
+        false
+    }
+
+    fn avoided(&self, _: f64) -> usize {
+        0
+    }
+
+    fn share(&mut self, _: f64, _: Option<Budget>) {}
+}
+
+// Where a second copy is out, the first answer is the only one, whichever forward it is of.
+#[test_case(0, 1; "the first forward's")]
+#[test_case(1, 0; "the copy's")]
+fn of_two_that_are_out_the_first_answer_counts(first: usize, second: usize) {
+    let settings =
+        Settings { nodes: 1, operations: vec![operation(Effect::Idempotent)], ..Settings::default() };
+    let known = Some(listing(1, true, (0..2).map(|at| host(at, Standing::Ready)).collect()));
+    let setup = Setup { settings, names: names(), seed: 1, timeouts: vec![5.0], known, memory: None };
+    let mut engine = Engine::deciding(NOW, Doubler, setup, &mut Vec::new());
+    let mut told = |now, event: Event| {
+        let mut out = Vec::new();
+        engine.handle(now, event, &mut out);
+        out
+    };
+    let taken = call("a", "look", 5.0);
+    let sent = told(NOW, Event::Taken(1, &taken));
+    assert_eq!(sent.iter().filter(|a| matches!(a, Action::Send { .. })).count(), 2);
+    told(NOW, Event::Replied(1, 0, Reply::Taken));
+    told(NOW, Event::Replied(1, 1, Reply::Taken));
+    let done = |forward| Event::Replied(1, forward, Reply::Succeeded(Bytes::new(), Report::default()));
+    assert_eq!(answers(&told(NOW + 1.0, done(first))).len(), 1);
+    assert!(answers(&told(NOW + 1.1, done(second))).is_empty(), "one final answer");
+    assert_eq!(engine.held(), 0);
+}
+
 #[test]
 fn a_stop_does_not_shorten_what_a_job_has_in_the_next_process() {
     let mut old = engine().0;
--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -587,6 +587,41 @@
     assert!(!told.contains('\n') && told.contains("perhaps"), "{told}");
 }
 
+const RULE: &str = "\"overloadFactor\"";
+
+#[test_case("\"extraFloor\": 5, \"extraPerRequest\": 0.03, \"lookBack\": 5000, ", Ok(Some((5.0, 0.03, 5.0))); "a budget")]
+#[test_case("\"extraFloor\": 5, \"lookBack\": 5000, ", Ok(Some((5.0, 0.0, 5.0))); "a floor alone")]
+#[test_case("\"lookBack\": 5000, ", Ok(None); "a span of nothing")]
+#[test_case("", Ok(None); "off where it is absent")]
+#[test_case("\"extraFloor\": 5, ", Err("lookBack"); "no span")]
+#[test_case("\"extraPerRequest\": 0.03, \"lookBack\": 0, ", Err("lookBack"); "an empty span")]
+#[test_case("\"extraPerRequest\": -1, \"lookBack\": 5000, ", Err("extraPerRequest"); "below nothing")]
+fn a_budget_of_forwards_is_read_as_the_simulator_tells_it(
+    rules: &str,
+    expected: Result<Option<(f64, f64, f64)>, &str>,
+) {
+    let told = Config::parse(&other(&[(RULE, &format!("{rules}{RULE}"))]), config::Told::default());
+    match (told, expected) {
+        (Ok(config), Ok(budget)) => {
+            assert_eq!(config.settings.budget.map(|b| (b.floor, b.share, b.span)), budget)
+        }
+        (Err(line), Err(key)) => assert!(!line.contains('\n') && line.contains(key), "{line}"),
+        (told, _) => panic!("{told:?}"),
+    }
+}
+
+#[test]
+fn what_full_proves_and_when_one_counts_as_told_are_read() {
+    let set = |rules: &str| {
+        let text = other(&[(RULE, &format!("{rules}{RULE}"))]);
+        Config::parse(&text, config::Told::default()).expect("fit").settings
+    };
+    let (plain, late) = (set(""), set("\"lateShedding\": true, \"askWithin\": 5000, "));
+    assert!(plain.never_ran(Outcome::Full) && !late.never_ran(Outcome::Full));
+    assert!(late.never_ran(Outcome::Unreachable) && !plain.never_ran(Outcome::Reset));
+    assert_eq!((plain.ask_within, late.ask_within), (None, Some(5.0)));
+}
+
 const PUSH: &str = "{\"version\":1,\"full\":true,\"servers\":[{\"id\":\"s\",\"addr\":\"127.0.0.1:1\",\"state\":\"up\",\"weight\":3.5}]}";
 
 /// A node of this way to the list, whose `discovery` is there: how it answers a list, whether it serves then.
--- a/src/learnt.rs
+++ b/src/learnt.rs
@@ -1,5 +1,5 @@
 //! What a node has learnt, in rows of figures that another process of it can begin with. No decision.
-use crate::types::{Class, Executor, Kind, Node, Tgt};
+use crate::types::{Budget, Class, Executor, Kind, Node, Tgt};
 
 /// Figures in the order in which `take` reads them; one of another length is passed over.
 pub type Row = Vec<f64>;
@@ -11,6 +11,9 @@
     pub tenants: Vec<(usize, Row)>,
     pub kinds: Vec<(usize, Row)>,
     pub node: Row,
+    /// When invocations were taken and further forwards sent, for as long as that counts: see `Budget`.
+    pub taken: Row,
+    pub further: Row,
 }
 
 fn flag(value: bool) -> f64 {
@@ -82,6 +85,8 @@
             operations: classes(&self.classes),
             tenants: classes(&self.tenants),
             kinds: self.kinds.iter().map(Kind::row).enumerate().collect(),
+            taken: self.taken.0.iter().copied().collect(),
+            further: self.further.0.iter().copied().collect(),
             node: vec![
                 self.util,
                 self.level,
@@ -112,6 +117,7 @@
         for (at, row) in &learnt.kinds {
             self.kinds.get_mut(*at).into_iter().for_each(|kind| kind.take(row));
         }
+        (self.taken.0, self.further.0) = (learnt.taken.clone().into(), learnt.further.clone().into());
         if let &[util, level, fog, theirs, spill, misled, price, usual, raised, value, phi] = &learnt.node[..]
         {
             (self.util, self.level, self.fog, self.theirs) = (util, level, fog, theirs);
@@ -120,8 +126,9 @@
         }
     }
 
-    /// Of what a cold executor can stand, this part is left to this process.
-    pub fn share_cold(&mut self, factor: f64) {
+    /// Of what a cold executor can stand, and of the budget of forwards, this is left to this process.
+    pub fn share(&mut self, factor: f64, budget: Option<Budget>) {
         self.set.cold.factor = factor;
+        self.set.budget = budget;
     }
 }
