--- a/src/policy.rs
+++ b/src/policy.rs
@@ -405,7 +405,7 @@
 
     fn alive(&mut self, now: f64, id: InvId, forward: usize) {
         const SPILL_NEW: f64 = 0.05; // Weight of a start in what leaves the zone; less for cheap crossings.
-        const EMPTY_NEW: f64 = 0.05; // Weight of a start where room was told in how often it was not there.
+        const EMPTY_NEW: f64 = 0.1; // Weight of a start where room was told in how often it was not there.
         const WAITED_NEW: f64 = 0.05; // Weight of a start in a utilisation that is not reported: some twenty.
         let Some(inv) = self.invs.get_mut(&id) else { return };
         let Some(fwd) = inv.forwards.get_mut(forward).filter(|f| f.fate == Fate::Out) else { return };
@@ -776,7 +776,7 @@
 
     fn tick(&mut self, now: f64, out: &mut Vec<Output>) {
         const FORGET: f64 = 8.2; // Seconds in which remembered failures fade to a third: half after six.
-        const BLIND: f64 = 120.0; // Then reports that told of no room are looked at again.
+        const BLIND: f64 = 60.0; // Then reports that told of no room are looked at again.
         const SOLVE_COST: f64 = 5e-3; // Tenfold, an executor, in invocations: solves take a tenth of the CPU.
         const SOLVE_LATEST: f64 = 5.0; // Before what is known is far out of date.
         const PEER_SILENT: f64 = 6.0; // A peer not heard for longer than from solve to solve holds nothing.
