--- a/src/policy.rs
+++ b/src/policy.rs
@@ -378,11 +378,12 @@
         out.push(Output::Release(tgt));
     }
 
-    /// If all nodes hold as many connections, they fill executors' tables; or there is a price on them.
+    /// All nodes with as many connections fill executors' tables; or there is a price on them, or no use of them.
     fn crowds(&self) -> bool {
-        const TABLE: f64 = 100.0; // Connections: half of the smallest table met.
+        const TABLE: f64 = 30.0; // Connections: a seventh of the smallest table met, which takes capacity.
         let open: usize = self.tgts.iter().map(|t| t.open).sum();
-        let most = if self.set.connection_price > 0.0 { 0.0 } else { TABLE * self.rank.len() as f64 };
+        let most =
+            if self.set.connection_price > 0.0 || self.asks() { 0.0 } else { TABLE * self.rank.len() as f64 };
         (open * self.set.nodes) as f64 > most
     }
 
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -548,13 +548,15 @@
     assert_eq!(node.room(1.2, &node.tgts[4]), Some(1.0), "nobody came");
 }
 
-#[test_case(30, 1.0, Outcome::Succeeded, true; "in a large fleet, where there is a price on them")]
-#[test_case(30, 0.0, Outcome::Succeeded, false; "kept where there is none, and executors take as many")]
-#[test_case(10, 1.0, Outcome::Succeeded, false; "kept in a small one")]
-#[test_case(30, 1.0, Outcome::Errored, false; "kept where a job failed, at the cost of no handshake more")]
-fn idle_connections_are_closed(many: usize, price: f64, outcome: Outcome, closed: bool) {
+// Brisbane-pool-later, 1,174 nodes: 0.946 -> 0.829 where what is drawn by chance among hundreds was kept open.
+#[test_case(30, true, 0.0, Outcome::Succeeded, true; "in a large fleet that is asked")]
+#[test_case(30, false, 1.0, Outcome::Succeeded, true; "in one that is not, where there is a price on them")]
+#[test_case(30, false, 0.0, Outcome::Succeeded, false; "kept where there is none, and executors take as many")]
+#[test_case(10, true, 0.0, Outcome::Succeeded, false; "kept in a small one")]
+#[test_case(30, true, 0.0, Outcome::Errored, false; "kept where a job failed, at the cost of no handshake more")]
+fn idle_connections_are_closed(many: usize, asked: bool, price: f64, outcome: Outcome, closed: bool) {
     let mut node = node(Effect::Idempotent, many);
-    (node.set.probing, node.set.reports, node.set.connection_price) = (true, Reports::Answers, price);
+    (node.set.probing, node.set.reports, node.set.connection_price) = (asked, Reports::Answers, price);
     add(&mut node, Life::Out, &[Fate::Out]);
     (node.tgts[0].held, node.tgts[0].open) = (1, 1);
     assert_eq!(settle(&mut node, 2.0, outcome).contains(&Output::Release(0)), closed);
