--- a/src/policy.rs
+++ b/src/policy.rs
@@ -378,13 +378,12 @@
         out.push(Output::Release(tgt));
     }
 
-    /// All nodes with as many connections fill executors' tables; or there is a price on them, or no use of them.
+    /// All nodes with as many connections fill executors' tables, or they have a price, or no use.
     fn crowds(&self) -> bool {
         const TABLE: f64 = 30.0; // Connections: a seventh of the smallest table met, which takes capacity.
         let open: usize = self.tgts.iter().map(|t| t.open).sum();
-        let most =
-            if self.set.connection_price > 0.0 || self.asks() { 0.0 } else { TABLE * self.rank.len() as f64 };
-        (open * self.set.nodes) as f64 > most
+        let dear = self.set.connection_price > 0.0 || self.asks();
+        dear || (open * self.set.nodes) as f64 > TABLE * self.rank.len() as f64
     }
 
     /// Only answers that succeeded count as latencies: an executor that fails fast must not look fast.
