--- a/src/policy.rs
+++ b/src/policy.rs
@@ -42,8 +42,7 @@
     }
 
     fn fail(&mut self, weight: f64) {
-        self.bad += weight;
-        self.good *= GOOD_LEFT.powf(weight);
+        (self.good, self.bad) = (self.good * GOOD_LEFT.powf(weight), self.bad + weight);
     }
 }
 
@@ -67,8 +66,7 @@
     }
 
     fn failed(&mut self, weight: f64, level: f64, out: &mut Vec<Output>) {
-        self.bad += weight;
-        self.good *= GOOD_LEFT.powf(weight);
+        (self.good, self.bad) = (self.good * GOOD_LEFT.powf(weight), self.bad + weight);
         self.judge(level, out);
     }
 }
@@ -103,6 +101,7 @@
             util: 0.5,
             spill: 1.0 - (5.0 * set.cross_zone_price).min(1.0), // As if one in five came late there.
             level: 1.0,
+            empty: if set.tells_start { 2.0 * RACES } else { 0.0 }, // Believed less until starts show.
             set,
             ..Node::default()
         }
@@ -546,7 +545,7 @@
         let (turn, slots) = (t.turn(now, cold.fall), t.slots.max(1.0));
         let spent = if t.turn == turn { t.spent } else { 0.0 };
         let part = (share * slots).max(1.0).ceil();
-        let open = match self.told(now) {
+        let open = match self.told(now) && self.empty < RACES {
             _ if counted => true,
             true => self.room(now, t).is_none_or(|room| room >= slots - part + ONE),
             false => (turn + t.entry.mark as usize) % self.set.nodes.max(1) == self.set.me,
@@ -959,6 +958,7 @@
 const LATE: f64 = 0.5; // Of what it can wait: without a start until then the queue is too long.
 const VAIN_NEW: f64 = 0.2; // Weight of a forward that should have started in how many never do: some five.
 const AT_ONCE: f64 = 0.05; // A forward's way, a new connection and some batches: it waited for nothing.
+const RACES: f64 = 0.1; // Room that is not there so often is raced for: a cold executor could be pushed over.
 const EMPTY: f64 = 0.35; // Room that is not there so often is no guide: own forwards tell more.
 const ONE: f64 = 0.9; // One free slot, allowing for noise in reports.
 const PROMPT: f64 = 0.06; // A question's way there and back, and some batches: no answer means no room.
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -1321,3 +1321,25 @@
     let most = after.iter().copied().fold(0.0, f64::max);
     assert!(after.len() == 50 && most <= latest && most > 0.8 * latest, "{most}");
 }
+
+// Addis-boards, h554e99: a cold executor was sent 9.0 times what it could do, as 64 nodes were told of its room.
+#[test_case(0.0, true; "room that is there when one comes: any node may use the cold part")]
+#[test_case(0.2, false; "room that is raced for: each in its turn")]
+fn a_cold_executor_whose_room_is_raced_for_takes_turns(empty: f64, open: bool) {
+    let mut node = node(Effect::Idempotent, 1);
+    (node.set.probing, node.set.reports, node.set.tells_start) = (true, Reports::Answers, true);
+    (node.set.nodes, node.empty, node.util) = (400, empty, 0.9);
+    node.entry(99.0, entry(0, Standing::Ready, 99.0));
+    let t = &mut node.tgts[0];
+    (t.slots, t.free, t.reported, t.asked) = (4.0, 4.0, 100.0, 99.9);
+    assert!(node.told(100.0), "reports are gone by either way");
+    assert_eq!(node.cold_room(100.0, &node.tgts[0], 0.1), open);
+}
+
+#[test]
+fn reports_are_believed_less_until_starts_show() {
+    // Guards against nodes that were just restarted, and take the first room they are told for sure.
+    let settings = |tells_start| Settings { tells_start, ..Settings::default() };
+    assert!(Node::new(settings(true), 1).empty > RACES && Node::new(settings(true), 1).empty < EMPTY);
+    assert_eq!(Node::new(settings(false), 1).empty, 0.0, "where nothing would ever show it");
+}
