--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -1328,7 +1328,7 @@
 fn a_cold_executor_whose_room_is_raced_for_takes_turns(empty: f64, open: bool) {
     let mut node = node(Effect::Idempotent, 1);
     (node.set.probing, node.set.reports, node.set.tells_start) = (true, Reports::Answers, true);
-    (node.set.nodes, node.empty, node.util) = (400, empty, 0.9);
+    (node.set.nodes, node.set.me, node.empty, node.util) = (400, 7, empty, 0.9);
     node.entry(99.0, entry(0, Standing::Ready, 99.0));
     let t = &mut node.tgts[0];
     (t.slots, t.free, t.reported, t.asked) = (4.0, 4.0, 100.0, 99.9);
