--- a/src/policy.rs
+++ b/src/policy.rs
@@ -279,11 +279,7 @@
             (Act::Throttle | Act::Answer, _) => out.push(Output::Throttle { id, pause }),
         }
         self.waiting.retain(|&other| other != id);
-        // What has begun by then can still end in time; where starts are not told, what was sent by the aim.
-        let (told, begun) =
-            (self.set.tells_start, |f: &Fwd| f.wait.map_or(f64::INFINITY, |wait| f.sent + wait));
-        let timely = |f: &Fwd| if told { begun(f) <= inv.aim + inv.spare } else { f.sent <= inv.aim };
-        let in_time = turn == Turn::Finished && inv.forwards.iter().any(timely);
+        let in_time = inv.forwards.last().is_some_and(|f| turn == Turn::Finished && f.sent <= inv.aim);
         self.classes[inv.op].ended(in_time, TIMELY_NEW);
         let tenant = inv.tenant.filter(|_| !inv.forwards.is_empty());
         tenant.into_iter().for_each(|t| self.tenants[t].ended(in_time, TIMELY_NEW));
