Review: one record of trust an executor, late starts looked for among those in doubt

An executor kept successes and failures in two figures of its own, with a mean and a way to fail beside Record, which has the same: they are one Record now (whole), and the posterior's draw and forgiving use it. look() went through all invocations held, twice, at each event, to find forwards that should have begun: cost grows with what waits, up to thousands in a backlog; a set holds those in doubt now, filled as they are sent or taken in from another process.

No test was loosened; their field names follow.

--- a/src/learnt.rs
+++ b/src/learnt.rs
@@ -26,7 +26,7 @@
 impl Executor {
     fn row(&self) -> Row {
         let turn = if self.turn == usize::MAX { NO_TURN } else { self.turn as f64 };
-        let latency = [self.entry.started, self.slow, self.sampled, self.good, self.bad];
+        let latency = [self.entry.started, self.slow, self.sampled, self.whole.good, self.whole.bad];
         let room = [self.slots, self.free, self.reported, self.refused, f64::from(self.refusals)];
         let told = [flag(self.silent), flag(self.doubtful), flag(self.shown), flag(self.kept)];
         [&latency[..], &room, &told, &[self.heard, turn, self.spent]].concat()
@@ -42,7 +42,7 @@
         if started != self.entry.started {
             return;
         }
-        (self.slow, self.sampled, self.good, self.bad) = (slow, sampled, good, bad);
+        (self.slow, self.sampled, self.whole.good, self.whole.bad) = (slow, sampled, good, bad);
         (self.slots, self.free, self.reported) = (slots, free, reported);
         (self.refused, self.refusals) = (refused, refusals as u32);
         (self.silent, self.doubtful) = (silent > 0.0, doubtful > 0.0);
--- a/src/parcel.rs
+++ b/src/parcel.rs
@@ -32,6 +32,7 @@
             let at = self.waiting.partition_point(presses);
             self.waiting.insert(at, id);
         }
+        self.unsure.extend(inv.forwards.last().filter(|f| f.hangs()).map(|_| id));
         self.invs.insert(id, inv);
     }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -59,14 +59,14 @@
 
     /// Guards against doubting all where a network breaks to all: `level` is what the better ones reach.
     fn judge(&mut self, level: f64, out: &mut Vec<Output>) {
-        let doubtful = self.mean() < level * DOUBT[usize::from(self.doubtful)];
+        let doubtful = self.whole.mean() < level * DOUBT[usize::from(self.doubtful)];
         let words = if doubtful { "is doubtful" } else { "is trusted again" };
         let news = doubtful != std::mem::replace(&mut self.doubtful, doubtful);
         out.extend(news.then(|| Output::Log(format!("executor {:06x} {words}", self.entry.mark))));
     }
 
     fn failed(&mut self, weight: f64, level: f64, out: &mut Vec<Output>) {
-        (self.good, self.bad) = (self.good * GOOD_LEFT.powf(weight), self.bad + weight);
+        self.whole.fail(weight);
         self.judge(level, out);
     }
 }
@@ -314,7 +314,7 @@
             inv.hopeless |= outcome == Outcome::Errored;
             let fault = f64::from(u8::from(inv.hopeless));
             self.theirs += THEIRS_NEW * (fault - self.theirs);
-            self.tgts[other].bad = (self.tgts[other].bad - fault).max(0.0);
+            self.tgts[other].whole.forgive(inv.hopeless);
         }
         let (outs, ran, life, memory) =
             (inv.still_out().count(), inv.anchor().is_some(), inv.life, inv.memory);
@@ -395,7 +395,7 @@
         t.woke(now);
         t.record(op).succeeded(now, GOOD_MOST, false);
         (t.sampled, t.refusals) = (now, 0);
-        t.good = (t.good + 1.0).min(GOOD_MOST);
+        t.whole.succeeded(now, GOOD_MOST, false);
     }
 
     fn alive(&mut self, now: f64, id: InvId, forward: usize) {
@@ -694,6 +694,8 @@
         let Some(inv) = self.invs.get_mut(&id) else { return };
         self.further.note(!inv.forwards.is_empty(), now, self.set.look_back());
         let t = &mut self.tgts[tgt];
+        self.unsure.remove(&id);
+        self.unsure.extend(sure.then_some(id));
         inv.forwards.push(Fwd { told, kept: t.has_idle(), sure, ..Fwd::new(tgt, now) });
         t.record(inv.op).blame(0.0, self.level); // A trial is one invocation.
         t.open = t.open.max(t.held + 1);
@@ -724,9 +726,7 @@
                 self.send(now, id, tgt, out);
             }
         }
-        let hangs = |inv: &Inv| inv.forwards.last().is_some_and(|f| f.hangs() && !f.vain);
-        let unsure = self.invs.values().any(|inv| inv.life != Life::Ended && hangs(inv));
-        if (unsure || !self.waiting.is_empty()) && !self.looking {
+        if (!self.unsure.is_empty() || !self.waiting.is_empty()) && !self.looking {
             self.looking = true;
             out.push(Output::Wake { after: LOOK_EVERY, timer: LOOK });
         }
@@ -736,7 +736,8 @@
     fn overdue(&mut self, now: f64) -> Vec<InvId> {
         const PAST: f64 = 2.0; // Of the half of what it could wait: it will not be in time.
         let mut copies = Vec::new();
-        for (&id, inv) in self.invs.iter_mut().filter(|(_, inv)| inv.life != Life::Ended) {
+        for id in std::mem::take(&mut self.unsure) {
+            let Some(inv) = self.invs.get_mut(&id).filter(|inv| inv.life != Life::Ended) else { continue };
             let Some(fwd) = inv.forwards.last_mut().filter(|f| f.hangs() && !f.vain) else { continue };
             let (age, t) = (now - fwd.sent, &mut self.tgts[fwd.tgt]);
             if !fwd.late && age > LATE * inv.spare {
@@ -750,6 +751,7 @@
             } else if fwd.late && (self.vain > 0.5 || fwd.told && fwd.kept) && now < inv.end - BEFORE_END {
                 copies.extend(self.set.second_copies.then_some(id));
             }
+            self.unsure.extend((!fwd.vain).then_some(id));
         }
         copies
     }
@@ -801,9 +803,8 @@
         let limit = if self.set.progress > 0.0 { 1.5 * self.set.progress + 0.2 } else { 5.0 };
         for t in &mut self.tgts {
             t.forget_others(now, &self.peer_heard, PEER_SILENT);
-            t.bad *= (-passed / FORGET).exp();
-            let whole = Record { good: t.good, bad: t.bad, ..Record::default() };
-            t.trial = (t.doubtful || t.silent) && whole.draw(&mut self.chance) >= TRY_AT;
+            t.whole.bad *= (-passed / FORGET).exp();
+            t.trial = (t.doubtful || t.silent) && t.whole.draw(&mut self.chance) >= TRY_AT;
             let limit = if self.set.tells_start && t.running == 0 { 2.5 * limit } else { limit };
             if t.held > 0 && now - t.heard > limit {
                 (t.heard, t.silent) = (now, true);
@@ -871,7 +872,7 @@
     /// What the better quarter of the ready executors reach: neither a few bad nor a few lucky ones move it.
     fn level(&self) -> f64 {
         let ready = self.tgts.iter().filter(|t| t.ready());
-        let mut means: Vec<f64> = ready.map(Executor::mean).collect();
+        let mut means: Vec<f64> = ready.map(|t| t.whole.mean()).collect();
         means.sort_by(|a, b| b.total_cmp(a));
         means.get(means.len() / 4).map_or(1.0, |mean| (mean / TRUSTED).min(1.0))
     }
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -261,9 +261,9 @@
 #[test]
 fn a_new_start_forgets_the_old_process_but_not_what_is_out() {
     let mut node = node(Effect::Idempotent, 1);
-    (node.tgts[0].bad, node.tgts[0].held, node.tgts[0].slow) = (9.0, 2, 1.0);
+    (node.tgts[0].whole.bad, node.tgts[0].held, node.tgts[0].slow) = (9.0, 2, 1.0);
     node.entry(5.0, entry(0, Standing::Ready, 4.0));
-    assert_eq!((node.tgts[0].bad, node.tgts[0].held, node.tgts[0].slow), (0.0, 2, 0.0));
+    assert_eq!((node.tgts[0].whole.bad, node.tgts[0].held, node.tgts[0].slow), (0.0, 2, 0.0));
 }
 
 #[test_case(1.0, 0.5, true; "its turn, within the budget")]
@@ -337,7 +337,7 @@
     let mut out = Vec::new();
     node.unheard(2.0, ID, 0, &mut out);
     assert_eq!(out, Vec::from_iter(back.then_some(Output::Withdraw { id: ID, forward: 0 })));
-    assert_eq!(node.tgts[0].bad > 0.0, !started);
+    assert_eq!(node.tgts[0].whole.bad > 0.0, !started);
 }
 
 #[test]
@@ -377,9 +377,9 @@
     node.tick(2.0, &mut out);
     assert!(!node.tgts[0].silent, "within one interval and a half");
     node.tick(3.0, &mut out);
-    assert!(node.tgts[0].silent && node.tgts[0].bad > 0.0);
+    assert!(node.tgts[0].silent && node.tgts[0].whole.bad > 0.0);
     node.alive(3.1, ID, 0);
-    assert!(!node.tgts[0].silent && node.tgts[0].bad == 0.0);
+    assert!(!node.tgts[0].silent && node.tgts[0].whole.bad == 0.0);
 }
 
 #[test_case(2.0, 0.0, 2.0, 1.0; "free slots count")]
@@ -681,7 +681,7 @@
     let mut out = Vec::new();
     node.settled(2.1, settled, &mut out);
     node.look(2.1, &mut out);
-    assert_eq!((node.tgts[0].bad, node.tgts[1].bad), (blame, 0.0));
+    assert_eq!((node.tgts[0].whole.bad, node.tgts[1].whole.bad), (blame, 0.0));
     assert_eq!(out.contains(&Output::Throttle { id: ID, pause: 0.0 }), !served, "{out:?}");
     assert!(!out.iter().any(|o| matches!(o, Output::Forward { .. })) && (node.theirs > 0.0) != served);
 }
@@ -820,7 +820,7 @@
 fn doubt_is_held_against_the_better_ones(failing: usize, many: usize, doubted: &[Tgt]) {
     let mut node = node(Effect::Idempotent, many);
     for t in &mut node.tgts[..failing] {
-        (t.good, t.bad) = (1.0, 4.0);
+        (t.whole.good, t.whole.bad) = (1.0, 4.0);
     }
     node.tick(0.3, &mut Vec::new());
     let found: Vec<Tgt> = (0..many).filter(|&tgt| node.tgts[tgt].doubtful).collect();
@@ -844,10 +844,10 @@
 #[test]
 fn a_fog_lifts_once_the_better_ones_answer() {
     let mut node = node(Effect::Idempotent, 4);
-    node.tgts.iter_mut().for_each(|t| (t.good, t.bad) = (1.0, 6.0));
+    node.tgts.iter_mut().for_each(|t| (t.whole.good, t.whole.bad) = (1.0, 6.0));
     node.tick(0.3, &mut Vec::new());
     assert!(5.0 < node.fog);
-    node.tgts.iter_mut().for_each(|t| (t.good, t.bad) = (8.0, 0.5));
+    node.tgts.iter_mut().for_each(|t| (t.whole.good, t.whole.bad) = (8.0, 0.5));
     node.tick(5.2, &mut Vec::new());
     assert!(5.4 >= node.fog);
 }
@@ -1145,6 +1145,7 @@
     let inv = node.invs.get_mut(&ID).expect("added");
     (inv.spare, inv.forwards[0].sure, inv.forwards[0].kept) = (1.0, true, kept);
     (node.tgts[0].held, node.tgts[0].open, node.tgts[0].kept) = (1, 1, true);
+    node.unsure.insert(ID);
 }
 
 // Addis-boards big-2, G 0.523: a third of the forwards went over connections that had been dropped unseen.
--- a/src/types.rs
+++ b/src/types.rs
@@ -1,6 +1,6 @@
 //! What goes into and comes out of the decision module, and the records it keeps. Times are seconds; no
 //! decision stands here.
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
@@ -531,8 +531,8 @@
     /// It has shown that it lives since it was missing.
     pub shown: bool,
     pub trial: bool,
-    pub good: f64,
-    pub bad: f64,
+    /// How far it is to be trusted.
+    pub whole: Record,
     pub turn: usize,
     pub spent: f64,
     /// By operation.
@@ -546,7 +546,7 @@
     /// A new start is a new process: what was known of the old one says nothing of it, but for what it held.
     pub fn begin_anew(&mut self, now: f64) {
         let (held, memory, never) = (self.held, self.memory, f64::NEG_INFINITY);
-        let rest = Executor { good: Record::default().good, turn: usize::MAX, ..Executor::default() };
+        let rest = Executor { turn: usize::MAX, ..Executor::default() };
         *self = Executor { held, memory, asked: never, granted: never, heard: now, ..rest };
     }
 
@@ -602,15 +602,10 @@
         (cold.start + (1.0 - cold.start) * age / cold.warm).min(1.0)
     }
 
-    /// How far it is to be trusted: the mean of what is remembered of it.
-    pub fn mean(&self) -> f64 {
-        (1.0 + self.good) / (2.0 + self.good + self.bad)
-    }
-
     /// A sign of life: what it was blamed for while silent is forgiven, as it works off what it holds.
     pub fn woke(&mut self, now: f64) {
         (self.heard, self.shown) = (now, true);
-        self.bad *= if std::mem::take(&mut self.silent) { 0.0 } else { 1.0 };
+        self.whole.bad *= if std::mem::take(&mut self.silent) { 0.0 } else { 1.0 };
     }
 
     /// Slots that those who asked just now were told of.
@@ -766,6 +761,8 @@
     /// When invocations were taken, and forwards beyond the first sent, within the budget's span.
     pub(crate) taken: Times,
     pub(crate) further: Times,
+    /// Invocations whose last forward had every reason to start, and had not when last looked at.
+    pub(crate) unsure: BTreeSet<InvId>,
     /// By when all must be answered, once the node is to stop.
     pub(crate) leaving: Option<f64>,
     pub(crate) list_lost: u32,
