--- /dev/null
+++ b/crates/coveroute-emu/src/fleet/mod.rs
@@ -0,0 +1,9 @@
+//! Nodes that know each other, rehearsed: links that fail, processes that stand still, and a referee of their own.
+pub mod links;
+pub mod measure;
+pub mod processes;
+pub mod stage;
+pub mod witness;
+
+#[cfg(test)]
+mod tests;
--- a/crates/coveroute-emu/src/lib.rs
+++ b/crates/coveroute-emu/src/lib.rs
@@ -3,6 +3,7 @@
 //! for the same scenario; the rest compares, searches, records and reports.
 pub mod baseline;
 pub mod compare;
+pub mod fleet;
 pub mod load;
 pub mod loopback;
 pub mod prove;
--- a/crates/coveroute-emu/src/loopback.rs
+++ b/crates/coveroute-emu/src/loopback.rs
@@ -501,18 +501,21 @@
 
     fn order(self: &Rc<Self>, node: NodeId, order: Order) {
         let signal = match order {
-            Order::Start => return self.start(node),
+            Order::Start | Order::StartBack => return self.start(node),
             Order::Kill => Signal::SIGKILL,
+            Order::Stall => Signal::SIGSTOP,
+            Order::Wake => Signal::SIGCONT,
             Order::Stop => Signal::SIGTERM,
             Order::Reload => Signal::SIGHUP,
             Order::Retune => return drop(spawn_local(self.clone().retune(node))),
             Order::Replace => return drop(spawn_local(self.clone().replace(node))),
         };
-        self.single.borrow_mut()[node] &= order == Order::Reload;
+        let stays = matches!(order, Order::Reload | Order::Stall | Order::Wake);
+        self.single.borrow_mut()[node] &= stays;
         self.measure(node);
         let now = self.now();
         let Some(pid) = self.processes.borrow_mut()[node].as_mut().map(|process| {
-            process.ordered |= order != Order::Reload;
+            process.ordered |= !stays;
             process.pid
         }) else {
             return;
@@ -530,7 +533,9 @@
                     }
                 });
             }
-            Order::Start | Order::Reload | Order::Retune | Order::Replace => {}
+            Order::Stall => self.world.borrow_mut().referee.stands_still(now, node),
+            Order::Wake => self.world.borrow_mut().referee.goes_on(now, node),
+            Order::Start | Order::StartBack | Order::Reload | Order::Retune | Order::Replace => {}
         }
         let _ = kill(Pid::from_raw(pid), signal);
     }
--- a/crates/coveroute-emu/src/main.rs
+++ b/crates/coveroute-emu/src/main.rs
@@ -7,7 +7,7 @@
 use coveroute_emu::load::{load, Plan};
 use coveroute_emu::prove::{prove, Place};
 use coveroute_emu::scenario::Scenario;
-use coveroute_emu::search::{search, Found};
+use coveroute_emu::search::{drawn, drawn_fleet, search, Found};
 use coveroute_emu::virtual_time::{run, sampled, Pace, Policy};
 use coveroute_emu::world::Outcome;
 use coveroute_emu::{loopback, report, trace};
@@ -98,6 +98,9 @@
         /// Count a loss against the better of two plain policies on the same seed
         #[arg(long)]
         baselines: bool,
+        /// Nodes that know each other, and faults of the links between them on top
+        #[arg(long)]
+        fleet: bool,
         /// Where what is found is written
         #[arg(long, default_value = "found")]
         to: PathBuf,
@@ -250,9 +253,10 @@
             println!("{}", json!(compared));
             Ok(())
         }
-        Command::Search { seeds, from, worst, baselines, to } => {
+        Command::Search { seeds, from, worst, baselines, fleet, to } => {
+            let draws = if fleet { drawn_fleet } else { drawn };
             let bar = bar(seeds, "searching");
-            let searched = search(from, seeds, worst, baselines, || bar.inc(1))?;
+            let searched = search(from, seeds, worst, baselines, draws, || bar.inc(1))?;
             bar.finish_and_clear();
             println!("{seeds} seeds in {:.1} s, mean service {:.4}", searched.wall, searched.mean);
             searched.broken.iter().try_for_each(|found| write_found(&to, "breach", found))?;
--- a/crates/coveroute-emu/src/prove.rs
+++ b/crates/coveroute-emu/src/prove.rs
@@ -7,7 +7,7 @@
 
 use crate::loopback;
 use crate::scenario::Scenario;
-use crate::search::search;
+use crate::search::{drawn, search};
 use crate::trace::Digest;
 use crate::virtual_time::{run, Policy};
 
@@ -100,7 +100,7 @@
         proof.want(same && broken == 0, format!("{name}: the same {same}, {broken} rules broken"));
     }
     let seeds = if place.long { 10_000 } else { 300 };
-    let searched = search(1, seeds, 0, false, || {})?;
+    let searched = search(1, seeds, 0, false, drawn, || {})?;
     proof.note("searched", seeds);
     proof.note("search_mean", searched.mean);
     proof.note("search_seconds", searched.wall);
--- a/crates/coveroute-emu/src/scenario.rs
+++ b/crates/coveroute-emu/src/scenario.rs
@@ -82,10 +82,36 @@
     pub discovery: Discovery,
     #[serde(default)]
     pub platform: Platform,
+    /// Nodes that know each other, over links that can fail.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fleet: Option<FleetPart>,
     #[serde(default)]
     pub faults: Vec<Fault>,
 }
 
+/// How the nodes know each other: members n0, n1 and so on.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct FleetPart {
+    /// A member is probed this often.
+    pub every: Positive,
+    /// One way between nodes; each datagram's own spread is as much again.
+    pub latency: Span,
+    /// Each node's clock runs fast or slow by up to this part; in virtual time alone.
+    pub drift: Part,
+    /// Each node writes a record this often, in seconds; 0 for never. In virtual time alone.
+    pub writes: Span,
+    /// Members that the operators' file names and that never come.
+    pub absent: Count,
+}
+
+impl Default for FleetPart {
+    fn default() -> Self {
+        let (every, latency, drift) = (Positive(0.2), Span(0.0005), Part(0.01));
+        FleetPart { every, latency, drift, writes: Span(0.0), absent: Count(0) }
+    }
+}
+
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Nodes {
@@ -379,6 +405,35 @@
     pub zone: Option<String>,
     #[serde(default)]
     pub kind: Option<String>,
+    /// Links: those of these nodes with the others; of all without it. In place of `count` and `zone`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub nodes: Option<Vec<usize>>,
+    /// Links: which way.
+    #[serde(default, skip_serializing_if = "Direction::is_both")]
+    pub way: Direction,
+    /// Links: it comes and goes, so long each; 0 for all the time.
+    #[serde(default, skip_serializing_if = "is_nil")]
+    pub flaps: Span,
+}
+
+fn is_nil(span: &Span) -> bool {
+    span.0 == 0.0
+}
+
+/// Of the nodes that a fault of links names: what they send, what they are sent, or both.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Direction {
+    #[default]
+    Both,
+    Out,
+    In,
+}
+
+impl Direction {
+    fn is_both(&self) -> bool {
+        *self == Direction::Both
+    }
 }
 
 /// What goes wrong, and where: workers, the network, discovery, nodes or clients.
@@ -439,6 +494,19 @@
     Surge,
     /// So many times the work.
     Heavy,
+    /// Nodes stand still (SIGSTOP), then go on as if no time had passed.
+    NodesStall,
+    /// Nodes are killed, and start again at the end with a clock that has gone back. In virtual time alone.
+    NodesSetBack,
+    /// Between nodes, and in the fleet's datagrams alone: nothing passes, this part is lost, or is late by up to so many
+    /// seconds, comes twice, out of order, damaged, or so many bytes a second pass.
+    LinkCut,
+    LinkLoss,
+    LinkDelay,
+    LinkDoubles,
+    LinkReorders,
+    LinkCorrupts,
+    LinkSlow,
 }
 
 /// Where a fault strikes.
@@ -449,6 +517,7 @@
     List,
     Nodes,
     Clients,
+    Links,
 }
 
 /// What its strength is counted in.
@@ -459,9 +528,23 @@
     Seconds,
     Times,
     Count,
+    Rate,
 }
 
 impl What {
+    /// What search adds where nodes know each other.
+    pub const FLEET: [What; 9] = [
+        What::LinkCut,
+        What::LinkLoss,
+        What::LinkDelay,
+        What::LinkDoubles,
+        What::LinkReorders,
+        What::LinkCorrupts,
+        What::LinkSlow,
+        What::NodesStall,
+        What::NodesSetBack,
+    ];
+
     /// What search draws from: all that virtual time plays by itself, in an order that recorded seeds rest on.
     pub const ALL: [What; 29] = [
         What::Silent,
@@ -503,7 +586,16 @@
             | What::NodesStop
             | What::NodesReload
             | What::NodesRetune
-            | What::NodesReplace => Place::Nodes,
+            | What::NodesReplace
+            | What::NodesStall
+            | What::NodesSetBack => Place::Nodes,
+            What::LinkCut
+            | What::LinkLoss
+            | What::LinkDelay
+            | What::LinkDoubles
+            | What::LinkReorders
+            | What::LinkCorrupts
+            | What::LinkSlow => Place::Links,
             What::Surge | What::Heavy => Place::Clients,
             _ => Place::Workers,
         }
@@ -517,12 +609,21 @@
             What::Latency | What::ListLate => Strength::Seconds,
             What::Surge | What::Heavy => Strength::Times,
             What::Connections => Strength::Count,
+            What::LinkLoss | What::LinkDoubles | What::LinkReorders | What::LinkCorrupts => Strength::Part,
+            What::LinkDelay => Strength::Seconds,
+            What::LinkSlow => Strength::Rate,
             _ => Strength::None,
         }
     }
 }
 
 impl Fault {
+    pub fn new(what: What, at: f64, lasts: f64) -> Self {
+        let (way, flaps) = (Direction::Both, Span(0.0));
+        let (by, count, zone, kind, nodes) = (None, None, None, None, None);
+        Fault { at: Span(at), lasts: Span(lasts), what, by, count, zone, kind, nodes, way, flaps }
+    }
+
     pub fn strength(&self) -> f64 {
         self.by.map_or(0.0, |by| by.0)
     }
@@ -622,6 +723,7 @@
             (Strength::Seconds, Some(by)) => by.0 <= 600.0,
             (Strength::Times, Some(by)) => by.0 <= 1000.0,
             (Strength::Count, Some(by)) => by.0.fract() == 0.0,
+            (Strength::Rate, Some(by)) => by.0 >= 1.0,
             _ => false,
         };
         if !fits {
@@ -631,6 +733,7 @@
                 Strength::Seconds => "seconds, 0 to 600",
                 Strength::Times => "times, 0 to 1000",
                 Strength::Count => "a whole number",
+                Strength::Rate => "bytes a second, 1 or more",
             };
             return fault(format!("by: {:?} takes {allowed}", f.what));
         }
@@ -646,7 +749,21 @@
         if f.what == What::Partition && f.zone.is_none() {
             return fault("zone: a partition cuts one zone off".into());
         }
-        if f.count.is_some() && !matches!(f.what.place(), Place::Workers | Place::Nodes) {
+        let links = f.what.place() == Place::Links;
+        if links && self.fleet.is_none() {
+            return fault(format!("what: {:?} needs nodes that know each other, a table [fleet]", f.what));
+        }
+        if !links && (f.nodes.is_some() || f.way != Direction::Both || f.flaps.0 > 0.0) {
+            return fault(format!("nodes, way, flaps: {:?} has none", f.what));
+        }
+        if let Some(node) = f.nodes.iter().flatten().find(|node| **node >= self.nodes.count.0) {
+            return fault(format!("nodes: {node} is not one of {}", self.nodes.count.0));
+        }
+        if f.nodes.is_some() && (f.count.is_some() || f.zone.is_some()) {
+            return fault("nodes: in place of count and zone".into());
+        }
+        let counted = matches!(f.what.place(), Place::Workers | Place::Nodes | Place::Links);
+        if f.count.is_some() && !counted {
             return fault(format!("count: {:?} has none", f.what));
         }
         Ok(())
--- a/crates/coveroute-emu/src/search.rs
+++ b/crates/coveroute-emu/src/search.rs
@@ -10,8 +10,8 @@
 
 use crate::baseline::Choice;
 use crate::scenario::{
-    Amount, Count, Effect, Fault, Group, Nodes, Operation, Part, Place, Positive, Scenario, Span, Strength,
-    What, Workers,
+    Amount, Count, Direction, Effect, Fault, FleetPart, Group, Nodes, Operation, Part, Place, Positive,
+    Scenario, Span, Strength, What, Workers,
 };
 use crate::virtual_time::{run, Policy};
 
@@ -105,6 +105,7 @@
         network: Default::default(),
         discovery: Default::default(),
         platform: Default::default(),
+        fleet: None,
         faults: Vec::new(),
     };
     scenario.clients.leave = Part(if draw.random_bool(0.3) { 0.05 } else { 0.0 });
@@ -119,8 +120,32 @@
     scenario
 }
 
+/// The same where nodes know each other: one to four of the fleet's faults come on top.
+pub fn drawn_fleet(seed: u64) -> Scenario {
+    let mut scenario = drawn(seed);
+    let mut draw = Pcg64Mcg::seed_from_u64(seed ^ 0xf1ee7);
+    scenario.nodes.count = Count(draw.random_range(2..=6));
+    scenario.fleet = Some(FleetPart { writes: Span(0.5), ..FleetPart::default() });
+    scenario.faults.retain(|fault| fault.what.place() != Place::Nodes);
+    for _ in 0..draw.random_range(1..=4) {
+        let what = *What::FLEET.choose(&mut draw).unwrap_or(&What::LinkCut);
+        let mut fault = fault_of(what, &scenario, &mut draw);
+        if what.place() == Place::Links {
+            fault.way =
+                *[Direction::Both, Direction::Out, Direction::In].choose(&mut draw).unwrap_or(&fault.way);
+            fault.flaps = Span(if draw.random_bool(0.2) { draw.random_range(0.2..2.0) } else { 0.0 });
+        }
+        scenario.faults.push(fault);
+    }
+    scenario
+}
+
 fn fault(scenario: &Scenario, draw: &mut Pcg64Mcg) -> Fault {
     let what = *What::ALL.choose(draw).unwrap_or(&What::Pause);
+    fault_of(what, scenario, draw)
+}
+
+fn fault_of(what: What, scenario: &Scenario, draw: &mut Pcg64Mcg) -> Fault {
     let at = Span((draw.random_range(2.0..14.0_f64) * 10.0).round() / 10.0);
     let lasts = Span((draw.random_range(1.0..10.0_f64) * 10.0).round() / 10.0);
     let by = match what.strength() {
@@ -129,16 +154,17 @@
         Strength::Seconds => Some(draw.random_range(0.05..1.5)),
         Strength::Times => Some(draw.random_range(1.5..4.0)),
         Strength::Count => Some(f64::from(draw.random_range(2..8))),
+        Strength::Rate => Some(draw.random_range(500.0..20_000.0)),
     };
     let all: usize = scenario.workers.iter().map(|w| w.count.0).sum();
     let count = match what.place() {
         Place::Workers => Some(Count(draw.random_range(1..=all.div_ceil(2)))),
-        Place::Nodes => Some(Count(draw.random_range(1..scenario.nodes.count.0.max(2)))),
+        Place::Nodes | Place::Links => Some(Count(draw.random_range(1..scenario.nodes.count.0.max(2)))),
         _ => None,
     };
     let zone = (what == What::Partition).then(|| scenario.workers[0].zone.clone());
     let by = by.map(|by: f64| Amount((by * 100.0).round() / 100.0));
-    Fault { at, lasts, what, by, count, zone, kind: None }
+    Fault { by, count, zone, ..Fault::new(what, at.0, lasts.0) }
 }
 
 #[derive(Clone, Debug, Serialize)]
@@ -153,11 +179,7 @@
     pub scenario: Scenario,
 }
 
-/// What one seed shows; `baselines` also plays it with plain policies, to tell a loss that could be helped.
-pub fn look(seed: u64, baselines: bool) -> Result<Found, String> {
-    judge(drawn(seed), baselines)
-}
-
+/// What one shows; `baselines` also plays it with plain policies, to tell a loss that could be helped.
 fn judge(scenario: Scenario, baselines: bool) -> Result<Found, String> {
     let (outcome, _) = run(&scenario, scenario.seed, Policy::Node, None)?;
     let mut best = 0.0_f64;
@@ -228,12 +250,13 @@
     seeds: u64,
     worst: usize,
     baselines: bool,
+    draws: fn(u64) -> Scenario,
     tick: impl Fn() + Sync,
 ) -> Result<Searched, String> {
     const SHRUNK: usize = 8; // Breaches beyond these most likely have the same cause.
     let began = std::time::Instant::now();
     let looked = on_all_cores(seeds, |at| {
-        let found = look(from + at, baselines);
+        let found = judge(draws(from + at), baselines);
         tick();
         found
     });
@@ -280,15 +303,7 @@
     #[test]
     fn what_is_found_is_shrunk_to_the_fault_that_shows_it() {
         let mut scenario = drawn(1);
-        let fault = |what, by| Fault {
-            at: Span(5.0),
-            lasts: Span(8.0),
-            what,
-            by,
-            count: None,
-            zone: None,
-            kind: None,
-        };
+        let fault = |what, by| Fault { by, ..Fault::new(what, 5.0, 8.0) };
         scenario.faults = vec![fault(What::DoubledNews, None), fault(What::Heavy, Some(Amount(9.0)))];
         let found = judge(scenario, false).expect("played");
         let loss = 1.0 - found.figure;
--- a/crates/coveroute-emu/src/virtual_time.rs
+++ b/crates/coveroute-emu/src/virtual_time.rs
@@ -13,6 +13,7 @@
 use coveroute_shared::mark;
 
 use crate::baseline::{Baseline, Choice, Truth, Wrong};
+use crate::fleet::stage::Stage;
 use crate::queue::Queue;
 use crate::report::Sample;
 use crate::scenario::{Scenario, What};
@@ -161,6 +162,16 @@
     Wake,
 }
 
+impl Ev {
+    /// Whether a node's process must do something about it; the rest is on its way elsewhere.
+    fn is_for_the_node(&self) -> bool {
+        !matches!(
+            self,
+            Ev::Job { .. } | Ev::GiveUp { .. } | Ev::Probe { .. } | Ev::Follow { .. } | Ev::Answered { .. }
+        )
+    }
+}
+
 /// An event, whose node it is for or from, and the process of it that was there then.
 struct Queued {
     node: NodeId,
@@ -207,6 +218,10 @@
 pub struct Run<'a> {
     world: World,
     hosts: Vec<Option<Host>>,
+    /// What has come to nodes that stand still.
+    still: Vec<Option<Vec<Queued>>>,
+    /// What nodes know of each other, where they do.
+    fleet: Option<Stage>,
     queue: Queue<Queued>,
     policy: Policy,
     truth: Option<Truth>,
@@ -261,9 +276,13 @@
     let truth: Option<Truth> =
         (policy == Policy::Baseline(Choice::Oracle)).then(|| Rc::new(RefCell::new(BTreeMap::new())));
     let nodes = scenario.nodes.count.0;
+    let zones: Vec<String> = world.nodes.iter().map(|node| node.zone.clone()).collect();
+    let fleet = scenario.fleet.as_ref().map(|_| Stage::new(scenario, seed, &zones));
     let mut run = Run {
         world,
         hosts: (0..nodes).map(|_| None).collect(),
+        still: (0..nodes).map(|_| None).collect(),
+        fleet,
         queue: Queue::new(),
         policy,
         truth,
@@ -284,6 +303,9 @@
         return Err(fault);
     }
     let wall = began.elapsed().as_secs_f64();
+    for (words, stage) in run.fleet.iter().flat_map(|f| f.witness.breaches.iter().map(move |w| (w, f))) {
+        run.world.referee.fleet_breach(words.clone(), stage.witness.broken);
+    }
     Ok((run.world.result(), Pace { events: run.events, seconds: now, wall }))
 }
 
@@ -298,6 +320,13 @@
             }
             let mine = self.queue.next_at();
             let its = self.world.next_due();
+            if let Some(at) = self.fleet.as_ref().and_then(Stage::next_due) {
+                if [mine, its].into_iter().flatten().all(|other| at < other) {
+                    now = at;
+                    self.fleet.iter_mut().for_each(Stage::advance);
+                    continue;
+                }
+            }
             match (mine, its) {
                 (Some(at), its) if its.is_none_or(|its| at <= its) => {
                     now = at;
@@ -371,6 +400,7 @@
         let (ids, waits, links, probes) =
             (BTreeMap::new(), BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
         let (process, wake) = (self.processes, f64::INFINITY);
+        self.fleet.iter_mut().for_each(|fleet| fleet.start(now, node, false));
         self.hosts[node] =
             Some(Host { engine, process, wake, ids, next: 0, waits, links, probes, served: false });
         self.actions = actions;
@@ -380,6 +410,8 @@
     /// Its process ends: connections are reset, and nothing of it is left.
     fn end(&mut self, now: f64, node: NodeId) {
         let Some(host) = self.hosts[node].take() else { return };
+        self.still[node] = None;
+        self.fleet.iter_mut().for_each(|fleet| fleet.kill(node));
         self.world.node_gone(now, node);
         let mut outs = Vec::new();
         for (tri, worker) in host.waits.keys() {
@@ -392,8 +424,28 @@
     }
 
     fn order(&mut self, now: f64, node: NodeId, order: Order) {
+        if matches!(order, Order::Stop | Order::Stall | Order::Wake) && self.hosts[node].is_some() {
+            self.fleet.iter_mut().for_each(|fleet| fleet.order(now, node, order));
+        }
         match order {
             Order::Start => self.start(now, node),
+            Order::StartBack => {
+                // Its part in the fleet alone goes by the clock that has gone back.
+                self.fleet.iter_mut().for_each(|fleet| fleet.order(now, node, order));
+                self.start(now, node);
+            }
+            Order::Stall if self.hosts[node].is_some() && self.still[node].is_none() => {
+                self.still[node] = Some(Vec::new());
+                self.world.referee.stands_still(now, node);
+            }
+            Order::Stall => {}
+            Order::Wake => {
+                for queued in self.still[node].take().unwrap_or_default() {
+                    self.arrives(now, queued);
+                }
+                self.wake(now, node);
+                self.world.referee.goes_on(now, node);
+            }
             Order::Kill => self.end(now, node),
             Order::Stop if self.hosts[node].is_some() => {
                 self.world.node_stops(now, node);
@@ -498,6 +550,9 @@
     }
 
     fn arrives(&mut self, now: f64, queued: Queued) {
+        if let Some(held) = self.still[queued.node].as_mut().filter(|_| queued.ev.is_for_the_node()) {
+            return held.push(queued);
+        }
         let Queued { node, process, ev } = queued;
         let here = self.hosts[node].as_ref().is_some_and(|host| host.process == process);
         if let Some(sink) = self.sink.as_deref_mut().filter(|_| !matches!(ev, Ev::Wake)) {
@@ -897,14 +952,14 @@
     use test_case::test_case;
 
     use super::*;
-    use crate::scenario::{Amount, Count, Effect, Fault, Positive, Span, What};
+    use crate::scenario::{Amount, Count, Effect, Fault, Positive, What};
     use crate::search::drawn;
     use crate::trace::Digest;
     use crate::world::referee::Rule;
 
     fn fault(at: f64, lasts: f64, what: What, by: Option<f64>, count: Option<usize>) -> Fault {
         let (by, count) = (by.map(Amount), count.map(Count));
-        Fault { at: Span(at), lasts: Span(lasts), what, by, count, zone: None, kind: None }
+        Fault { by, count, ..Fault::new(what, at, lasts) }
     }
 
     fn with(faults: Vec<Fault>) -> Scenario {
--- a/crates/coveroute-emu/src/world/mod.rs
+++ b/crates/coveroute-emu/src/world/mod.rs
@@ -106,6 +106,11 @@
     Reload,
     Retune,
     Replace,
+    /// It stands still, and goes on.
+    Stall,
+    Wake,
+    /// It starts with a clock that has gone back.
+    StartBack,
 }
 
 /// How a message fares between a node and a worker.
@@ -768,7 +773,7 @@
             Place::Nodes => (0..self.nodes.len())
                 .filter(|&at| fault.zone.as_ref().is_none_or(|z| *z == self.nodes[at].zone))
                 .collect(),
-            Place::Network | Place::List | Place::Clients => Vec::new(),
+            Place::Network | Place::List | Place::Clients | Place::Links => Vec::new(),
         };
         if let Some(count) = fault.count {
             fit.shuffle(&mut self.draw);
@@ -798,6 +803,8 @@
                 What::NodesReload => self.at(now, Due::Order(target, Order::Reload)),
                 What::NodesRetune => self.at(now, Due::Order(target, Order::Retune)),
                 What::NodesReplace => self.at(now, Due::Order(target, Order::Replace)),
+                What::NodesSetBack => self.at(now, Due::Order(target, Order::Kill)),
+                What::NodesStall => self.at(now, Due::Order(target, Order::Stall)),
                 _ => self.ail(now, target),
             }
         }
@@ -839,6 +846,8 @@
                     self.at(now + RESTARTS, Due::Restart(target));
                 }
                 What::NodesKilled | What::NodesStop => self.at(now, Due::Order(target, Order::Start)),
+                What::NodesSetBack => self.at(now, Due::Order(target, Order::StartBack)),
+                What::NodesStall => self.at(now, Due::Order(target, Order::Wake)),
                 What::Release | What::NodesReload | What::NodesRetune | What::NodesReplace => {}
                 _ => self.ail(now, target),
             }
--- a/crates/coveroute-emu/src/world/referee.rs
+++ b/crates/coveroute-emu/src/world/referee.rs
@@ -16,6 +16,8 @@
     NoEffectTwice,
     NothingToTheGone,
     NoColdWorkerPushedOver,
+    /// Of nodes that know each other: what they hold was written so, and is no older than told.
+    OneTable,
 }
 
 /// A rule that was broken, with what led there.
@@ -91,6 +93,8 @@
     pub slip: f64,
     places: Vec<(String, i64)>,
     cases: BTreeMap<TryId, Case>,
+    /// Nodes that stand still, and since when.
+    still: BTreeMap<NodeId, f64>,
     /// By node and worker; none before it was told anything.
     told: Vec<Vec<Option<Told>>>,
     pub breaches: Vec<Breach>,
@@ -118,6 +122,7 @@
             slip: 0.0,
             places,
             cases,
+            still: BTreeMap::new(),
             told,
             breaches,
             broken: 0,
@@ -135,6 +140,14 @@
     }
 
     /// A node has taken a request: its last byte was written to a live node.
+    /// What the fleet's own referee has found; `all`: how many there were.
+    pub fn fleet_breach(&mut self, words: String, all: u64) {
+        self.broken = self.broken.max(all);
+        if self.breaches.len() < KEPT {
+            self.breaches.push(Breach { rule: Rule::OneTable, at: 0.0, node: 0, words, trace: Vec::new() });
+        }
+    }
+
     pub fn taken(&mut self, now: f64, tri: TryId, node: NodeId, terms: Terms, deadline: f64) {
         let (answer, forwards, void, ran) = (None, Vec::new(), false, false);
         self.cases.insert(tri, Case { node, terms, taken: now, deadline, answer, forwards, void, ran });
@@ -244,6 +257,9 @@
             return;
         };
         let (node, late) = (case.node, now - case.deadline);
+        if self.still.contains_key(&node) {
+            return self.void(tri); // What stands still can't answer.
+        }
         self.breach(
             Rule::OneAnswer,
             now,
@@ -256,11 +272,25 @@
 
     /// A node starts anew: it knows nothing, and what it held is void.
     pub fn node_died(&mut self, node: NodeId) {
+        self.still.remove(&node);
         self.told[node].iter_mut().for_each(|told| *told = None);
         let its = self.cases.values_mut().filter(|case| case.node == node && case.answer.is_none());
         its.for_each(|case| case.void = true);
     }
 
+    pub fn stands_still(&mut self, now: f64, node: NodeId) {
+        self.still.insert(node, now);
+    }
+
+    /// It goes on: what was due meanwhile, or came meanwhile and has waited for it unseen, is not owed.
+    pub fn goes_on(&mut self, now: f64, node: NodeId) {
+        let Some(since) = self.still.remove(&node) else { return };
+        let slack = self.slack;
+        let its = self.cases.values_mut().filter(|case| case.node == node && case.answer.is_none());
+        let due = its.filter(|case| case.deadline <= now + slack || case.taken >= since);
+        due.for_each(|case| case.void = true);
+    }
+
     /// Discovery has told a node of a worker, or counts as having done so.
     pub fn told(&mut self, now: f64, node: NodeId, worker: WorkerId, wanted: bool, started: f64) {
         let told = &mut self.told[node][worker];
--- /dev/null
+++ b/crates/coveroute-fleet/src/message.rs
@@ -0,0 +1,102 @@
+//! What nodes say to each other: one datagram each, with a mark, a version and a checksum over the fleet's name too.
+use serde::{Deserialize, Serialize};
+
+use crate::member::{Id, Incarnation, Word};
+use crate::table::Record;
+
+/// The longest datagram: under what every way carries whole.
+pub const MOST: usize = 1200;
+/// The first byte of each: no letter, so that nodes' hints, which are text, can share the address.
+pub const MARK: u8 = 0xC7;
+const VERSION: u8 = 1;
+const HEAD: usize = 6;
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Message {
+    pub from: Id,
+    pub incarnation: Incarnation,
+    /// Over all that the sender holds: who holds the same has the same.
+    pub sum: u64,
+    pub words: Vec<Word>,
+    pub what: What,
+}
+
+/// Records come only in answers: the asker's own clock then bounds how long they were on their way.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum What {
+    Ping {
+        number: u64,
+    },
+    Answer {
+        number: u64,
+        records: Vec<Record>,
+    },
+    /// Asks for that member to be pinged by the other.
+    Reach {
+        number: u64,
+        of: Id,
+    },
+    /// Whether it answered there.
+    Reached {
+        number: u64,
+        well: bool,
+    },
+    /// Asks for what differs, by the sums of its parts.
+    Compare {
+        number: u64,
+        sums: Vec<u32>,
+    },
+    /// `more`: there is, and can be asked for at once.
+    Differs {
+        number: u64,
+        records: Vec<Record>,
+        more: bool,
+    },
+}
+
+/// Why a datagram is passed over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Odd {
+    /// Too short, too long, or not one of ours.
+    Foreign,
+    Version,
+    /// Damaged, or of another fleet.
+    Checksum,
+    Unreadable,
+    /// Not from a member's address, or under another's name.
+    Stranger,
+}
+
+fn sum(fleet: u32, body: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new_with_initial(fleet);
+    hasher.update(body);
+    hasher.finalize()
+}
+
+pub fn encode(fleet: u32, message: &Message) -> Vec<u8> {
+    // Can't fail: nothing in it has a length that is not known.
+    let body = postcard::to_stdvec(message).unwrap_or_default();
+    let mut bytes = Vec::with_capacity(HEAD + body.len());
+    bytes.extend([MARK, VERSION]);
+    bytes.extend(sum(fleet, &body).to_le_bytes());
+    bytes.extend(body);
+    bytes
+}
+
+pub fn decode(fleet: u32, bytes: &[u8]) -> Result<Message, Odd> {
+    if bytes.len() < HEAD || bytes.len() > MOST || bytes[0] != MARK {
+        return Err(Odd::Foreign);
+    }
+    if bytes[1] != VERSION {
+        return Err(Odd::Version);
+    }
+    let (told, body) = ([bytes[2], bytes[3], bytes[4], bytes[5]], &bytes[HEAD..]);
+    if u32::from_le_bytes(told) != sum(fleet, body) {
+        return Err(Odd::Checksum);
+    }
+    match postcard::take_from_bytes::<Message>(body) {
+        Ok((message, [])) => Ok(message),
+        _ => Err(Odd::Unreadable),
+    }
+}
--- /dev/null
+++ b/crates/coveroute-fleet/src/plan.rs
@@ -0,0 +1,164 @@
+//! The operators' file: who the members are, and the figures of each part. Strict: a fault in it is told in one line,
+//! with the key and what is allowed.
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+
+use crate::detector::Detector;
+use crate::member::Id;
+
+/// A member by the file.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Entry {
+    pub address: SocketAddr,
+    #[serde(default)]
+    pub zone: String,
+    /// Nodes of one machine fail together.
+    #[serde(default)]
+    pub machine: String,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Records {
+    /// A record that its owner does not write again ends after so long, in seconds.
+    pub life: f64,
+    /// Of one member at most.
+    pub most: usize,
+}
+
+impl Default for Records {
+    fn default() -> Self {
+        Records { life: 600.0, most: 256 }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// Messages of another fleet are passed over.
+    pub fleet: String,
+    pub members: BTreeMap<String, Entry>,
+    pub detector: Detector,
+    pub records: Records,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    fleet: String,
+    members: BTreeMap<String, Entry>,
+    #[serde(default)]
+    detector: DetectorFile,
+    #[serde(default)]
+    records: Records,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct DetectorFile {
+    every: Option<f64>,
+    relays: Option<usize>,
+    suspicion: Option<f64>,
+    patience: Option<f64>,
+    drift: Option<f64>,
+    budget: Option<f64>,
+}
+
+impl DetectorFile {
+    fn detector(self) -> Detector {
+        let usual = Detector::default();
+        Detector {
+            every: self.every.unwrap_or(usual.every),
+            relays: self.relays.unwrap_or(usual.relays),
+            suspicion: self.suspicion.unwrap_or(usual.suspicion),
+            patience: self.patience.unwrap_or(usual.patience),
+            drift: self.drift.unwrap_or(usual.drift),
+            budget: self.budget.unwrap_or(usual.budget),
+        }
+    }
+}
+
+impl Plan {
+    pub fn parse(text: &str) -> Result<Self, String> {
+        let file: File = toml::from_str(text).map_err(|e| one_line(text, &e))?;
+        let File { fleet, members, detector, records } = file;
+        let plan = Plan { fleet, members, detector: detector.detector(), records };
+        plan.check().map(|()| plan)
+    }
+
+    pub fn id(&self, name: &str) -> Option<Id> {
+        self.members.contains_key(name).then(|| Id::of(name))
+    }
+
+    /// The mark that its messages bear.
+    pub fn mark(&self) -> u32 {
+        coveroute::chance::hash(self.fleet.as_bytes()) as u32
+    }
+
+    fn check(&self) -> Result<(), String> {
+        let plain = |name: &str| {
+            let fits = |b: u8| b.is_ascii_alphanumeric() || b"-_.".contains(&b);
+            !name.is_empty() && name.len() <= 64 && name.bytes().all(fits)
+        };
+        let words = "1 to 64 letters, digits, -, _ or . are allowed";
+        if !plain(&self.fleet) {
+            return Err(format!("fleet: {:?}: {words}", self.fleet));
+        }
+        if self.members.is_empty() {
+            return Err("members: at least one".into());
+        }
+        let (mut ids, mut addresses) = (BTreeMap::new(), BTreeMap::new());
+        for (name, entry) in &self.members {
+            if !plain(name) {
+                return Err(format!("members.{name}: {words}"));
+            }
+            if let Some(other) = ids.insert(Id::of(name), name) {
+                return Err(format!("members.{name}: its number is {other}'s too; take another name"));
+            }
+            if entry.address.port() == 0 || entry.address.ip().is_unspecified() {
+                return Err(format!(
+                    "members.{name}.address: {}: others can't reach it there",
+                    entry.address
+                ));
+            }
+            if let Some(other) = addresses.insert(entry.address, name) {
+                return Err(format!("members.{name}.address: {} is {other}'s", entry.address));
+            }
+        }
+        let Detector { every, relays, suspicion, patience, drift, budget } = self.detector;
+        let within = [
+            ("detector.every", every, 0.02, 10.0, "seconds"),
+            ("detector.relays", relays as f64, 0.0, 10.0, "members"),
+            ("detector.suspicion", suspicion, 0.05, 600.0, "seconds"),
+            ("detector.patience", patience, 1.0, 100.0, "times"),
+            ("detector.drift", drift, 0.0, 0.1, "a part"),
+            ("detector.budget", budget, 4096.0, 1e8, "bytes a second"),
+            ("records.life", self.records.life, 1.0, 1e6, "seconds"),
+            ("records.most", self.records.most as f64, 1.0, 4096.0, "records"),
+        ];
+        let off = within.iter().find(|(_, value, least, most, _)| !(*least..=*most).contains(value));
+        match off {
+            Some((key, value, least, most, unit)) => {
+                Err(format!("{key}: {value} is not {unit}, {least} to {most}"))
+            }
+            None if suspicion < every => {
+                Err(format!("detector.suspicion: {suspicion} is not {every} (detector.every) or more"))
+            }
+            None => Ok(()),
+        }
+    }
+}
+
+/// The library's words, on one line, with the line that they speak of.
+fn one_line(text: &str, e: &toml::de::Error) -> String {
+    let line = e.span().map(|span| 1 + text[..span.start.min(text.len())].matches('\n').count());
+    let key = line.and_then(|line| text.lines().nth(line - 1)).and_then(|l| l.split_once('='));
+    let words = e.message().replace('\n', ", ");
+    match (line, key) {
+        (Some(line), Some((key, _))) => format!("line {line}: {}: {words}", key.trim()),
+        (Some(line), None) => format!("line {line}: {words}"),
+        _ => words,
+    }
+}
--- /dev/null
+++ b/crates/coveroute-fleet/src/tests.rs
@@ -0,0 +1,338 @@
+//! What needs no stage: the table of states, the order of claims, messages, ages, the operators' file.
+use std::net::SocketAddr;
+
+use proptest::prelude::*;
+use test_case::test_case;
+
+use crate::detector::{Detector, Doubt, Health};
+use crate::explore::{explore, Model};
+use crate::member::{next, Claim, Effect, Id, Incarnation, Input, State};
+use crate::message::{decode, encode, Message, Odd, What, MOST};
+use crate::table::{Key, Kind, Record, Table, Taken};
+use crate::{Action, Fleet, News, Plan};
+
+const FILE: &str = "fleet = \"north\"\n[members]\na = { address = \"10.0.0.1:9400\", zone = \"x\" }\n\
+    b = { address = \"10.0.0.2:9400\", machine = \"m\" }\n";
+
+fn plan() -> Plan {
+    Plan::parse(FILE).expect("fit")
+}
+
+fn addr(host: u8) -> SocketAddr {
+    ([10, 0, 0, host], 9400).into()
+}
+
+#[test_case(State::Unseen, Input::Silent, State::Unseen, Effect::Nothing; "who never came is not suspected")]
+#[test_case(State::Alive, Input::Silent, State::Suspected, Effect::Doubt; "no answer")]
+#[test_case(State::Suspected, Input::Doubted, State::Suspected, Effect::Confirm; "shared")]
+#[test_case(State::Suspected, Input::Lives, State::Alive, Effect::Clear; "refuted")]
+#[test_case(State::Suspected, Input::Overdue, State::Dead, Effect::Clear; "not refuted")]
+#[test_case(State::Alive, Input::Overdue, State::Alive, Effect::Nothing; "an end without a suspicion")]
+#[test_case(State::Dead, Input::Silent, State::Dead, Effect::Nothing; "dead already")]
+#[test_case(State::Dead, Input::Lives, State::Returned, Effect::Nothing; "back")]
+#[test_case(State::Alive, Input::Reborn, State::Returned, Effect::Nothing; "another process")]
+#[test_case(State::Left, Input::Reborn, State::Returned, Effect::Nothing; "back after it left")]
+fn states(from: State, input: Input, to: State, effect: Effect) {
+    assert_eq!(next(from, input), (to, effect));
+}
+
+/// Guards against a count that was put back: whoever hears of a later self goes above it, and stays itself.
+#[test]
+fn incarnations_rise_above_what_was_heard() {
+    let (one, other) = (Incarnation::new(5, 0xabcdef), Incarnation::new(9, 0x123456));
+    let above = one.above(other);
+    assert!(above > other && above.mark() == one.mark() && above.is_sound());
+    assert!(!Incarnation(u64::MAX).is_sound());
+}
+
+/// Whatever order words come in, and however often, who has heard the same holds the same.
+#[test]
+fn words_in_any_order_come_to_the_same() {
+    let claims = [Claim::Alive, Claim::Suspected, Claim::Dead, Claim::Left];
+    let words: Vec<_> = (1..4).flat_map(|count| claims.map(|c| (Incarnation::new(count, 1), c))).collect();
+    let held = |words: &[(Incarnation, Claim)]| words.iter().copied().max();
+    let (mut turned, doubled) = (words.clone(), [words.clone(), words.clone()].concat());
+    turned.reverse();
+    assert!(held(&words) == held(&turned) && held(&words) == held(&doubled));
+    assert_eq!(held(&words), Some((Incarnation::new(3, 1), Claim::Left)));
+}
+
+/// The bound's share of a suspicion: who is alone in it waits, who is joined by enough does not.
+#[test]
+fn a_shared_suspicion_ends_sooner() {
+    let (detector, well) = (Detector::default(), Health::default());
+    let stands: Vec<f64> = (0..4).map(|others| detector.stands(others, 12, well)).collect();
+    assert!(stands.windows(2).all(|two| two[0] > two[1]), "{stands:?}");
+    let mut ill = Health::default();
+    (0..9).for_each(|_| ill.worse());
+    assert!(detector.stands(0, 12, ill) > 3.0 * stands[0], "one that doubts itself waits");
+    assert_eq!(detector.stands(3, 12, ill), stands[3], "not when others say the same");
+    let mut doubt = Doubt::new(1.0, Id(1));
+    assert!(doubt.joins(Id(2)) && !doubt.joins(Id(2)));
+    assert_eq!((doubt.others(0.5), doubt.others(1.5)), (1, 0), "who is heard itself is not given up early");
+}
+
+fn record(version: u64, age: u32) -> Record {
+    let key = Key { owner: Id(7), kind: Kind::STANDING, key: 1 };
+    Record { key, incarnation: Incarnation::new(1, 1), version, age, life: 10_000, value: vec![1] }
+}
+
+/// Bounds add up: what was told, the whole round trip, and what it was held, each stretched by the drift.
+#[test]
+fn ages_add_up() {
+    let mut table = Table::new(0.01, 4);
+    assert_eq!(table.take(100.0, 99.0, record(1, 2000)), Taken::Newer);
+    let told = |table: &Table, now| table.read(now, Kind::STANDING).map(|r| r.age).next();
+    assert_eq!(told(&table, 100.0), Some(2.0 + 1.0 / 0.99));
+    assert_eq!(told(&table, 103.0), Some(2.0 + 1.0 / 0.99 + 3.0 / 0.99));
+    // Rounded up on its way.
+    assert_eq!(table.record(100.0, &record(1, 0).key).map(|r| r.age), Some(3011));
+    assert_eq!(table.take(103.0, 102.99, record(1, 2500)), Taken::Closer);
+    assert_eq!(table.take(103.0, 102.0, record(1, 8000)), Taken::Known);
+}
+
+/// Guards against an earlier record that comes, with a closer bound, after a later one has ended here.
+#[test]
+fn what_has_ended_is_not_undone_by_what_was_before_it() {
+    let mut table = Table::new(0.01, 4);
+    assert_eq!(table.take(0.0, 0.0, record(2, 9000)), Taken::Newer);
+    table.tidy(2.0);
+    assert!(table.is_empty());
+    assert_eq!(table.take(2.0, 2.0, record(1, 1000)), Taken::Known);
+    assert_eq!(table.take(2.0, 2.0, record(2, 1000)), Taken::Known);
+    assert_eq!(table.take(2.0, 2.0, record(3, 1000)), Taken::Newer);
+}
+
+#[test]
+fn memory_is_bounded_by_owner() {
+    let mut table = Table::new(0.01, 2);
+    let other = |key| Record { key: Key { key, ..record(1, 0).key }, ..record(1, 0) };
+    let taken: Vec<Taken> = (1..4).map(|key| table.take(0.0, 0.0, other(key))).collect();
+    assert_eq!(taken, [Taken::Newer, Taken::Newer, Taken::Full]);
+    let long = Record { value: vec![0; 401], ..record(2, 0) };
+    assert_eq!(table.take(0.0, 0.0, long), Taken::Full);
+}
+
+#[test]
+fn sums_are_the_same_for_the_same_whatever_came_before() {
+    let (mut one, mut other) = (Table::new(0.01, 4), Table::new(0.01, 4));
+    one.take(0.0, 0.0, record(1, 0));
+    one.take(0.0, 0.0, record(2, 0));
+    other.take(5.0, 5.0, record(2, 100));
+    assert_eq!(one.sum(), other.sum());
+    other.forget(Id(7));
+    assert_eq!(other.sum(), Table::new(0.01, 4).sum());
+}
+
+#[test_case("fleet = \"north\"", "", "fleet"; "no name")]
+#[test_case("\"north\"", "\"no rth\"", "fleet: \"no rth\": 1 to 64 letters"; "a name that is none")]
+#[test_case("zone = \"x\"", "zon = \"x\"", "zon"; "an unknown key")]
+#[test_case("10.0.0.2:9400", "10.0.0.1:9400", "members.b.address: 10.0.0.1:9400 is a's"; "one address twice")]
+#[test_case("10.0.0.2:9400", "0.0.0.0:9400", "can't reach"; "no address")]
+#[test_case("b = {", "a = {", "line 4"; "one name twice")]
+#[test_case("[members]", "[detector]\nevery = 99\n[members]", "detector.every: 99 is not seconds, 0.02 to 10"; "out of range")]
+#[test_case("[members]", "[detector]\nevery = 1\n[members]", "detector.suspicion: 0.4 is not 1"; "too short for a probe")]
+#[test_case("[members]", "[records]\nlife = 0\n[members]", "records.life"; "records without a life")]
+#[test_case("[members]", "[limits]\n[members]", "limits"; "a part that is not there")]
+fn a_file_that_is_not_fit_is_told_in_one_line(old: &str, new: &str, words: &str) {
+    let told = Plan::parse(&FILE.replacen(old, new, 1)).expect_err("a fault");
+    assert!(told.contains(words) && !told.contains('\n'), "{told}");
+}
+
+#[test]
+fn the_example_is_fit() {
+    let plan = Plan::parse(include_str!("../../../deploy/fleet.toml")).expect("fit");
+    assert_eq!(plan.detector, Detector::default());
+    assert!(plan.members.len() >= 3);
+}
+
+fn two() -> (Fleet, Fleet) {
+    let new = |name, mark| Fleet::new(0.0, name, plan(), 100, mark).expect("a member");
+    (new("a", 1), new("b", 2))
+}
+
+/// Brings all that is sent to the other, until nothing is.
+fn talk(now: f64, one: &mut Fleet, other: &mut Fleet, mut out: Vec<Action>) -> Vec<News> {
+    let mut news = Vec::new();
+    while !out.is_empty() {
+        for action in std::mem::take(&mut out) {
+            match action {
+                Action::Send { to, bytes } if to == addr(1) => one.heard(now, addr(2), &bytes, &mut out),
+                Action::Send { bytes, .. } => other.heard(now, addr(1), &bytes, &mut out),
+                Action::News(told) => news.push(told),
+            }
+        }
+    }
+    news
+}
+
+fn met() -> (Fleet, Fleet) {
+    let ((mut one, mut other), mut out) = (two(), Vec::new());
+    for at in 0..40 {
+        let now = f64::from(at) * 0.05;
+        one.advance(now, &mut out);
+        other.advance(now, &mut out);
+        talk(now, &mut one, &mut other, std::mem::take(&mut out));
+    }
+    (one, other)
+}
+
+/// A file at SIGHUP counts whole or not at all; a live member that it lacks is none any more, and is a stranger.
+#[test]
+fn a_file_read_anew_removes_a_live_member() {
+    let (mut one, mut other) = met();
+    assert_eq!(one.state(Id::of("b")), Some(State::Alive));
+    let without_b = Plan::parse(&FILE.replace("b = {", "c = {")).expect("fit");
+    assert!(other.reread(2.0, without_b.clone()).expect_err("itself").contains("b is not among them"));
+    let moved = Plan::parse(&FILE.replace("10.0.0.1", "10.0.0.9")).expect("fit");
+    assert!(one.reread(2.0, moved).expect_err("moved").contains("members.a.address"));
+    assert_eq!(one.state(Id::of("b")), Some(State::Alive), "all stays as it was");
+    assert_eq!(one.reread(2.0, without_b), Ok(()));
+    let mut out = Vec::new();
+    (0..8).for_each(|at| other.advance(2.0 + f64::from(at) * 0.05, &mut out));
+    for action in out {
+        if let Action::Send { bytes, .. } = action {
+            one.heard(9.0, addr(2), &bytes, &mut Vec::new());
+        }
+    }
+    let figures = one.figures(9.0);
+    assert!(figures.counts.dropped.get(&Odd::Stranger).is_some_and(|many| *many > 0), "{figures:?}");
+    assert_eq!((one.state(Id::of("b")), one.state(Id::of("c"))), (None, Some(State::Unseen)));
+}
+
+/// Guards against two processes under one name that outbid each other for ever: one of them falls silent.
+#[test]
+fn of_two_processes_under_one_name_one_falls_silent() {
+    let (mut one, mut first) = met();
+    let mut second = Fleet::new(2.0, "b", plan(), 90, 3).expect("a member");
+    let (mut out, mut silent) = (Vec::new(), Vec::new());
+    for at in 0..100 {
+        let now = 2.0 + f64::from(at) * 0.05;
+        one.advance(now, &mut out);
+        first.advance(now, &mut out);
+        second.advance(now, &mut out);
+        while !out.is_empty() {
+            for action in std::mem::take(&mut out) {
+                match action {
+                    // Both are at the one address: what is sent there comes to both, as good as.
+                    Action::Send { to, bytes } if to == addr(2) => {
+                        first.heard(now, addr(1), &bytes, &mut out);
+                        second.heard(now, addr(1), &bytes, &mut out);
+                    }
+                    Action::Send { bytes, .. } => one.heard(now, addr(2), &bytes, &mut out),
+                    Action::News(News::Doubled { yields }) => silent.push(yields),
+                    Action::News(_) => {}
+                }
+            }
+        }
+    }
+    assert!(silent.contains(&true), "{silent:?}");
+    let quiet = [&first, &second].map(|fleet| fleet.figures(7.0).doubled);
+    assert_eq!(quiet.iter().filter(|quiet| **quiet).count(), 1);
+}
+
+/// Answers to an earlier process's questions, and answers that nobody asked for, bring no records.
+#[test]
+fn records_that_were_not_asked_for_are_passed_over() {
+    let (mut one, other) = met();
+    let before = one.readings(2.0).count();
+    let (from, incarnation, words) = (other.me(), other.incarnation(), Vec::new());
+    let key = Key { owner: from, ..record(1, 0).key };
+    let records = vec![Record { key, ..record(1, 0) }];
+    let what = What::Answer { number: 12345, records };
+    let bytes = encode(plan().mark(), &Message { from, incarnation, sum: 0, words, what });
+    one.heard(2.0, addr(2), &bytes, &mut Vec::new());
+    assert_eq!(one.readings(2.0).count(), before);
+}
+
+#[test_case(|bytes| bytes[0] = b'h', Odd::Foreign; "a hint")]
+#[test_case(|bytes| bytes[1] = 2, Odd::Version; "another version")]
+#[test_case(|bytes| bytes[9] ^= 1, Odd::Checksum; "damaged")]
+#[test_case(|bytes| bytes.resize(MOST + 1, 0), Odd::Foreign; "too long")]
+#[test_case(|bytes| bytes.truncate(3), Odd::Foreign; "too short")]
+fn odd_datagrams_are_counted(change: fn(&mut Vec<u8>), why: Odd) {
+    let (mut one, mut other) = two();
+    let mut out = Vec::new();
+    other.write(0.0, Kind::STANDING, 1, b"x", &mut out);
+    let words = Vec::new();
+    let (from, incarnation, what) = (other.me(), other.incarnation(), What::Ping { number: 1 });
+    let mut bytes = encode(plan().mark(), &Message { from, incarnation, sum: 0, words, what });
+    change(&mut bytes);
+    one.heard(0.0, addr(2), &bytes, &mut out);
+    assert_eq!(one.figures(0.0).counts.dropped.get(&why), Some(&1));
+}
+
+proptest! {
+    /// No datagram, whatever is in it, brings a node down; and none beyond the longest is ever sent.
+    #[test]
+    fn random_datagrams_do_no_harm(bytes in proptest::collection::vec(any::<u8>(), 0..1300), from in 0_u8..4) {
+        let (mut one, mut out) = (met().0, Vec::new());
+        one.heard(3.0, addr(from), &bytes, &mut out);
+        // The same with a head and a checksum that fit.
+        let mut framed = vec![crate::message::MARK, 1];
+        let mut hasher = crc32fast::Hasher::new_with_initial(plan().mark());
+        hasher.update(&bytes);
+        framed.extend(hasher.finalize().to_le_bytes());
+        framed.extend(&bytes);
+        one.heard(3.0, addr(2), &framed, &mut out);
+        one.advance(3.0, &mut out);
+        let long = |action: &Action| matches!(action, Action::Send { bytes, .. } if bytes.len() > MOST);
+        let longest = out.iter().any(long);
+        prop_assert!(!longest);
+    }
+
+    #[test]
+    fn messages_read_as_they_were_written(number: u64, sum: u64, value in proptest::collection::vec(any::<u8>(), 0..400)) {
+        let records = vec![Record { value, ..record(number, 5) }];
+        let (from, incarnation, words) = (Id(3), Incarnation::new(7, 8), Vec::new());
+        let message = Message { from, incarnation, sum, words, what: What::Differs { number, records, more: true } };
+        let bytes = encode(5, &message);
+        prop_assert_eq!(decode(5, &bytes), Ok(message));
+        prop_assert_eq!(decode(6, &bytes), Err(Odd::Checksum));
+    }
+
+    /// Sums, ages and the order of versions, whatever comes in whatever order: the latest is held.
+    #[test]
+    fn the_latest_version_is_held(versions in proptest::collection::vec((1_u64..9, 0_u32..9000), 1..30)) {
+        let mut table = Table::new(0.01, 4);
+        for (version, age) in &versions {
+            table.take(1.0, 1.0, record(*version, *age));
+        }
+        let held = table.read(1.0, Kind::STANDING).map(|reading| reading.version).next();
+        prop_assert_eq!(held, versions.iter().map(|version| version.0).max());
+    }
+}
+
+/// Counts up by ones and twos; three is wrong.
+struct Counter;
+
+impl Model for Counter {
+    type State = u32;
+    type Step = u32;
+
+    fn first(&self) -> u32 {
+        0
+    }
+
+    fn steps(&self, _: &u32) -> Vec<u32> {
+        vec![1, 2]
+    }
+
+    fn after(&self, state: &u32, step: &u32) -> Result<u32, String> {
+        match state + step {
+            5 => Err("five".into()),
+            sum => Ok(sum % 8),
+        }
+    }
+
+    fn print(&self, state: &u32) -> u64 {
+        u64::from(*state)
+    }
+}
+
+#[test]
+fn the_shortest_way_to_a_breach_is_found() {
+    let found = explore(&Counter, 9, 100).breach.map(|breach| breach.steps.len());
+    assert_eq!(found, Some(3));
+    assert_eq!(explore(&Counter, 2, 100).breach, None);
+}
--- a/crates/coveroute-node/src/config.rs
+++ b/crates/coveroute-node/src/config.rs
@@ -20,6 +20,7 @@
 
 #[derive(Deserialize)]
 struct File {
+    name: Option<String>,
     listen: Option<String>,
     discovery: Option<String>,
     management: Option<String>,
@@ -111,6 +112,8 @@
 
 #[derive(Debug)]
 pub struct Config {
+    /// The node's own, under which it stands in the fleet's file unless told otherwise.
+    pub name: Option<String>,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
     /// The operators' door, if there is one.
@@ -199,6 +202,7 @@
             return Err(format!("management: {listen} is where clients come"));
         }
         Ok(Config {
+            name: file.name,
             listen,
             management,
             discovery: address("discovery", file.discovery)?,
--- a/crates/coveroute-node/src/driver.rs
+++ b/crates/coveroute-node/src/driver.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use coveroute::types::{InvId, Outcome, Report, Reports, Tgt, Told};
 use coveroute_engine::{Action, Engine, Event, Figures, News, Phase, Reply, Setup, Verdict, Watched};
+use coveroute_fleet::Plan;
 use log::{error, info, warn};
 use tokio::sync::{mpsc, oneshot};
 
@@ -19,6 +20,7 @@
 use crate::config::Config;
 use crate::discovery::Discovery;
 use crate::executors::{give_up, probe, Links};
+use crate::fleet::Carrier;
 use crate::guest::{Guests, Leaves};
 use crate::handed::{Handed, HandedJob};
 use crate::needed::Keys;
@@ -57,8 +59,9 @@
         mark: u32,
         count: u8,
     },
-    /// The operators ask for the configuration to be read anew: what it says, or why it is not fit.
-    Reload(Result<Box<Config>, String>),
+    /// The operators ask for the configuration to be read anew: what it says, or why it is not fit. With it the fleet's
+    /// file, where there is one.
+    Reload(Result<Box<Config>, String>, Option<Plan>),
     /// The door has ended a job of this operation by itself.
     Ended(String, Verdict),
     /// Operators ask for the figures.
@@ -120,6 +123,8 @@
 pub struct Others {
     /// For other nodes' messages, where nodes tell each other.
     pub datagrams: Option<UdpSocket>,
+    /// This node's part in the fleet, where nodes know each other.
+    pub carrier: Option<Rc<Carrier>>,
     /// The process before, and what it has handed over.
     pub before: Option<(Rc<Link>, Handed)>,
     pub successors: Option<Successors>,
@@ -147,6 +152,7 @@
     running: Running,
     /// Where nodes may tell each other.
     peers: Option<Peers>,
+    carrier: Option<Rc<Carrier>>,
     /// The other processes of this node: the one that this one takes the place of, and the one that takes this one's.
     before: Option<Rc<Link>>,
     after: Option<Rc<Link>>,
@@ -171,17 +177,16 @@
         others: Others,
         happenings: Happenings,
     ) -> Result<Self, String> {
-        let Others { datagrams, before, successors, guests, comes } = others;
+        let Others { datagrams, carrier, before, successors, guests, comes } = others;
         life.take_lists_from(config.pushed_by());
         life.take_max_pause(config.settings.max_pause);
         let running = Running::of(&config);
         let Config { settings, names, seed, timeouts, known, discovery, peers, .. } = config;
-        let listen = |(addrs, socket): (Vec<SocketAddr>, UdpSocket)| {
-            let me = addrs[settings.me];
-            Peers::new(settings.me, addrs, socket, happenings.clone())
-                .map_err(|e| format!("peers: {me}: {e}"))
+        let listen = |socket: UdpSocket| {
+            Peers::new(settings.me, peers.unwrap_or_default(), socket, happenings.clone(), carrier.clone())
+                .map_err(|e| format!("nodes' messages: {e}"))
         };
-        let peers = peers.zip(datagrams).map(listen).transpose()?;
+        let peers = datagrams.map(listen).transpose()?;
         let (before, handed) = before.unzip();
         let memory = handed.map(|handed| handed.memory(discovery));
         let reports = settings.reports != Reports::Never;
@@ -198,6 +203,7 @@
             reports,
             running,
             peers,
+            carrier,
             before,
             after: None,
             successors,
@@ -212,6 +218,7 @@
         driver.pair();
         driver.carry_out();
         if driver.before.is_none() {
+            driver.hear(true);
             driver.await_successors();
         }
         Ok(driver)
@@ -289,13 +296,15 @@
             Happening::Heard { from, told, mark, count } => {
                 self.tell(Event::Heard { from, told, mark, count });
             }
-            Happening::Reload(Ok(config)) => self.reload(&config),
-            Happening::Reload(Err(words)) => self.not_reloaded(&words),
+            Happening::Reload(Ok(config), plan) => self.reload(&config, plan),
+            Happening::Reload(Err(words), _) => self.not_reloaded(&words),
             Happening::Ended(operation, verdict) => self.tell(Event::Ended(&operation, verdict)),
             Happening::Asked(tell) => drop(tell.send(self.engine.figures(self.clock.now()))),
             Happening::Stop => {
                 // Before anything is given back or cut for the stop.
                 self.hand_over();
+                // A successor goes on as the same member.
+                self.carrier.iter().filter(|_| self.after.is_none()).for_each(|carrier| carrier.leave());
                 self.tell(Event::Stop);
             }
         }
@@ -307,7 +316,7 @@
     }
 
     /// Takes a configuration over, whole or not at all.
-    fn reload(&mut self, config: &Config) {
+    fn reload(&mut self, config: &Config, plan: Option<Plan>) {
         if !self.engine.phase().takes_settings() {
             return self.not_reloaded("the node is about to stop");
         }
@@ -316,6 +325,11 @@
         if let Some(why) = self.running.refuses(&new, pushed) {
             return self.not_reloaded(&why);
         }
+        if let Some((carrier, plan)) = self.carrier.as_ref().zip(plan) {
+            if let Err(why) = carrier.reread(plan) {
+                return self.not_reloaded(&format!("the fleet's file: {why}"));
+            }
+        }
         if self.running.fixed != new.fixed {
             warn!("addresses and limits of the process count from the next start on");
         }
@@ -350,6 +364,7 @@
         if let Some(before) = self.before.as_ref().filter(|_| self.life.is_up() && !self.announced) {
             before.serves();
             self.announced = true;
+            self.hear(true);
         }
     }
 
@@ -383,10 +398,15 @@
     /// Whether connections, and other nodes' messages, come here from now on.
     fn takes(&mut self, takes: bool) {
         self.life.take_connections(takes);
-        self.peers.iter_mut().for_each(|peers| peers.hear(takes));
+        self.hear(takes);
         self.pair();
     }
 
+    /// Of a node's processes one hears what other nodes say: the one that serves.
+    fn hear(&mut self, hears: bool) {
+        self.peers.iter_mut().for_each(|peers| peers.hear(hears));
+    }
+
     fn said(&mut self, side: Side, number: u64, said: Said) {
         let link = match side {
             Side::Before => &mut self.before,
@@ -410,6 +430,7 @@
             },
             (Side::Before, Said::Ended) => {
                 self.before = None;
+                self.hear(true);
                 self.taken_over();
                 self.pair();
             }
--- a/crates/coveroute-node/src/driver/tests.rs
+++ b/crates/coveroute-node/src/driver/tests.rs
@@ -100,7 +100,7 @@
     block(async {
         let (mut driver, _, life) = driver(&[CLOSED.into(); 2]);
         let mut happens = watched(&mut driver);
-        driver.happened(Happening::Reload(Ok(Box::new(Config { discovery: addr, ..config("") }))));
+        driver.happened(Happening::Reload(Ok(Box::new(Config { discovery: addr, ..config("") })), None));
         assert_eq!(life.phase(), Phase::Reloading);
         while life.phase() == Phase::Reloading || driver.engine.fleet().known("b").is_none() {
             let happening = timeout(seconds(9.0), happens.recv()).await.expect("in time");
@@ -122,7 +122,7 @@
             driver.happened(Happening::Stop);
         }
         let told = if stopped { Ok(Box::new(config(""))) } else { Err("no".into()) };
-        driver.happened(Happening::Reload(told));
+        driver.happened(Happening::Reload(told, None));
         actix_rt::task::yield_now().await;
         assert!(happens.try_recv().is_err() && life.phase() == phase);
     });
--- a/crates/coveroute-node/src/main.rs
+++ b/crates/coveroute-node/src/main.rs
@@ -6,6 +6,7 @@
 mod discovery;
 mod driver;
 mod executors;
+mod fleet;
 mod guest;
 mod handed;
 mod hosts;
@@ -39,30 +40,88 @@
 
 use clock::Clock;
 use config::Config;
+use coveroute_fleet::Plan;
 use driver::{Driver, Happening, Happenings, Others, Successors};
 use executors::Links;
+use fleet::Carrier;
 use phase::Life;
 use server::Door;
 
 const USAGE: &str = "\
 coveroute: takes invocations from clients and pushes them to executors
 
-usage: coveroute serve [--config FILE] [--log LEVEL]   run a node until it is asked to stop
-       coveroute check [--config FILE]                 read the configuration, say whether it is fit
+usage: coveroute serve [--config FILE] [--fleet FILE] [--member NAME] [--log LEVEL]   run a node until it is asked to stop
+       coveroute check [--config FILE] [--fleet FILE] [--member NAME]                 say whether the files are fit
        coveroute version
        coveroute help
 
 --config FILE   default: what BALANCER_CONFIG names; BALANCER_LISTEN, BALANCER_DISCOVERY and BALANCER_MANAGEMENT
                 go before the file
+--fleet FILE    who the other nodes are, see deploy/fleet.toml; without it a node knows no other
+--member NAME   under which the node stands there; default: the configuration's name
 --log LEVEL     off, error, warn, info (default), debug or trace";
 
 enum Command {
-    Serve(Option<PathBuf>, LevelFilter),
-    Check(Option<PathBuf>),
+    Serve(Files, LevelFilter),
+    Check(Files),
     Version,
     Help,
 }
 
+/// What is read at the start and at SIGHUP.
+#[derive(Clone)]
+struct Files {
+    config: Option<PathBuf>,
+    fleet: Option<PathBuf>,
+    member: Option<String>,
+}
+
+impl Files {
+    fn of(arguments: &mut Arguments) -> Result<Self, String> {
+        let told = |e: pico_args::Error| e.to_string();
+        let config = arguments.opt_value_from_str("--config").map_err(told)?;
+        let fleet: Option<PathBuf> = arguments.opt_value_from_str("--fleet").map_err(told)?;
+        let member: Option<String> = arguments.opt_value_from_str("--member").map_err(told)?;
+        match (&fleet, &member) {
+            (None, Some(_)) => Err("--member: goes with --fleet".into()),
+            _ => Ok(Files { config, fleet, member }),
+        }
+    }
+
+    /// Where the node stands in the fleet's file, if there is one.
+    fn place(&self, config: &Config) -> Result<Option<fleet::Place>, String> {
+        let Some(path) = self.fleet.clone() else { return Ok(None) };
+        let name = self.member.clone().or(config.name.clone());
+        let name = name.ok_or("--member: under which name does the node stand in the fleet's file?")?;
+        Ok(Some(fleet::Place { path, name }))
+    }
+
+    fn own_peer(config: &Config) -> Option<SocketAddr> {
+        config.peers.as_ref().map(|peers| peers[config.settings.me])
+    }
+
+    /// The fleet's file, and where its datagrams come.
+    fn plan(&self, config: &Config) -> Result<Option<(fleet::Place, Plan, SocketAddr)>, String> {
+        let Some(place) = self.place(config)? else { return Ok(None) };
+        let plan = place.read()?;
+        let address = place.address(&plan, Self::own_peer(config))?;
+        Ok(Some((place, plan, address)))
+    }
+
+    /// Both anew, or why one of them is not fit.
+    fn reread(&self) -> Happening {
+        let read = || {
+            let config = Config::reread(self.config.clone())?;
+            let plan = self.plan(&config)?.map(|(_, plan, _)| plan);
+            Ok((Box::new(config), plan))
+        };
+        match read() {
+            Ok((config, plan)) => Happening::Reload(Ok(config), plan),
+            Err(words) => Happening::Reload(Err(words), None),
+        }
+    }
+}
+
 fn command(mut arguments: Arguments) -> Result<Command, String> {
     let told = |e: pico_args::Error| e.to_string();
     let name = arguments.subcommand().map_err(told)?;
@@ -71,10 +130,9 @@
         _ if help => Command::Help,
         Some("serve") => {
             let level = arguments.opt_value_from_str("--log").map_err(told)?;
-            let config = arguments.opt_value_from_str("--config").map_err(told)?;
-            Command::Serve(config, level.unwrap_or(LevelFilter::Info))
+            Command::Serve(Files::of(&mut arguments)?, level.unwrap_or(LevelFilter::Info))
         }
-        Some("check") => Command::Check(arguments.opt_value_from_str("--config").map_err(told)?),
+        Some("check") => Command::Check(Files::of(&mut arguments)?),
         Some("version") => Command::Version,
         Some("help") => Command::Help,
         Some(other) => return Err(format!("no command {other}; see coveroute help")),
@@ -91,15 +149,27 @@
     match command {
         Command::Help => println!("{USAGE}"),
         Command::Version => println!("coveroute {}", env!("CARGO_PKG_VERSION")),
-        Command::Check(path) => {
-            let config = Config::read(path)?;
+        // The fleet's file is the same for all nodes: it can be looked at without any node's configuration.
+        Command::Check(Files { config: None, fleet: Some(path), member: None })
+            if std::env::var_os(config::PATH).is_none() =>
+        {
+            let plan = fleet::read(&path)?;
+            println!("fit: fleet {}, {} members", plan.fleet, plan.members.len());
+        }
+        Command::Check(files) => {
+            let config = Config::read(files.config.clone())?;
+            let fleet = files.plan(&config)?;
             let (operations, nodes) = (config.settings.operations.len(), config.settings.nodes);
             println!("fit: {operations} operations, {nodes} nodes, listens on {}", config.listen);
+            if let Some((place, plan, address)) = fleet {
+                let (fleet, members) = (&plan.fleet, plan.members.len());
+                println!("fit: fleet {fleet}, {members} members; {} hears at {address}", place.name);
+            }
         }
-        Command::Serve(path, level) => {
+        Command::Serve(files, level) => {
             logger::start(level);
-            let config = Config::read(path.clone())?;
-            actix_rt::System::new().block_on(serve(config, path))?;
+            let config = Config::read(files.config.clone())?;
+            actix_rt::System::new().block_on(serve(config, files))?;
         }
     }
     Ok(())
@@ -115,10 +185,11 @@
     (sockets / 3, ((sockets / 3).min(fit / 2), (sockets / 6).min(fit / 8)))
 }
 
-async fn serve(config: Config, path: Option<PathBuf>) -> Result<(), String> {
+async fn serve(config: Config, files: Files) -> Result<(), String> {
     let (happenings, happens) = mpsc::unbounded_channel();
     // First: a signal that nobody listens to would end the process.
-    actix_rt::spawn(signals(happenings.clone(), path)?);
+    actix_rt::spawn(signals(happenings.clone(), files.clone())?);
+    let fleet = files.plan(&config)?;
     // Not shared, and before anything is handed over: two processes that answer here would be told apart by nobody.
     let operators = match config.management {
         Some(addr) => Some(TcpListener::bind(addr).await.map_err(|e| format!("management: {addr}: {e}"))?),
@@ -130,12 +201,21 @@
         None => None,
     };
     let (before, sockets) = before.map(|before| before.link(happenings.clone())).unzip();
-    let (listener, datagrams) = listen(&config, sockets.unwrap_or_default())?;
+    let hears = Files::own_peer(&config).or(fleet.as_ref().map(|(.., address)| *address));
+    let (listener, datagrams) = listen(config.listen, hears, sockets.unwrap_or_default())?;
     let (clock, life) = (Clock::new(), Rc::new(Life::new()));
     let (executors, clients) = budget(config.sockets, config.memory_mb);
     let links = Links::new(executors, config.dial, config.idle);
     let door = Rc::new(Door::new(clock, life.clone(), happenings.clone(), clients));
-    let desk = operators::Desk::new(life.clone(), happenings.clone());
+    let carrier = match (fleet, &datagrams) {
+        (Some((place, plan, _)), Some(socket)) => {
+            let socket = socket.try_clone().map_err(|e| e.to_string())?;
+            Some(Rc::new(Carrier::new(&place, plan, socket, life.clone())?))
+        }
+        _ => None,
+    };
+    carrier.iter().for_each(|carrier| drop(actix_rt::spawn(carrier.clone().run())));
+    let desk = operators::Desk::new(life.clone(), happenings.clone(), carrier.clone());
     operators.map(|listener| actix_rt::spawn(operators::accept(listener, desk)));
     let own = |socket: std::io::Result<OwnedFd>| socket.map_err(|e| e.to_string());
     let mut sockets = vec![own(listener.as_fd().try_clone_to_owned())?];
@@ -144,7 +224,8 @@
     }
     let successors = place.map(|place| Successors { place, sockets });
     let (adopts, comes) = mpsc::unbounded_channel();
-    let others = Others { datagrams, before, successors, guests: door.guests(), comes: Some(adopts) };
+    let others =
+        Others { datagrams, carrier, before, successors, guests: door.guests(), comes: Some(adopts) };
     let driver = Driver::new(config, clock, life, links, others, happenings)?;
     actix_rt::spawn(server::accept(listener, door.clone(), comes));
     actix_rt::spawn(server::sweep(door));
@@ -156,7 +237,8 @@
 /// The sockets that the process before handed over, or new ones. The address can be shared: a process that takes this
 /// one's place may come without anything being handed over.
 fn listen(
-    config: &Config,
+    listen: SocketAddr,
+    hears: Option<SocketAddr>,
     sockets: Vec<OwnedFd>,
 ) -> Result<(TcpListener, Option<std::net::UdpSocket>), String> {
     let mut sockets = sockets.into_iter();
@@ -165,25 +247,30 @@
             let handed =
                 TcpListener::from_std(std::net::TcpListener::from(socket)).map_err(|e| e.to_string())?;
             let there = handed.local_addr().map_err(|e| e.to_string())?;
-            if there != config.listen {
-                return Err(format!("{}: the process before serves at {there}", config.listen));
+            if there != listen {
+                return Err(format!("{listen}: the process before serves at {there}"));
             }
             info!("takes over {there}");
             handed
         }
         None => {
-            let listener = reuse(config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
-            info!("listens on {}", config.listen);
+            let listener = reuse(listen).map_err(|e| format!("{listen}: {e}"))?;
+            info!("listens on {listen}");
             listener
         }
     };
-    let me = config.settings.me;
-    let datagrams = match (&config.peers, sockets.next()) {
+    let datagrams = match (hears, sockets.next()) {
         (None, _) => None,
-        (Some(_), Some(socket)) => Some(std::net::UdpSocket::from(socket)),
-        (Some(peers), None) => {
-            let addr = peers[me];
-            Some(std::net::UdpSocket::bind(addr).map_err(|e| format!("peers: {addr}: {e}"))?)
+        (Some(hears), Some(socket)) => {
+            let socket = std::net::UdpSocket::from(socket);
+            let there = socket.local_addr().map_err(|e| e.to_string())?;
+            if there != hears {
+                return Err(format!("{hears}: the process before hears nodes at {there}"));
+            }
+            Some(socket)
+        }
+        (Some(hears), None) => {
+            Some(std::net::UdpSocket::bind(hears).map_err(|e| format!("nodes' messages: {hears}: {e}"))?)
         }
     };
     Ok((listener, datagrams))
@@ -200,7 +287,7 @@
 }
 
 /// Passes on that the platform wants the node to stop, or the operators its configuration to be read anew.
-fn signals(happenings: Happenings, path: Option<PathBuf>) -> Result<impl Future<Output = ()>, String> {
+fn signals(happenings: Happenings, files: Files) -> Result<impl Future<Output = ()>, String> {
     let listen = |kind| signal(kind).map_err(|e| e.to_string());
     let mut term = listen(SignalKind::terminate())?;
     let mut int = listen(SignalKind::interrupt())?;
@@ -210,7 +297,7 @@
             let happening = tokio::select! {
                 _ = term.recv() => Happening::Stop,
                 _ = int.recv() => Happening::Stop,
-                _ = hup.recv() => Happening::Reload(Config::reread(path.clone()).map(Box::new)),
+                _ = hup.recv() => files.reread(),
             };
             let _ = happenings.send(happening);
         }
--- a/crates/coveroute-node/src/operators.rs
+++ b/crates/coveroute-node/src/operators.rs
@@ -17,6 +17,7 @@
 use tokio::sync::oneshot;
 
 use crate::driver::{Happening, Happenings};
+use crate::fleet::{self, Carrier};
 use crate::phase::Life;
 
 const READY: &str = "/v1/readyz";
@@ -38,6 +39,9 @@
     ejected: usize,
     sighup_applied: u64,
     sighup_rejected: u64,
+    /// What it knows of the other nodes, where nodes know each other.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    fleet: Option<fleet::Shown>,
 }
 
 #[derive(Serialize)]
@@ -61,6 +65,7 @@
             ejected: figures.avoided,
             sighup_applied: figures.applied,
             sighup_rejected: figures.rejected,
+            fleet: None,
         }
     }
 }
@@ -69,11 +74,12 @@
 pub struct Desk {
     life: Rc<Life>,
     happenings: Happenings,
+    carrier: Option<Rc<Carrier>>,
 }
 
 impl Desk {
-    pub fn new(life: Rc<Life>, happenings: Happenings) -> Rc<Self> {
-        Rc::new(Desk { life, happenings })
+    pub fn new(life: Rc<Life>, happenings: Happenings, carrier: Option<Rc<Carrier>>) -> Rc<Self> {
+        Rc::new(Desk { life, happenings, carrier })
     }
 
     async fn answer(&self, request: Request) -> Response<BoxBody> {
@@ -96,7 +102,9 @@
     async fn figures(&self) -> Response<BoxBody> {
         let (tell, told) = oneshot::channel();
         let _ = self.happenings.send(Happening::Asked(tell));
-        let shown = told.await.ok().map(|figures| serde_json::to_vec(&Shown::from(figures)));
+        let fleet = || self.carrier.as_ref().map(|carrier| carrier.shown());
+        let shown = told.await.ok().map(|figures| Shown { fleet: fleet(), ..Shown::from(figures) });
+        let shown = shown.map(|shown| serde_json::to_vec(&shown));
         let Some(Ok(body)) = shown else {
             return text(StatusCode::SERVICE_UNAVAILABLE, "the node has ended\n");
         };
--- a/crates/coveroute-node/src/peers.rs
+++ b/crates/coveroute-node/src/peers.rs
@@ -6,11 +6,13 @@
 
 use actix_rt::task::JoinHandle;
 use coveroute::types::Told;
+use coveroute_fleet::message::MARK;
 use coveroute_shared::{message, words};
 use log::debug;
 use tokio::net::UdpSocket;
 
 use crate::driver::{Happening, Happenings};
+use crate::fleet::Carrier;
 
 pub struct Peers {
     /// For what is told; it never blocks. What is heard comes by a task.
@@ -20,37 +22,42 @@
     me: usize,
     ear: Rc<UdpSocket>,
     hears: Option<JoinHandle<()>>,
+    whom: Whom,
+}
+
+/// Whom what is heard is for.
+#[derive(Clone)]
+struct Whom {
+    addrs: Rc<[SocketAddr]>,
     happenings: Happenings,
+    carrier: Option<Rc<Carrier>>,
 }
 
 impl Peers {
-    /// Listens at its own address from now on, in a task of its own.
+    /// `addrs`: of all nodes that take hints, none where there are no hints.
     pub fn new(
         me: usize,
         addrs: Vec<SocketAddr>,
         socket: std::net::UdpSocket,
         happenings: Happenings,
+        carrier: Option<Rc<Carrier>>,
     ) -> io::Result<Self> {
         socket.set_nonblocking(true)?;
-        let (ear, addrs) = (UdpSocket::from_std(socket.try_clone()?)?, Rc::from(addrs));
-        let ear = Rc::new(ear);
-        let hears = Some(actix_rt::spawn(hear(ear.clone(), Rc::clone(&addrs), happenings.clone())));
-        Ok(Peers { socket, addrs, me, ear, hears, happenings })
+        let (ear, addrs) =
+            (Rc::new(UdpSocket::from_std(socket.try_clone()?)?), Rc::<[SocketAddr]>::from(addrs));
+        let whom = Whom { addrs: addrs.clone(), happenings, carrier };
+        Ok(Peers { socket, addrs, me, ear, hears: None, whom })
     }
 
-    /// Whether what comes is heard here: not once a successor does.
+    /// Whether what comes is heard here, in a task of its own: not while another process of this node hears.
     pub fn hear(&mut self, hears: bool) {
-        let anew = || {
-            let (ear, addrs, happenings) =
-                (self.ear.clone(), Rc::clone(&self.addrs), self.happenings.clone());
-            actix_rt::spawn(hear(ear, addrs, happenings))
-        };
         match self.hears.take() {
             Some(task) if hears => self.hears = Some(task),
             Some(task) => task.abort(),
-            None if hears => self.hears = Some(anew()),
+            None if hears => self.hears = Some(actix_rt::spawn(hear(self.ear.clone(), self.whom.clone()))),
             None => {}
         }
+        self.whom.carrier.iter().for_each(|carrier| carrier.take_part(hears));
     }
 
     pub fn tell(&self, to: usize, told: Told, mark: u32, count: u8) {
@@ -61,14 +68,19 @@
     }
 }
 
-async fn hear(socket: Rc<UdpSocket>, addrs: Rc<[SocketAddr]>, happenings: Happenings) {
-    const MOST: usize = 256; // The longest message that deployments allow.
-    let mut buffer = [0; MOST];
+async fn hear(socket: Rc<UdpSocket>, whom: Whom) {
+    const MOST: usize = 256; // The longest hint that deployments allow.
+    let mut buffer = [0; 2048];
     loop {
         // An error here is of an earlier message that did not arrive: it may be lost.
         let Ok((many, whose)) = socket.recv_from(&mut buffer).await else { continue };
+        let (bytes, Whom { addrs, happenings, carrier }) = (&buffer[..many], &whom);
+        if let Some(carrier) = carrier.as_ref().filter(|_| bytes.first() == Some(&MARK) || addrs.is_empty()) {
+            carrier.heard(whose, bytes);
+            continue;
+        }
         let from = addrs.iter().position(|addr| *addr == whose);
-        let read = std::str::from_utf8(&buffer[..many]).ok().and_then(message);
+        let read = std::str::from_utf8(bytes).ok().filter(|text| text.len() <= MOST).and_then(message);
         match from.zip(read) {
             Some((from, (told, mark, count))) => {
                 if happenings.send(Happening::Heard { from, told, mark, count }).is_err() {
--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -513,12 +513,13 @@
 fn the_signal_to_reload_does_not_end_the_node() {
     block(async {
         let (happenings, mut happens) = unbounded_channel();
-        actix_rt::spawn(crate::signals(happenings, Some("no such file".into())).expect("signals"));
+        let files = crate::Files { config: Some("no such file".into()), fleet: None, member: None };
+        actix_rt::spawn(crate::signals(happenings, files).expect("signals"));
         let told =
             std::process::Command::new("kill").args(["-HUP", &std::process::id().to_string()]).status();
         assert!(told.is_ok_and(|told| told.success()));
         let event = timeout(seconds(9.0), happens.recv()).await;
-        assert!(matches!(event, Ok(Some(Happening::Reload(Err(_))))));
+        assert!(matches!(event, Ok(Some(Happening::Reload(Err(_), _)))));
     });
 }
 
@@ -676,9 +677,9 @@
         let links = Links::new(64, config.dial, config.idle);
         let mut driver =
             Driver::new(config, clock, life.clone(), links, Others::default(), happenings).expect("a driver");
-        driver.happened(Happening::Reload(Err("settings.weights: heavy is none of ...".into())));
+        driver.happened(Happening::Reload(Err("settings.weights: heavy is none of ...".into()), None));
         assert_eq!(life.lists_from(), Some([127, 0, 0, 1].into()), "a file that is not fit");
-        driver.happened(Happening::Reload(Ok(Box::new(parse(pairs)))));
+        driver.happened(Happening::Reload(Ok(Box::new(parse(pairs))), None));
         assert_eq!((life.lists_from(), life.phase()), (Some(expected.into()), Phase::Starting));
     });
 }
@@ -709,8 +710,9 @@
         let nodes = addrs[..2].to_vec();
         let ((happenings, mut happens), other) = (unbounded_channel(), unbounded_channel().0);
         let own = |at: usize| std::net::UdpSocket::bind(addrs[at]).expect("a port");
-        let first = Peers::new(0, nodes.clone(), own(0), happenings).expect("a port");
-        let second = Peers::new(1, nodes, own(1), other).expect("a port");
+        let mut first = Peers::new(0, nodes.clone(), own(0), happenings, None).expect("a port");
+        let second = Peers::new(1, nodes, own(1), other, None).expect("a port");
+        first.hear(true);
         let stranger = std::net::UdpSocket::bind(addrs[2]).expect("a port");
         stranger.send_to(b"h00000109", addrs[0]).expect("sent");
         second.tell(0, Told::Held, 0xab, 4);
@@ -727,7 +729,7 @@
     let (happenings, happens) = unbounded_channel();
     let listener = actix_rt::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let addr = listener.local_addr().expect("an address");
-    actix_rt::spawn(operators::accept(listener, operators::Desk::new(life.clone(), happenings)));
+    actix_rt::spawn(operators::accept(listener, operators::Desk::new(life.clone(), happenings, None)));
     (addr, happens)
 }
 
@@ -862,11 +864,11 @@
         let lost = other(&[("\"maxRetryAfter\": 2000.0", "\"other\": 1"), ("5000.0", "4000.0")]);
         let me = other(&[("\"me\": 0", "\"me\": 1"), ("\"replicasOfMe\": 1", "\"replicasOfMe\": 2")]);
         let rejected = bad.len() as u64 + 2;
-        bad.iter().chain([&lost, &me]).for_each(|text| driver.happened(Happening::Reload(again(text))));
+        bad.iter().chain([&lost, &me]).for_each(|text| driver.happened(Happening::Reload(again(text), None)));
         assert_eq!(format!("{:?} {:?}", driver.settings(), life.max_pause()), before);
         let new =
             other(&[("\"maxRetryAfter\": 2000.0", "\"maxRetryAfter\": 1500.0"), ("\"me\": 0", "\"me\":0")]);
-        driver.happened(Happening::Reload(again(&new)));
+        driver.happened(Happening::Reload(again(&new), None));
         let (tell, mut told) = tokio::sync::oneshot::channel();
         driver.happened(Happening::Asked(tell));
         let figures = told.try_recv().expect("figures");
--- a/src/chance.rs
+++ b/src/chance.rs
@@ -1,7 +1,7 @@
 //! Chance: the only source of random numbers, started from the seed that the caller gives.
 
 /// Multiply-with-carry (Marsaglia's lag 1, 32 bits).
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Chance(u64);
 
 impl Chance {
