--- a/crates/coveroute-emu/src/fleet/measure.rs
+++ b/crates/coveroute-emu/src/fleet/measure.rs
@@ -1,4 +1,5 @@
 //! What the fleet's part of a node takes and gives, measured on the stage in virtual time.
+use coveroute_fleet::rights::{Limit, Terms};
 use coveroute_fleet::State;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -130,6 +131,15 @@
     let nodes = draw.random_range(3..=8);
     let writes = Span(*[0.3, 1.0, 6.0].choose(&mut draw).unwrap_or(&1.0));
     let mut stage = begun(nodes, seed, FleetPart { writes, ..FleetPart::default() });
+    break_things(&mut stage, nodes, &mut draw);
+    stage.links.heal();
+    stage.stop_writing();
+    let same = stage.until(25.0, 35.0, Stage::agree).is_some();
+    (stage, same)
+}
+
+/// 25 seconds with up to three faults of nodes and three of links, drawn.
+fn break_things(stage: &mut Stage, nodes: usize, draw: &mut Pcg64Mcg) {
     let mut acts: Vec<(f64, NodeId, Order)> = Vec::new();
     for _ in 0..draw.random_range(1..=3) {
         let node = draw.random_range(0..nodes);
@@ -141,7 +151,7 @@
             (Order::Stall, Order::Wake),
             (Order::Stop, Order::Start),
         ]
-        .choose(&mut draw)
+        .choose(draw)
         .unwrap_or(&(Order::Kill, Order::Start));
         acts.push((at, node, begin));
         if begin == Order::Stop {
@@ -158,8 +168,7 @@
             _ => draw.random_range(0.1..0.9),
         };
         let set = (0..nodes).filter(|_| draw.random_bool(0.4)).collect();
-        let way =
-            *[Direction::Both, Direction::Out, Direction::In].choose(&mut draw).unwrap_or(&Direction::Both);
+        let way = *[Direction::Both, Direction::Out, Direction::In].choose(draw).unwrap_or(&Direction::Both);
         links.push((draw.random_range(1.0..18.0), what, by, set, way));
     }
     acts.sort_by(|one, two| one.0.total_cmp(&two.0));
@@ -184,10 +193,6 @@
         }
     }
     stage.play(25.0);
-    stage.links.heal();
-    stage.stop_writing();
-    let same = stage.until(25.0, 35.0, Stage::agree).is_some();
-    (stage, same)
 }
 
 pub fn schedules(from: u64, many: u64) -> Schedules {
@@ -214,6 +219,127 @@
     all
 }
 
+/// What a limit over the whole fleet comes to.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Limited {
+    pub schedules: u64,
+    pub broken: u64,
+    pub breaches: Vec<String>,
+    /// The most of the limit that any window saw.
+    pub fullest: f64,
+    pub wanted: u64,
+    pub had: u64,
+}
+
+pub fn terms(stage: &Stage, (most, window, strict): (f64, f64, bool)) -> Terms {
+    let voters = stage.members().iter().copied().take(5).collect();
+    Terms { limits: vec![Limit { id: 1, most, window, strict }], voters, lease: 2.0, drift: 0.01 }
+}
+
+fn limited(nodes: usize, seed: u64, limit: (f64, f64, bool)) -> Stage {
+    let mut scenario: Scenario = drawn(1);
+    (scenario.fleet, scenario.faults) = (Some(FleetPart::default()), Vec::new());
+    let mut stage = Stage::new(&scenario, seed, &vec!["a".into(); nodes]);
+    stage.limit(terms(&stage, limit));
+    (0..nodes).for_each(|node| stage.start(0.0, node, false));
+    stage
+}
+
+/// One schedule with more wanted than there is, at nodes that change.
+pub fn limited_schedule(seed: u64) -> Stage {
+    let mut draw = Pcg64Mcg::seed_from_u64(seed ^ 0x11317);
+    let nodes = draw.random_range(3..=8);
+    let window = *[0.5, 1.0, 2.0].choose(&mut draw).unwrap_or(&1.0);
+    let most = *[1.0, 4.0, 20.0, 100.0].choose(&mut draw).unwrap_or(&20.0);
+    let mut stage = limited(nodes, seed, (most, window, draw.random_bool(0.5)));
+    let wants = most / window * draw.random_range(0.5..3.0);
+    for node in 0..nodes {
+        let part = draw.random_range(0.0..1.0_f64).powi(3);
+        stage.demand(0.0, node, wants * part);
+    }
+    break_things(&mut stage, nodes, &mut draw);
+    stage
+}
+
+pub fn limited_schedules(from: u64, many: u64) -> Limited {
+    let played = on_all_cores(many, |at| {
+        let stage = limited_schedule(from + at);
+        let Stage { witness, wanted, had, .. } = stage;
+        (from + at, witness, wanted, had)
+    });
+    let mut all = Limited { schedules: many, ..Limited::default() };
+    for (seed, witness, wanted, had) in played {
+        all.broken += witness.broken;
+        let room = 10_usize.saturating_sub(all.breaches.len());
+        let first = witness.breaches.into_iter().take(room.min(1));
+        all.breaches.extend(first.map(|words| format!("seed {seed}: {words}")));
+        all.fullest = all.fullest.max(witness.fullest);
+        (all.wanted, all.had) = (all.wanted + wanted, all.had + had);
+    }
+    all
+}
+
+/// In calm, 1.2 times the limit is wanted, five times the mean of it at one node that changes every ten seconds: the part
+/// of the limit that is had, and what equal parts would give at the same demand.
+pub fn uneven(nodes: usize, seed: u64, seconds: f64, (most, window): (f64, f64)) -> (f64, f64) {
+    let mut stage = limited(nodes, seed, (most, window, false));
+    let (mut now, begins) = (8.0, 10.0);
+    stage.play(now);
+    let each = 1.2 * most / window / (nodes as f64 + 4.0);
+    let (mut hot, mut equal, mut had) = (0, 0.0, 0);
+    while now < begins + seconds {
+        (0..nodes).for_each(|node| stage.demand(now, node, if node == hot { 5.0 * each } else { each }));
+        if now >= begins {
+            let part = most / window / nodes as f64;
+            equal += 10.0 * (part.min(5.0 * each) + (nodes as f64 - 1.0) * part.min(each));
+        } else {
+            had = 0;
+        }
+        let until = if now < begins { begins } else { now + 10.0 };
+        stage.play(until);
+        if now < begins {
+            had = stage.had;
+        }
+        (now, hot) = (until, (hot + 5) % nodes);
+    }
+    let may = (now - begins) * most / window;
+    ((stage.had - had) as f64 / may, equal / may)
+}
+
+/// Less than one use a second among many nodes, all wanted at one: the part of it that is had.
+pub fn small(nodes: usize, seed: u64) -> f64 {
+    let (rate, window, begins, seconds) = (0.3, 10.0, 20.0, 600.0);
+    let mut stage = limited(nodes, seed, (rate * window, window, false));
+    stage.demand(0.0, 0, 3.0 * rate);
+    stage.play(begins);
+    let before = stage.had;
+    stage.play(begins + seconds);
+    (stage.had - before) as f64 / (rate * seconds)
+}
+
+/// Bytes that a node sends a second, with so many tenants of whom each wants more than the share at one node in ten, and
+/// nothing elsewhere.
+pub fn price_of_limits(nodes: usize, tenants: u32) -> f64 {
+    let mut scenario: Scenario = drawn(1);
+    (scenario.fleet, scenario.faults) = (Some(FleetPart::default()), Vec::new());
+    let mut stage = Stage::new(&scenario, 1, &vec!["a".into(); nodes]);
+    let limit = |id| Limit { id, most: 100.0, window: 10.0, strict: false };
+    let terms = Terms { limits: (0..tenants).map(limit).collect(), ..terms(&stage, (1.0, 1.0, false)) };
+    stage.limit(terms);
+    (0..nodes).for_each(|node| stage.start(0.0, node, false));
+    for node in 0..nodes.div_ceil(10) {
+        stage.demand(0.0, node, 12.0 * f64::from(tenants));
+    }
+    let sent = |stage: &Stage, now| {
+        (0..nodes).filter_map(|node| stage.figures(now, node)).map(|f| f.counts.sent_bytes).sum::<u64>()
+            as f64
+    };
+    stage.play(10.0);
+    let before = sent(&stage, 10.0);
+    stage.play(20.0);
+    (sent(&stage, 20.0) - before) / 10.0 / nodes as f64
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -226,6 +352,19 @@
         assert!(same, "{:?}", (0..5).map(|node| stage.figures(35.0, node)).collect::<Vec<_>>());
     }
 
+    #[test]
+    fn no_schedule_uses_more_than_the_bound() {
+        let all = limited_schedules(1, 60);
+        assert_eq!(all.broken, 0, "{all:?}");
+        assert!(all.fullest > 0.5 && all.had > all.wanted / 10, "{all:?}");
+    }
+
+    #[test]
+    fn a_share_goes_where_it_is_wanted() {
+        let (had, equal) = uneven(12, 1, 30.0, (120.0, 1.0));
+        assert!(had > 0.95 && had > equal, "{had} {equal}");
+    }
+
     #[test]
     fn random_schedules_break_nothing_and_end_in_one_table() {
         let all = schedules(1, 60);
--- a/crates/coveroute-emu/src/fleet/processes.rs
+++ b/crates/coveroute-emu/src/fleet/processes.rs
@@ -40,6 +40,7 @@
     dir: PathBuf,
     block: u8,
     part: FleetPart,
+    tenant: Option<(String, f64)>,
     seats: Vec<Seat>,
     links: Arc<Mutex<Links>>,
     began: Instant,
@@ -131,6 +132,16 @@
 impl Processes {
     /// So many processes of the program, each with the others in its file.
     pub fn start(program: &Path, nodes: usize, part: FleetPart) -> Result<Self, String> {
+        Self::limited(program, nodes, part, None)
+    }
+
+    /// The same with a tenant whose share, in invocations a second, holds over all of them.
+    pub fn limited(
+        program: &Path,
+        nodes: usize,
+        part: FleetPart,
+        tenant: Option<(&str, f64)>,
+    ) -> Result<Self, String> {
         static STARTED: AtomicU32 = AtomicU32::new(0);
         if !program.is_file() {
             return Err(format!("{}: no program; build it first", program.display()));
@@ -154,8 +165,9 @@
         let seat = |_| Seat { child: None, door: own(block, 0), before: None, still: false };
         let seats = (0..nodes).map(seat).collect();
         let (program, started) = (program.to_owned(), 0);
+        let tenant = tenant.map(|(name, share)| (name.to_owned(), share));
         let mut all =
-            Processes { program, dir, block, part, seats, links, began, started, _runtime: runtime };
+            Processes { program, dir, block, part, tenant, seats, links, began, started, _runtime: runtime };
         for node in 0..nodes {
             all.configure(node)?;
             all.write_plan(node, |_| true)?;
@@ -165,11 +177,21 @@
     }
 
     fn configure(&self, node: NodeId) -> Result<(), String> {
-        let listen = SocketAddr::from(([127, self.block, 61, node as u8], 9100));
+        let listen = self.listens(node);
         let nobody = SocketAddr::from(([127, self.block, 61, node as u8], 9));
         let text = CONFIG.replace("127.0.0.1:9000", &listen.to_string());
         let text = text.replace("127.0.0.1:8500", &nobody.to_string());
         let text = text.replace("\"name\": \"n0\"", &format!("\"name\": \"{}\"", member(node)));
+        let nodes = format!("\"replicasOfMe\": {}", self.seats.len());
+        let text =
+            text.replace("\"replicasOfMe\": 1", &nodes).replace("\"me\": 0", &format!("\"me\": {node}"));
+        let text = match &self.tenant {
+            None => text,
+            Some((name, share)) => text.replace(
+                "\"zone\": \"a\",",
+                &format!("\"zone\": \"a\", \"orgs\": [{{ \"name\": \"{name}\", \"quotaRps\": {share:?} }}],"),
+            ),
+        };
         self.write(&format!("c{node}.json"), &text)
     }
 
@@ -183,6 +205,7 @@
     /// The operators' file of that node, with the members that fit.
     pub fn write_plan(&self, node: NodeId, fits: impl Fn(NodeId) -> bool) -> Result<(), String> {
         let mut plan = plan_of(self.block, self.seats.len(), &self.part, node);
+        plan.limits.tenants = self.tenant.is_some();
         plan.members.retain(|name, _| name[1..].parse().is_ok_and(&fits));
         self.write(&format!("f{node}.toml"), &text(&plan))
     }
@@ -295,6 +318,17 @@
         std::fs::read_to_string(self.dir.join(format!("n{node}.log"))).unwrap_or_default()
     }
 
+    /// Where clients of that node call.
+    pub fn listens(&self, node: NodeId) -> SocketAddr {
+        ([127, self.block, 61, node as u8], 9100).into()
+    }
+
+    /// A tenant's invocations at a node that were wanted, and that were within its share, since its process began.
+    pub fn within(&self, node: NodeId, tenant: &str) -> Option<(f64, f64)> {
+        let limit = self.fleet(node)?["limits"][tenant].clone();
+        Some((limit["wanted"].as_f64()?, limit["had"].as_f64()?))
+    }
+
     /// The nodes whose processes run now.
     pub fn running(&self) -> Vec<NodeId> {
         let runs = |node: &NodeId| self.seats[*node].child.is_some() && !self.seats[*node].still;
@@ -339,10 +373,10 @@
 
 /// As operators write it.
 pub fn text(plan: &Plan) -> String {
-    let d = &plan.detector;
+    let (d, l) = (&plan.detector, &plan.limits);
     let mut text = format!(
         "fleet = \"{}\"\n[detector]\nevery = {:?}\nrelays = {}\nsuspicion = {:?}\npatience = {:?}\ndrift = {:?}\n\
-         budget = {:?}\n[records]\nlife = {:?}\nmost = {}\n[members]\n",
+         budget = {:?}\n[records]\nlife = {:?}\nmost = {}\n[limits]\ntenants = {}\nwindow = {:?}\nlease = {:?}\nvoters = {:?}\n[members]\n",
         plan.fleet,
         d.every,
         d.relays,
@@ -351,7 +385,11 @@
         d.drift,
         d.budget,
         plan.records.life,
-        plan.records.most
+        plan.records.most,
+        l.tenants,
+        l.window,
+        l.lease,
+        l.voters
     );
     for (name, Entry { address, zone, machine }) in &plan.members {
         text +=
--- a/crates/coveroute-emu/src/fleet/proof.rs
+++ b/crates/coveroute-emu/src/fleet/proof.rs
@@ -1,12 +1,17 @@
 //! The proof `fleet`: what nodes that know each other promise, on real processes and in virtual time.
 use std::path::Path;
+use std::time::{Duration, Instant};
 
 use coveroute_fleet::explore::explore;
 use serde::Serialize;
 use serde_json::json;
 
-use super::measure::{false_deaths_an_hour, quantile, schedules, size};
+use super::callers::Caller;
+use super::measure::{
+    false_deaths_an_hour, limited_schedules, price_of_limits, quantile, schedules, size, small, uneven,
+};
 use super::model::{way, Few};
+use super::model_limits::Sharing;
 use super::processes::Processes;
 use crate::load::{load, Plan};
 use crate::loopback::{self, taken_by};
@@ -43,7 +48,7 @@
     proof.note("schedules", &all);
     let mut sizes = Vec::new();
     for (nodes, kills) in if long { vec![(12, 50), (30, 50), (300, 10), (1000, 3)] } else { vec![(30, 10)] } {
-        let began = std::time::Instant::now();
+        let began = Instant::now();
         let size = size(nodes, kills, 1);
         proof.want(size.bytes <= 4096.0, format!("{nodes} nodes: {:.0} bytes a second each", size.bytes));
         proof.want(size.false_deaths == 0, format!("{nodes} nodes: {} false deaths", size.false_deaths));
@@ -134,7 +139,7 @@
     let still = nodes - 1;
     let rest: Vec<NodeId> = all.iter().copied().filter(|node| *node != still).collect();
     fleet.stall(still);
-    std::thread::sleep(std::time::Duration::from_secs_f64(stall));
+    std::thread::sleep(Duration::from_secs_f64(stall));
     proof
         .want(fleet.hold(&rest, &[still], &["dead"]), format!("who stood still for {stall} s is not missed"));
     fleet.wake(still);
@@ -148,7 +153,7 @@
             .sum::<f64>()
     };
     let (before, span) = (cpu(&fleet), 5.0);
-    std::thread::sleep(std::time::Duration::from_secs_f64(span));
+    std::thread::sleep(Duration::from_secs_f64(span));
     proof.note("cpu_of_a_core_each", (cpu(&fleet) - before) / span / nodes as f64);
     Ok(())
 }
@@ -197,3 +202,142 @@
     proof.want(with <= 1.1 * without, format!("{with:.1} us a call with, {without:.1} without"));
     Ok(())
 }
+
+const TENANT: &str = "acme";
+/// Its share in the proof on real processes, invocations a second over all.
+const SHARE: f64 = 60.0;
+
+/// A share that holds over all nodes: never over what is stated, and had where it is wanted.
+pub fn limits(place: &Place) -> Result<Proof, String> {
+    let mut proof = Proof::new();
+    let all = limited_schedules(1, if place.long { 10_000 } else { 300 });
+    proof.want(all.broken == 0, format!("schedules: {} over, {:?}", all.broken, all.breaches));
+    proof.want(all.fullest >= 0.5, format!("the fullest window has {:.2} of the bound", all.fullest));
+    proof.note("schedules", &all);
+    let plans: &[(usize, usize, usize)] =
+        if place.long { &[(2, 14, 400_000), (3, 10, 300_000)] } else { &[(2, 7, 30_000)] };
+    for (nodes, depth, most) in plans {
+        let explored = explore(&Sharing::new(*nodes, 0.01), *depth, *most);
+        let (states, steps) = (explored.states, explored.steps);
+        proof.note(
+            &format!("orders_{nodes}"),
+            json!({ "states": states, "steps": steps, "depth": explored.depth }),
+        );
+        let breach = explored.breach.map(|breach| format!("{:?}: {}", breach.steps, breach.words));
+        proof.want(breach.is_none(), format!("{nodes} nodes: {}", breach.unwrap_or_default()));
+    }
+    for (nodes, rate) in if place.long { vec![(12, 120.0), (100, 1000.0)] } else { vec![(12, 120.0)] } {
+        let (had, equal) = uneven(nodes, 1, 60.0, (rate, 1.0));
+        proof.note(&format!("uneven_{nodes}"), json!({ "had": had, "equal_parts": equal }));
+        proof.want(
+            had >= 0.97,
+            format!("{nodes} nodes: {had:.3} of an unevenly wanted share is had, 0.97 wanted"),
+        );
+    }
+    let small = small(12, 1);
+    proof.note("small_of_0.3_a_second", small);
+    proof.want(small >= 0.9, format!("{small:.2} of a share of 0.3 a second among 12 nodes is had"));
+    for (nodes, tenants) in
+        if place.long { vec![(12, 10), (12, 100), (100, 10), (100, 100)] } else { vec![(12, 10)] }
+    {
+        let bytes = price_of_limits(nodes, tenants);
+        proof.note(&format!("bytes_{nodes}_nodes_{tenants}_tenants"), bytes);
+    }
+    shared(place, &mut proof)?;
+    Ok(proof)
+}
+
+/// Real processes under more than the share, with faults: what all had together, looked at from outside all the time.
+fn shared(place: &Place, proof: &mut Proof) -> Result<(), String> {
+    let (nodes, rounds) = if place.long { (12, 12) } else { (5, 2) };
+    let mut fleet = Processes::limited(&place.node, nodes, FleetPart::default(), Some((TENANT, SHARE)))?;
+    let minted =
+        |p: &Processes| (0..nodes).all(|node| p.fleet(node).is_some_and(|f| f["mints"].as_u64() == Some(1)));
+    fleet.until(30.0, minted).ok_or("the processes do not all hold their mints after 30 s")?;
+    let callers: Vec<Caller> = (0..nodes).map(|node| Caller::new(fleet.listens(node), TENANT)).collect();
+    // In calm: all at one node.
+    callers[0].calls(0.95 * SHARE);
+    std::thread::sleep(Duration::from_secs(2));
+    let within = |p: &Processes, node: NodeId| p.within(node, TENANT).unwrap_or_default();
+    let before = within(&fleet, 0);
+    std::thread::sleep(Duration::from_secs(5));
+    let after = within(&fleet, 0);
+    let had = (after.1 - before.1) / (after.0 - before.0).max(1.0);
+    proof.note("all_at_one_node", had);
+    proof.want(had >= 0.95, format!("all at one node: {had:.3} of what is wanted is within the share"));
+    // With faults: more is wanted than there is, everywhere.
+    callers.iter().for_each(|caller| caller.calls(2.0 * SHARE / nodes as f64));
+    let (began, mut watch) = (Instant::now(), Watch::new(nodes));
+    let (mut kills, mut stalls, mut cuts) = (0, 0, 0);
+    for round in 0..rounds {
+        let (one, two) = (round % nodes, (round + nodes / 2) % nodes);
+        let side: Vec<NodeId> = (0..nodes * 5 / 12).map(|at| (at + round) % nodes).collect();
+        fleet.strike(What::LinkCut, 0.0, &side, Direction::Both);
+        watch.look(&fleet, began, 3.0, proof);
+        fleet.stall(one);
+        watch.look(&fleet, began, 3.0, proof);
+        fleet.heal();
+        watch.look(&fleet, began, 1.0, proof);
+        fleet.wake(one);
+        watch.look(&fleet, began, 1.0, proof);
+        watch.kill(&mut fleet, two);
+        watch.look(&fleet, began, 1.0, proof);
+        fleet.begin(two)?;
+        watch.look(&fleet, began, 2.0, proof);
+        (kills, stalls, cuts) = (kills + 1, stalls + 1, cuts + 1);
+    }
+    proof.note("faults", json!({ "kills": kills, "stalls": stalls, "cuts": cuts, "windows": watch.windows }));
+    proof.note("fullest_window", watch.fullest);
+    proof.note("had_under_faults", watch.had() / (SHARE * began.elapsed().as_secs_f64()));
+    Ok(())
+}
+
+/// What all nodes have had, time after time.
+struct Watch {
+    last: Vec<f64>,
+    ended: f64,
+    seen: Vec<(f64, f64)>,
+    windows: u64,
+    fullest: f64,
+}
+
+impl Watch {
+    fn new(nodes: usize) -> Self {
+        Watch { last: vec![0.0; nodes], ended: 0.0, seen: Vec::new(), windows: 0, fullest: 0.0 }
+    }
+
+    fn had(&self) -> f64 {
+        self.seen.last().map_or(0.0, |last| last.1) - self.seen.first().map_or(0.0, |first| first.1)
+    }
+
+    fn kill(&mut self, fleet: &mut Processes, node: NodeId) {
+        let had = fleet.within(node, TENANT).map_or(self.last[node], |within| within.1);
+        fleet.kill(node);
+        self.ended += had.max(self.last[node]);
+        self.last[node] = 0.0;
+    }
+
+    /// For so long: no window holds more than the share, twice a stock's time of it, and one for a use that is under way.
+    fn look(&mut self, fleet: &Processes, began: Instant, seconds: f64, proof: &mut Proof) {
+        let until = began.elapsed().as_secs_f64() + seconds;
+        while began.elapsed().as_secs_f64() < until {
+            let from = began.elapsed().as_secs_f64();
+            for node in fleet.running() {
+                let within = fleet.within(node, TENANT);
+                self.last[node] = within.map_or(self.last[node], |within| within.1.max(self.last[node]));
+            }
+            let (to, had) = (began.elapsed().as_secs_f64(), self.ended + self.last.iter().sum::<f64>());
+            for (at, before) in &self.seen {
+                let most = SHARE * (to - at) * 1.02 + SHARE + 1.0;
+                self.windows += 1;
+                self.fullest = self.fullest.max((had - before) / most);
+                proof.want(
+                    had - before <= most,
+                    format!("{} had in {:.2} s, {most:.1} at most", had - before, to - at),
+                );
+            }
+            self.seen.push((from, had));
+            std::thread::sleep(Duration::from_millis(40));
+        }
+    }
+}
--- a/crates/coveroute-emu/src/fleet/stage.rs
+++ b/crates/coveroute-emu/src/fleet/stage.rs
@@ -4,7 +4,8 @@
 
 use coveroute_fleet::detector::Detector;
 use coveroute_fleet::member::Id;
-use coveroute_fleet::plan::{Entry, Records};
+use coveroute_fleet::plan::{Entry, Limits, Records};
+use coveroute_fleet::rights::{Rights, Terms};
 use coveroute_fleet::table::Key;
 use coveroute_fleet::{Action, Figures, Fleet, Kind, News, Plan, State};
 use rand::{Rng, SeedableRng};
@@ -42,7 +43,7 @@
     let usual = Detector::default();
     let suspicion = usual.suspicion * part.every.0 / usual.every;
     let detector = Detector { every: part.every.0, suspicion, drift: part.drift.0.min(0.1), ..usual };
-    Plan { fleet: "stage".into(), members, detector, records: Records::default() }
+    Plan { fleet: "stage".into(), members, detector, records: Records::default(), limits: Limits::default() }
 }
 
 #[derive(Clone, Debug)]
@@ -50,6 +51,7 @@
     Arrives(NodeId, NodeId, Vec<u8>),
     Tick(NodeId, u64),
     Write(NodeId, u64),
+    Use(NodeId, u64),
     Look(NodeId),
 }
 
@@ -60,6 +62,10 @@
     /// Local seconds for a true one, and what it shows at the start.
     rate: f64,
     shows: f64,
+    /// Its rights to parts of limits, where there are limits.
+    rights: Option<Rights>,
+    /// Uses of the first limit that are wanted here, a second.
+    wants: f64,
     /// Stands still, with what has come since.
     still: Option<Vec<(NodeId, Vec<u8>)>>,
     /// An earlier process than the last one thinks of this count.
@@ -90,6 +96,10 @@
 pub struct Stage {
     part: FleetPart,
     plan: Plan,
+    terms: Option<Terms>,
+    /// Uses that were wanted, and that were had.
+    pub wanted: u64,
+    pub had: u64,
     ids: BTreeMap<Id, NodeId>,
     members: Vec<Id>,
     seats: Vec<Seat>,
@@ -112,7 +122,8 @@
         let drift = part.drift.0.min(0.1);
         let mut seat = |_| {
             let (rate, shows) = (1.0 + drift * draw.random_range(-1.0..=1.0), draw.random_range(0.0..1e6));
-            Seat { fleet: None, process: 0, rate, shows, still: None, count: 0 }
+            let (fleet, rights, still) = (None, None, None);
+            Seat { fleet, process: 0, rate, shows, rights, wants: 0.0, still, count: 0 }
         };
         let seats: Vec<Seat> = (0..nodes).map(&mut seat).collect();
         let plan = plan(nodes, &part, addr);
@@ -126,6 +137,9 @@
             links: Links::new(scenario, seed, zones),
             part,
             plan,
+            terms: None,
+            wanted: 0,
+            had: 0,
             ids,
             members,
             seats,
@@ -166,7 +180,11 @@
                 let again = self.part.writes.0 * self.draw.random_range(0.5..1.5);
                 self.queue.push(now + again, Ev::Write(node, process));
             }
-            Ev::Tick(..) | Ev::Write(..) => {}
+            Ev::Use(node, process) if self.seats[node].process == process => {
+                self.want(now, node);
+                self.use_later(now, node);
+            }
+            Ev::Tick(..) | Ev::Write(..) | Ev::Use(..) => {}
             Ev::Look(node) => {
                 self.look(now, node);
                 self.queue.push(now + LOOKS_EVERY, Ev::Look((node + 1) % self.seats.len()));
@@ -206,6 +224,12 @@
         (seat.fleet, seat.process, seat.still, seat.count) =
             (fleet.ok(), process, None, seat.count.max(count));
         let apart = self.draw.random_range(0.0..self.part.every.0);
+        if let (Some(terms), Some(fleet)) = (&self.terms, &seat.fleet) {
+            let (local, incarnation) = (seat.local(now), fleet.incarnation());
+            seat.rights =
+                Some(Rights::new(local, fleet.me(), incarnation, self.members.clone(), terms.clone()));
+            self.use_later(now, node);
+        }
         self.queue.push(now, Ev::Tick(node, process));
         if self.part.writes.0 > 0.0 {
             self.queue.push(now + apart * 5.0, Ev::Write(node, process));
@@ -214,7 +238,7 @@
 
     pub fn kill(&mut self, node: NodeId) {
         let seat = &mut self.seats[node];
-        (seat.fleet, seat.still, seat.process) = (None, None, 0);
+        (seat.fleet, seat.rights, seat.still, seat.process) = (None, None, None, 0);
         self.witness.ended(node);
     }
 
@@ -257,6 +281,67 @@
         self.part.writes.0 = 0.0;
     }
 
+    // Limits.
+
+    /// From the next starts on these limits hold.
+    pub fn limit(&mut self, terms: Terms) {
+        self.terms = Some(terms);
+    }
+
+    pub fn members(&self) -> &[Id] {
+        &self.members
+    }
+
+    /// So many uses of the first limit a second are wanted at that node from now on.
+    pub fn demand(&mut self, now: f64, node: NodeId, wants: f64) {
+        let began = std::mem::replace(&mut self.seats[node].wants, wants) <= 0.0;
+        if began {
+            self.use_later(now, node);
+        }
+    }
+
+    fn use_later(&mut self, now: f64, node: NodeId) {
+        let (wants, process) = (self.seats[node].wants, self.seats[node].process);
+        if wants > 0.0 && process > 0 {
+            let after = -(1.0 - self.draw.random::<f64>()).ln() / wants;
+            self.queue.push(now + after, Ev::Use(node, process));
+        }
+    }
+
+    fn want(&mut self, now: f64, node: NodeId) {
+        let seat = &mut self.seats[node];
+        let local = seat.local(now);
+        if seat.still.is_some() {
+            return;
+        }
+        let (Some(rights), Some(terms)) = (&mut seat.rights, &self.terms) else { return };
+        // Of all limits alike; the referee judges where there is one.
+        let limit = terms.limits[self.wanted as usize % terms.limits.len()];
+        self.wanted += 1;
+        if rights.take(local, limit.id, 1.0) {
+            self.had += 1;
+            if terms.limits.len() == 1 {
+                self.witness.used(now, node, 1.0, limit.bound(), limit.window);
+            }
+        }
+    }
+
+    fn say(&mut self, now: f64, node: NodeId, posts: Vec<(Id, Vec<u8>)>) {
+        for (to, bytes) in posts {
+            self.with(now, node, |fleet, local, actions| fleet.say(local, to, Kind::RIGHTS, bytes, actions));
+        }
+    }
+
+    fn rights(&mut self, now: f64, node: NodeId) {
+        let Seat { fleet: Some(fleet), rights: Some(rights), rate, shows, .. } = &mut self.seats[node] else {
+            return;
+        };
+        let mut posts = Vec::new();
+        let gone = |id| matches!(fleet.state(id), Some(State::Dead | State::Left));
+        rights.advance(*shows + *rate * now, gone, &mut posts);
+        self.say(now, node, posts);
+    }
+
     fn arrives(&mut self, now: f64, from: NodeId, to: NodeId, bytes: Vec<u8>) {
         let seat = &mut self.seats[to];
         match &mut seat.still {
@@ -275,6 +360,7 @@
             return; // It goes on when it wakes.
         }
         self.with(now, node, |fleet, local, actions| fleet.advance(local, actions));
+        self.rights(now, node);
         let seat = &self.seats[node];
         if let Some(fleet) = &seat.fleet {
             let due = ((fleet.next_due() - seat.shows) / seat.rate).max(now + 1e-6);
@@ -294,6 +380,12 @@
                 Action::Send { to, bytes } => self.send(now, node, to, bytes),
                 Action::News(News::Member { id, to, .. }) => self.note_state(now, node, id, to),
                 Action::News(_) => {}
+                Action::Said { from, mark, bytes, .. } => {
+                    let (seat, mut posts) = (&mut self.seats[node], Vec::new());
+                    let local = seat.local(now);
+                    seat.rights.iter_mut().for_each(|r| r.heard(local, from, mark, &bytes, &mut posts));
+                    self.say(now, node, posts);
+                }
             }
         }
         self.actions = actions;
--- a/crates/coveroute-emu/src/fleet/witness.rs
+++ b/crates/coveroute-emu/src/fleet/witness.rs
@@ -1,5 +1,5 @@
 //! The referee for the fleet: judges what nodes hold by what was really written, and when, never by their own word.
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use coveroute_fleet::member::{Id, Incarnation, Standing};
 use coveroute_fleet::table::Key;
@@ -28,6 +28,9 @@
     /// The latest that each reader's process has shown.
     seen: BTreeMap<(NodeId, Key), Stamp>,
     stood: BTreeMap<(NodeId, Id), Standing>,
+    /// Uses of the limit in the last window, of all nodes, and the most of it that any window saw.
+    used: VecDeque<(f64, f64)>,
+    pub fullest: f64,
     pub ages: Ages,
     pub broken: u64,
     /// The first few, in words.
@@ -59,6 +62,19 @@
         }
     }
 
+    /// A node has used so much of a limit: whether all together are over it in the window that ends now.
+    pub fn used(&mut self, now: f64, node: NodeId, amount: f64, most: f64, window: f64) {
+        while self.used.front().is_some_and(|(at, _)| *at <= now - window) {
+            self.used.pop_front();
+        }
+        self.used.push_back((now, amount));
+        let all: f64 = self.used.iter().map(|(_, amount)| amount).sum();
+        self.fullest = self.fullest.max(all / most);
+        if all > most + 1e-6 {
+            self.breach(now, node, format!("{all} used of {most} in {window} s"));
+        }
+    }
+
     /// A process has ended: the next one of that node begins with nothing.
     pub fn ended(&mut self, node: NodeId) {
         self.seen.retain(|(reader, _), _| *reader != node);
--- a/crates/coveroute-emu/src/prove.rs
+++ b/crates/coveroute-emu/src/prove.rs
@@ -4,7 +4,7 @@
 
 use serde_json::json;
 
-use crate::fleet::proof::fleet;
+use crate::fleet::proof::{fleet, limits};
 use crate::loopback;
 use crate::proof::{Place, Proof};
 use crate::scenario::Scenario;
@@ -12,13 +12,14 @@
 use crate::sink::Digest;
 use crate::virtual_time::{run, Policy};
 
-pub const NAMES: [&str; 3] = ["emulator", "daily", "fleet"];
+pub const NAMES: [&str; 4] = ["emulator", "daily", "fleet", "limits"];
 
 pub fn prove(name: &str, place: &Place) -> Result<Proof, String> {
     match name {
         "emulator" => emulator(place),
         "daily" => daily(place),
         "fleet" => fleet(place),
+        "limits" => limits(place),
         other => Err(format!("no proof {other}; there are: {}", NAMES.join(", "))),
     }
 }
--- a/crates/coveroute-engine/src/decide.rs
+++ b/crates/coveroute-engine/src/decide.rs
@@ -30,6 +30,9 @@
 
     fn take_in(&mut self, _: InvId, _: Inv) {}
 
+    /// Of these tenants' shares, this many invocations a second are within them here.
+    fn quotas(&mut self, _: &[(usize, f64)]) {}
+
     /// The operations' entries, which have grown.
     fn extend(&mut self, _: Vec<Operation>) {}
 
@@ -70,6 +73,10 @@
         Node::take_in(self, id, inv);
     }
 
+    fn quotas(&mut self, quotas: &[(usize, f64)]) {
+        Node::quotas(self, quotas);
+    }
+
     fn extend(&mut self, operations: Vec<Operation>) {
         Node::extend(self, operations);
     }
--- a/crates/coveroute-engine/src/engine.rs
+++ b/crates/coveroute-engine/src/engine.rs
@@ -77,6 +77,8 @@
     NotReread,
     /// Of what cold executors can stand, this part is left to this process, while another one of this node lives.
     Part(f64),
+    /// Of tenants' shares over all nodes, what is this node's now: invocations a second, by name.
+    Quotas(Vec<(String, f64)>),
     /// A front has ended a job of this operation, which never came here.
     Ended(&'a str, Verdict),
     /// The platform asks the node to stop.
@@ -399,6 +401,12 @@
                 let budget = self.own_budget();
                 self.route.decide_mut().share(part * self.cold_factor, budget);
             }
+            Event::Quotas(quotas) => {
+                let tenants = &self.fleet.names().tenants;
+                let at = |(name, quota)| Some((tenants.iter().position(|known| *known == name)?, quota));
+                let quotas: Vec<(usize, f64)> = quotas.into_iter().filter_map(at).collect();
+                self.route.decide_mut().quotas(&quotas);
+            }
             Event::NotReread => self.counts.rejected += 1,
             Event::Ended(operation, verdict) => self.counts.ended(operation, verdict),
             Event::Stop => self.stop(now),
--- a/crates/coveroute-fleet/src/fleet.rs
+++ b/crates/coveroute-fleet/src/fleet.rs
@@ -13,8 +13,18 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    Send { to: SocketAddr, bytes: Vec<u8> },
+    Send {
+        to: SocketAddr,
+        bytes: Vec<u8>,
+    },
     News(News),
+    /// What a part on top says at another member, and the mark of its process.
+    Said {
+        from: Id,
+        mark: u64,
+        kind: Kind,
+        bytes: Vec<u8>,
+    },
 }
 
 /// What the parts that build on this are told.
@@ -555,11 +565,18 @@
         self.peers.get_mut(&from).into_iter().for_each(|peer| peer.heard = now);
         words.into_iter().for_each(|word| self.learn(now, word, out));
         if now >= self.silent {
-            self.carry(now, from, sum, what, out);
+            self.carry(now, (from, incarnation), sum, what, out);
         }
     }
 
-    fn carry(&mut self, now: f64, from: Id, sum: u64, what: What, out: &mut Vec<Action>) {
+    fn carry(
+        &mut self,
+        now: f64,
+        (from, incarnation): (Id, Incarnation),
+        sum: u64,
+        what: What,
+        out: &mut Vec<Action>,
+    ) {
         match what {
             What::Ping { number } if sum == self.table.sum() => {
                 self.cool();
@@ -591,6 +608,9 @@
             }
             What::Reach { .. } => {}
             What::Reached { number, well } => self.reached(number, well),
+            What::Part { kind, bytes } => {
+                out.push(Action::Said { from, mark: incarnation.mark(), kind, bytes });
+            }
             What::Compare { number, sums } => self.tell_differences(now, from, number, &sums, out),
             What::Differs { number, records, more } => {
                 // Several of these answer one question.
@@ -839,6 +859,14 @@
         written
     }
 
+    /// For a part on top, to the same one at that member. It may be lost, or come twice.
+    pub fn say(&mut self, now: f64, to: Id, kind: Kind, bytes: Vec<u8>, out: &mut Vec<Action>) {
+        let speaks = self.part && !self.left && now >= self.silent;
+        if speaks && bytes.len() <= FILL - WORDS * WORD_SIZE {
+            self.send(to, What::Part { kind, bytes }, out);
+        }
+    }
+
     pub fn read(&self, now: f64, kind: Kind) -> impl Iterator<Item = Reading<'_>> {
         self.table.read(now, kind)
     }
--- a/crates/coveroute-fleet/src/lib.rs
+++ b/crates/coveroute-fleet/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod member;
 pub mod message;
 pub mod plan;
+pub mod rights;
 pub mod standing;
 pub mod table;
 
--- a/crates/coveroute-fleet/src/message.rs
+++ b/crates/coveroute-fleet/src/message.rs
@@ -2,7 +2,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::member::{Id, Incarnation, Word};
-use crate::table::Record;
+use crate::table::{Kind, Record};
 
 /// The longest datagram: under what every way carries whole.
 pub const MOST: usize = 1200;
@@ -52,6 +52,11 @@
         records: Vec<Record>,
         more: bool,
     },
+    /// From one part on top to the same one there; it may be lost.
+    Part {
+        kind: Kind,
+        bytes: Vec<u8>,
+    },
 }
 
 /// Why a datagram is passed over.
--- a/crates/coveroute-fleet/src/plan.rs
+++ b/crates/coveroute-fleet/src/plan.rs
@@ -7,6 +7,7 @@
 
 use crate::detector::Detector;
 use crate::member::Id;
+use crate::rights::{Limit, Terms};
 
 /// A member by the file.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -35,6 +36,29 @@
     }
 }
 
+/// Limits for the whole fleet.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Tenants' shares hold over all nodes by rights that are moved; without it each node has an equal part.
+    pub tenants: bool,
+    /// Seconds over which a share is counted.
+    pub window: f64,
+    /// Seconds that a mint is held for: a dead member's part is out of use for about so long.
+    pub lease: f64,
+    /// Members who say who holds which mint; the first five by name if none are told.
+    pub voters: Vec<String>,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { tenants: false, window: 10.0, lease: 2.0, voters: Vec::new() }
+    }
+}
+
+/// Voters where none are told: two of them may be lost.
+const VOTERS: usize = 5;
+
 #[derive(Clone, Debug, PartialEq)]
 pub struct Plan {
     /// Messages of another fleet are passed over.
@@ -42,6 +66,7 @@
     pub members: BTreeMap<String, Entry>,
     pub detector: Detector,
     pub records: Records,
+    pub limits: Limits,
 }
 
 #[derive(Deserialize)]
@@ -53,6 +78,8 @@
     detector: DetectorFile,
     #[serde(default)]
     records: Records,
+    #[serde(default)]
+    limits: Limits,
 }
 
 #[derive(Default, Deserialize)]
@@ -83,11 +110,32 @@
 impl Plan {
     pub fn parse(text: &str) -> Result<Self, String> {
         let file: File = toml::from_str(text).map_err(|e| one_line(text, &e))?;
-        let File { fleet, members, detector, records } = file;
-        let plan = Plan { fleet, members, detector: detector.detector(), records };
+        let File { fleet, members, detector, records, limits } = file;
+        let plan = Plan { fleet, members, detector: detector.detector(), records, limits };
         plan.check().map(|()| plan)
     }
 
+    /// Limits on tenants, by name and invocations a second; none where each node has an equal part.
+    pub fn terms(&self, tenants: &[(String, f64)]) -> Option<Terms> {
+        let limits = tenants.iter().filter(|(_, rate)| *rate > 0.0).map(|(name, rate)| Limit {
+            id: coveroute::chance::hash(name.as_bytes()) as u32,
+            most: rate * self.limits.window,
+            window: self.limits.window,
+            strict: false,
+        });
+        let limits: Vec<Limit> = limits.collect();
+        let usual = || self.members.keys().take(VOTERS).cloned().collect();
+        let voters = if self.limits.voters.is_empty() { usual() } else { self.limits.voters.clone() };
+        let voters = voters.iter().map(|name| Id::of(name)).collect();
+        let (lease, drift) = (self.limits.lease, self.detector.drift);
+        (self.limits.tenants && !limits.is_empty()).then_some(Terms { limits, voters, lease, drift })
+    }
+
+    /// All members' numbers, in an order that is the same at every node.
+    pub fn ids(&self) -> Vec<Id> {
+        self.members.keys().map(|name| Id::of(name)).collect()
+    }
+
     pub fn id(&self, name: &str) -> Option<Id> {
         self.members.contains_key(name).then(|| Id::of(name))
     }
@@ -136,8 +184,13 @@
             ("detector.drift", drift, 0.0, 0.1, "a part"),
             ("detector.budget", budget, 4096.0, 1e8, "bytes a second"),
             ("records.life", self.records.life, 1.0, 1e6, "seconds"),
+            ("limits.window", self.limits.window, 1.0, 3600.0, "seconds"),
+            ("limits.lease", self.limits.lease, 0.5, 600.0, "seconds"),
             ("records.most", self.records.most as f64, 1.0, 4096.0, "records"),
         ];
+        if let Some(voter) = self.limits.voters.iter().find(|voter| !self.members.contains_key(*voter)) {
+            return Err(format!("limits.voters: {voter} is not among the members"));
+        }
         let off = within.iter().find(|(_, value, least, most, _)| !(*least..=*most).contains(value));
         match off {
             Some((key, value, least, most, unit)) => {
--- a/crates/coveroute-fleet/src/table.rs
+++ b/crates/coveroute-fleet/src/table.rs
@@ -18,6 +18,8 @@
 impl Kind {
     /// How a node stands: its phase, and what it holds.
     pub const STANDING: Kind = Kind(1);
+    /// Rights to parts of limits.
+    pub const RIGHTS: Kind = Kind(2);
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/crates/coveroute-fleet/src/tests.rs
+++ b/crates/coveroute-fleet/src/tests.rs
@@ -8,6 +8,7 @@
 use crate::explore::{explore, Model};
 use crate::member::{next, Claim, Effect, Id, Incarnation, Input, State};
 use crate::message::{decode, encode, Message, Odd, What, MOST};
+use crate::rights::{Limit, Post, Rights, Terms};
 use crate::table::{Key, Kind, Record, Table, Taken};
 use crate::{Action, Fleet, News, Plan};
 
@@ -162,6 +163,7 @@
                 Action::Send { to, bytes } if to == addr(1) => one.heard(now, addr(2), &bytes, &mut out),
                 Action::Send { bytes, .. } => other.heard(now, addr(1), &bytes, &mut out),
                 Action::News(told) => news.push(told),
+                Action::Said { .. } => {}
             }
         }
     }
@@ -223,7 +225,7 @@
                     }
                     Action::Send { bytes, .. } => one.heard(now, addr(2), &bytes, &mut out),
                     Action::News(News::Doubled { yields }) => silent.push(yields),
-                    Action::News(_) => {}
+                    Action::News(_) | Action::Said { .. } => {}
                 }
             }
         }
@@ -338,3 +340,159 @@
     assert_eq!(found, Some(3));
     assert_eq!(explore(&Counter, 2, 100).breach, None);
 }
+
+// Limits.
+
+const LIMIT: Limit = Limit { id: 1, most: 30.0, window: 3.0, strict: false };
+
+fn rights(me: u32, members: u32) -> Rights {
+    let ids: Vec<Id> = (1..=members).map(Id).collect();
+    let terms = Terms { limits: vec![LIMIT], voters: ids.clone(), lease: 2.0, drift: 0.01 };
+    Rights::new(0.0, Id(me), Incarnation::new(1, u64::from(me)), ids, terms)
+}
+
+/// Time and messages until then, all of them delivered.
+fn share(all: &mut [Rights], from: f64, to: f64, gone: &[u32]) {
+    let mut now = from;
+    while now < to {
+        now += 0.05;
+        let mut posts: Vec<(u32, u64, Post)> = Vec::new();
+        for (at, rights) in all.iter_mut().enumerate().filter(|(at, _)| !gone.contains(&(*at as u32 + 1))) {
+            let mut out = Vec::new();
+            rights.advance(now, |id| gone.contains(&id.0), &mut out);
+            posts.extend(out.into_iter().map(|post| (at as u32 + 1, rights.mark(), post)));
+        }
+        while let Some((from, mark, (to, bytes))) = posts.pop() {
+            if gone.contains(&to.0) {
+                continue;
+            }
+            let (mut out, rights) = (Vec::new(), &mut all[to.0 as usize - 1]);
+            rights.heard(now, Id(from), mark, &bytes, &mut out);
+            posts.extend(out.into_iter().map(|post| (to.0, rights.mark(), post)));
+        }
+    }
+}
+
+/// Figures that operators are told: rate, stock and bound, also of a limit of less than one use a second.
+#[test_case(30.0, 3.0, false, (10.0, 0.5, 40.0); "by its rate")]
+#[test_case(30.0, 3.0, true, (7.5, 0.5, 30.0); "never over")]
+#[test_case(3.0, 10.0, false, (0.3, 20.0 / 3.0, 7.0); "under one use a second")]
+fn what_a_limit_comes_to(most: f64, window: f64, strict: bool, expected: (f64, f64, f64)) {
+    let limit = Limit { id: 1, most, window, strict };
+    let near = |one: f64, other: f64| (one - other).abs() < 1e-9;
+    assert!(
+        near(limit.rate(), expected.0) && near(limit.stock(), expected.1) && near(limit.bound(), expected.2)
+    );
+}
+
+/// Guards against a start in which those who said before who holds what know nothing of it: they keep silent for a lease.
+#[test]
+fn who_has_just_begun_says_nothing_for_a_lease() {
+    let mut all = [rights(1, 3), rights(2, 3), rights(3, 3)];
+    share(&mut all, 0.0, 1.9, &[]);
+    assert!(all.iter().all(|rights| rights.holds(1.9) == 0));
+    share(&mut all, 1.9, 3.5, &[]);
+    assert!(all.iter().all(|rights| rights.holds(3.5) == 1));
+}
+
+/// What is not used lapses: hoarding is worth nothing, and a stock is half a second's.
+#[test]
+fn rights_lapse() {
+    let mut all = [rights(1, 3), rights(2, 3), rights(3, 3)];
+    share(&mut all, 0.0, 10.0, &[]);
+    let has = all[0].has(10.0, 1);
+    assert!((1.5..=10.0 / 3.0 * 0.5).contains(&has), "{has}");
+    // It stood still: what it had, and its mint, are over.
+    assert_eq!((all[0].has(20.0, 1), all[0].take(20.0, 1, 0.1)), (0.0, false));
+}
+
+#[test]
+fn rights_go_where_they_are_wanted() {
+    let mut all = [rights(1, 3), rights(2, 3), rights(3, 3)];
+    share(&mut all, 0.0, 5.0, &[]);
+    let mut had = 0;
+    for at in 0..90 {
+        let now = 5.0 + f64::from(at) * 0.1;
+        had += u32::from(all[0].take(now, 1, 1.0));
+        share(&mut all, now, now + 0.1, &[]);
+    }
+    // Ten a second are wanted, as many as the whole limit; an equal part would be 30.
+    assert!((75..=95).contains(&had), "{had}");
+    let covered = all[0].covered(14.0, 1).expect("known");
+    assert!((8.0..=14.0).contains(&covered), "{covered}");
+}
+
+/// Guards against an answer that comes twice, or long after: rights are had once, and while they last.
+#[test]
+fn what_is_given_is_had_once_and_in_time() {
+    let mut all = [rights(1, 2), rights(2, 2)];
+    share(&mut all, 0.0, 5.0, &[]);
+    let ask = |one: &mut Rights, now: f64| {
+        let mut asks = Vec::new();
+        for _ in 0..20 {
+            one.take(now, 1, 1.0);
+        }
+        one.advance(now, |_| false, &mut asks);
+        asks
+    };
+    let given = |other: &mut Rights, now: f64, asks: &[Post]| {
+        let mut answers = Vec::new();
+        asks.iter().for_each(|(_, bytes)| other.heard(now, Id(1), 1, bytes, &mut answers));
+        answers
+    };
+    let [one, other] = &mut all;
+    let asks = ask(one, 5.3);
+    let answers = given(other, 5.3, &asks);
+    let take = |one: &mut Rights, now: f64, answers: &[Post]| {
+        answers.iter().for_each(|(_, bytes)| one.heard(now, Id(2), 2, bytes, &mut Vec::new()));
+        one.has(now, 1)
+    };
+    let once = take(one, 5.3, &answers);
+    assert!(once > 0.1, "{once}");
+    assert_eq!(take(one, 5.3, &answers), once, "a second time");
+    let late = ask(one, 5.6);
+    let answers = given(other, 5.6, &late);
+    let before = one.has(6.2, 1);
+    assert_eq!(take(one, 6.2, &answers), before, "after its time");
+}
+
+/// A dead member's mint goes to one other, after its lease is over for sure; it gets it back when it has come again.
+#[test]
+fn a_dead_members_mint_has_one_deputy() {
+    let mut all: Vec<Rights> = (1..=4).map(|me| rights(me, 4)).collect();
+    share(&mut all, 0.0, 5.0, &[]);
+    share(&mut all, 5.0, 6.5, &[2]);
+    let held =
+        |all: &[Rights], now: f64| -> usize { [0, 2, 3].iter().map(|at: &usize| all[*at].holds(now)).sum() };
+    assert_eq!(held(&all, 6.5), 3, "not while it may still hold it");
+    share(&mut all, 6.5, 10.0, &[2]);
+    assert_eq!(held(&all, 10.0), 4);
+    let ids: Vec<Id> = (1..=4).map(Id).collect();
+    let terms = all[0].terms().clone();
+    all[1] = Rights::new(10.0, Id(2), Incarnation::new(1, 9), ids, terms);
+    share(&mut all, 10.0, 15.0, &[]);
+    assert_eq!(all.iter().map(|rights| rights.holds(15.0)).collect::<Vec<_>>(), [1, 1, 1, 1]);
+}
+
+/// A lowered limit holds from when it is read; who changes begins with nothing.
+#[test]
+fn limits_read_anew_begin_with_nothing() {
+    let mut all = [rights(1, 2), rights(2, 2)];
+    share(&mut all, 0.0, 5.0, &[]);
+    let (ids, terms) = (vec![Id(1), Id(2)], all[0].terms().clone());
+    all[0].reread(5.0, ids.clone(), terms.clone());
+    assert!(all[0].has(5.0, 1) > 0.0, "the same again changes nothing");
+    let lower = Terms { limits: vec![Limit { most: 3.0, ..LIMIT }], ..terms };
+    all[0].reread(5.0, ids, lower);
+    assert_eq!((all[0].has(5.0, 1), all[0].holds(5.0)), (0.0, 0));
+}
+
+proptest! {
+    #[test]
+    fn odd_words_of_rights_do_no_harm(said in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let mut one = rights(1, 3);
+        one.heard(1.0, Id(2), 2, &said, &mut Vec::new());
+        one.advance(2.0, |_| false, &mut Vec::new());
+        prop_assert!(one.has(2.0, 1) == 0.0);
+    }
+}
--- a/crates/coveroute-node/src/config.rs
+++ b/crates/coveroute-node/src/config.rs
@@ -180,6 +180,11 @@
         Ok(Config { keys: Keys::of(text), ..file.config()? })
     }
 
+    /// Tenants' shares: invocations a second over all nodes.
+    pub fn shares(&self) -> Vec<(String, f64)> {
+        self.names.tenants.iter().cloned().zip(self.settings.quotas.iter().copied()).collect()
+    }
+
     /// What of it counts for decisions.
     pub fn tuning(&self) -> Tuning {
         let (settings, names, timeouts) = (self.settings.clone(), self.names.clone(), self.timeouts.clone());
--- a/crates/coveroute-node/src/driver.rs
+++ b/crates/coveroute-node/src/driver.rs
@@ -231,6 +231,7 @@
     pub fn happened(&mut self, happening: Happening) {
         match happening {
             Happening::Taken(id, job, answer) => {
+                self.carrier.iter().for_each(|carrier| carrier.wanted(job.call.caller.as_deref()));
                 let job: Rc<Job> = job.into();
                 self.held.insert(id, Held { job: job.clone(), answer });
                 self.tell(Event::Taken(id, &job.call));
@@ -264,6 +265,7 @@
             Happening::Reload(Ok(config), plan) => self.reload(&config, plan),
             Happening::Reload(Err(words), _) => self.not_reloaded(&words),
             Happening::Ended(operation, verdict) => self.tell(Event::Ended(&operation, verdict)),
+            Happening::Quotas(quotas) => self.tell(Event::Quotas(quotas)),
             Happening::Asked(tell) => drop(tell.send(self.engine.figures(self.clock.now()))),
             Happening::Stop => {
                 // Before anything is given back or cut for the stop.
@@ -291,7 +293,7 @@
             return self.not_reloaded(&why);
         }
         if let Some((carrier, plan)) = self.carrier.as_ref().zip(plan) {
-            if let Err(why) = carrier.reread(plan) {
+            if let Err(why) = carrier.reread(plan, config.shares()) {
                 return self.not_reloaded(&format!("the fleet's file: {why}"));
             }
         }
--- a/crates/coveroute-node/src/fleet.rs
+++ b/crates/coveroute-node/src/fleet.rs
@@ -10,13 +10,15 @@
 use coveroute::chance::mix;
 use coveroute_engine::Phase;
 use coveroute_fleet::member::Id;
+use coveroute_fleet::rights::{LimitId, Rights};
 use coveroute_fleet::standing::{Stage, Standing};
-use coveroute_fleet::{Action, Figures, Fleet, Kind, News, Plan};
+use coveroute_fleet::{Action, Figures, Fleet, Kind, News, Plan, State};
 use log::{error, info};
 use nix::time::{clock_gettime, ClockId};
 use serde::Serialize;
 
 use crate::clock::seconds;
+use crate::happening::{Happening, Happenings};
 use crate::phase::Life;
 
 /// Datagrams a second that are looked at; a member that is asked by each of 1,000 others every 0.2 s has ten.
@@ -71,17 +73,27 @@
     read.map_or(0.0, |time| time.tv_sec() as f64 + time.tv_nsec() as f64 / 1e9)
 }
 
+fn limit_id(tenant: &str) -> LimitId {
+    coveroute::chance::hash(tenant.as_bytes()) as LimitId
+}
+
 pub struct Carrier {
     fleet: RefCell<Fleet>,
     /// For what is sent; it never blocks.
     socket: UdpSocket,
     life: Rc<Life>,
     told: Cell<Option<Stage>>,
+    /// Whether this process is the one of its node that takes part.
+    part: Cell<bool>,
     /// When the own record is written again at the latest.
     again: Cell<f64>,
     /// Of this second, what may still be looked at.
     second: Cell<(Instant, u32)>,
     flooded: Cell<u64>,
+    /// Tenants' shares, and the rights to parts of them where they are the fleet's.
+    shares: RefCell<Vec<(String, f64)>>,
+    rights: RefCell<Option<Rights>>,
+    happenings: Happenings,
 }
 
 /// As operators see it.
@@ -93,6 +105,25 @@
     flooded: u64,
     /// What the others last told of themselves, and how old that is at most.
     standing: BTreeMap<String, Stands>,
+    /// Tenants' shares, where they are the fleet's, and the mints that this node holds.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    limits: BTreeMap<String, Limited>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    mints: Option<usize>,
+}
+
+#[derive(Serialize)]
+struct Limited {
+    /// In the window, and the most that all nodes together use in any.
+    share: f64,
+    bound: f64,
+    window: f64,
+    /// Here, since the start: invocations, and those within the share.
+    wanted: f64,
+    had: f64,
+    /// Rights that are here now, and what is within the share here a second.
+    rights: f64,
+    here: f64,
 }
 
 #[derive(Serialize)]
@@ -103,7 +134,12 @@
 
 impl Carrier {
     /// It takes part once its process is the one of its node that hears.
-    pub fn new(place: &Place, plan: Plan, socket: UdpSocket, life: Rc<Life>) -> Result<Self, String> {
+    pub fn new(
+        place: &Place,
+        plan: Plan,
+        shares: Vec<(String, f64)>,
+        (socket, life, happenings): (UdpSocket, Rc<Life>, Happenings),
+    ) -> Result<Self, String> {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
         let mark = mix(unix.as_nanos() as u64 ^ u64::from(std::process::id()) << 40);
         let count = (unix.as_secs_f64() * COUNTS) as u64;
@@ -113,7 +149,67 @@
         socket.set_nonblocking(true).map_err(|e| e.to_string())?;
         let (told, again, flooded) = (Cell::new(None), Cell::new(0.0), Cell::new(0));
         let second = Cell::new((Instant::now(), HEARD_MOST));
-        Ok(Carrier { fleet: RefCell::new(fleet), socket, life, told, again, second, flooded })
+        let rights = RefCell::new(Self::rights(&fleet, &shares));
+        let (fleet, shares) = (RefCell::new(fleet), RefCell::new(shares));
+        Ok(Carrier {
+            fleet,
+            socket,
+            life,
+            told,
+            part: Cell::new(false),
+            again,
+            second,
+            flooded,
+            shares,
+            rights,
+            happenings,
+        })
+    }
+
+    fn rights(fleet: &Fleet, shares: &[(String, f64)]) -> Option<Rights> {
+        let terms = fleet.plan().terms(shares)?;
+        Some(Rights::new(now(), fleet.me(), fleet.incarnation(), fleet.plan().ids(), terms))
+    }
+
+    // Limits.
+
+    /// An invocation of that tenant has come: it is within its share if there is a right to it here.
+    pub fn wanted(&self, tenant: Option<&str>) {
+        let Some((tenant, mut rights)) = tenant.zip(self.rights.try_borrow_mut().ok()) else { return };
+        if let Some(rights) = rights.as_mut() {
+            rights.take(now(), limit_id(tenant), 1.0);
+        }
+    }
+
+    /// Renews and asks, and tells the decisions what is within the shares here. Where this node has no mint, as most voters
+    /// are out of reach, it goes by an equal part, as without.
+    fn limits(&self, tells: bool) {
+        let (mut posts, now) = (Vec::new(), now());
+        {
+            let (fleet, mut rights) = (self.fleet.borrow(), self.rights.borrow_mut());
+            let Some(rights) = rights.as_mut() else { return };
+            let gone = |id| matches!(fleet.state(id), Some(State::Dead | State::Left));
+            rights.advance(now, gone, &mut posts);
+            if tells {
+                let members = fleet.plan().members.len().max(1) as f64;
+                let shares = self.shares.borrow();
+                let here = |(name, share): &(String, f64)| {
+                    let here = rights.covered(now, limit_id(name)).unwrap_or(share / members);
+                    (name.clone(), here)
+                };
+                let quotas = shares.iter().filter(|(_, share)| *share > 0.0).map(here).collect();
+                let _ = self.happenings.send(Happening::Quotas(quotas));
+            }
+        }
+        self.post(posts);
+    }
+
+    fn post(&self, posts: Vec<(Id, Vec<u8>)>) {
+        let mut actions = Vec::new();
+        for (to, bytes) in posts {
+            self.fleet.borrow_mut().say(now(), to, Kind::RIGHTS, bytes, &mut actions);
+        }
+        self.carry_out(actions);
     }
 
     /// For as long as the process lives.
@@ -124,11 +220,15 @@
             actix_rt::time::sleep(seconds(due - now())).await;
             let mut actions = Vec::new();
             self.fleet.borrow_mut().advance(now(), &mut actions);
-            if now() >= looks {
+            let looked = now() >= looks;
+            if looked {
                 looks = now() + LOOKS_EVERY;
                 self.stand(&mut actions);
             }
             self.carry_out(actions);
+            if self.part.get() {
+                self.limits(looked);
+            }
         }
     }
 
@@ -170,6 +270,13 @@
                 Action::Send { to, bytes } => drop(self.socket.send_to(&bytes, to)),
                 Action::News(News::Member { id, from, to }) => info!("{}: {from:?} -> {to:?}", self.name(id)),
                 Action::News(News::Record(_)) => {}
+                Action::Said { from, mark, bytes, .. } => {
+                    let mut posts = Vec::new();
+                    let mut rights = self.rights.borrow_mut();
+                    rights.iter_mut().for_each(|r| r.heard(now(), from, mark, &bytes, &mut posts));
+                    drop(rights);
+                    self.post(posts);
+                }
                 Action::News(News::Doubled { yields: false }) => {
                     error!("another process bears this member's name, and falls silent")
                 }
@@ -188,6 +295,7 @@
 
     /// Whether this process is the one of its node that takes part.
     pub fn take_part(&self, part: bool) {
+        self.part.set(part);
         self.told.set(None); // Another one may have told otherwise meanwhile.
         self.fleet.borrow_mut().take_part(now(), part);
     }
@@ -199,8 +307,17 @@
         self.carry_out(actions);
     }
 
-    pub fn reread(&self, plan: Plan) -> Result<(), String> {
-        self.fleet.borrow_mut().reread(now(), plan)
+    pub fn reread(&self, plan: Plan, shares: Vec<(String, f64)>) -> Result<(), String> {
+        self.fleet.borrow_mut().reread(now(), plan)?;
+        let (fleet, mut rights) = (self.fleet.borrow(), self.rights.borrow_mut());
+        match (rights.as_mut(), fleet.plan().terms(&shares)) {
+            (Some(rights), Some(terms)) => rights.reread(now(), fleet.plan().ids(), terms),
+            (None, Some(_)) => *rights = Self::rights(&fleet, &shares),
+            (_, None) => *rights = None,
+        }
+        drop(rights);
+        *self.shares.borrow_mut() = shares;
+        Ok(())
     }
 
     pub fn shown(&self) -> Shown {
@@ -209,6 +326,23 @@
             let standing = Standing::read(reading.value)?;
             Some((self.name(reading.key.owner), Stands { stage: standing.stage, age: reading.age }))
         });
-        Shown { figures: fleet.figures(now), flooded: self.flooded.get(), standing: stands.collect() }
+        let (mut rights, shares) = (self.rights.borrow_mut(), self.shares.borrow());
+        let limited = |rights: &mut Rights| -> BTreeMap<String, Limited> {
+            let limited = shares.iter().filter_map(|(name, _)| {
+                let id = limit_id(name);
+                let limit = rights.terms().limits.iter().find(|limit| limit.id == id).copied()?;
+                let ((wanted, had), here) = (rights.totals(id), rights.covered(now, id).unwrap_or(0.0));
+                let (share, bound, window) = (limit.most, limit.bound(), limit.window);
+                let rights = rights.has(now, id);
+                Some((name.clone(), Limited { share, bound, window, wanted, had, rights, here }))
+            });
+            limited.collect()
+        };
+        let (limits, mints) = match rights.as_mut() {
+            Some(rights) => (limited(rights), Some(rights.holds(now))),
+            None => (BTreeMap::new(), None),
+        };
+        let (figures, standing, flooded) = (fleet.figures(now), stands.collect(), self.flooded.get());
+        Shown { figures, flooded, standing, limits, mints }
     }
 }
--- a/crates/coveroute-node/src/happening.rs
+++ b/crates/coveroute-node/src/happening.rs
@@ -47,6 +47,8 @@
     Ended(String, Verdict),
     /// Operators ask for the figures.
     Asked(oneshot::Sender<Figures>),
+    /// Of tenants' shares, what is this node's now.
+    Quotas(Vec<(String, f64)>),
     /// The platform asks the node to stop.
     Stop,
 }
--- a/crates/coveroute-node/src/main.rs
+++ b/crates/coveroute-node/src/main.rs
@@ -166,6 +166,15 @@
             let (operations, nodes) = (config.settings.operations.len(), config.settings.nodes);
             println!("fit: {operations} operations, {nodes} nodes, listens on {}", config.listen);
             if let Some((place, plan, address)) = fleet {
+                let shares = config.shares();
+                let terms = plan.terms(&shares);
+                for (name, limit) in terms.iter().flat_map(|terms| shares.iter().zip(&terms.limits)) {
+                    let (bound, one) = (limit.bound(), limit.most / plan.members.len() as f64);
+                    println!(
+                        "tenant {}: {:.1} in {:.0} s, {bound:.1} at most; {one:.1} more for each node that is cut off from most voters",
+                        name.0, limit.most, limit.window
+                    );
+                }
                 let (fleet, members) = (&plan.fleet, plan.members.len());
                 println!("fit: fleet {fleet}, {members} members; {} hears at {address}", place.name);
             }
@@ -214,7 +223,12 @@
     let carrier = match (fleet, &datagrams) {
         (Some((place, plan, _)), Some(socket)) => {
             let socket = socket.try_clone().map_err(|e| e.to_string())?;
-            Some(Rc::new(Carrier::new(&place, plan, socket, life.clone())?))
+            Some(Rc::new(Carrier::new(
+                &place,
+                plan,
+                config.shares(),
+                (socket, life.clone(), happenings.clone()),
+            )?))
         }
         _ => None,
     };
--- a/src/learnt.rs
+++ b/src/learnt.rs
@@ -126,6 +126,15 @@
         }
     }
 
+    /// Of these tenants' shares, this many invocations a second are within them here: what an equal part of the nodes'
+    /// is elsewhere.
+    pub fn quotas(&mut self, quotas: &[(usize, f64)]) {
+        let nodes = self.set.nodes as f64;
+        for (tenant, here) in quotas {
+            self.set.quotas.get_mut(*tenant).into_iter().for_each(|quota| *quota = here * nodes);
+        }
+    }
+
     /// Of what a cold executor can stand, and of the budget of forwards, this is left to this process.
     pub fn share(&mut self, factor: f64, budget: Option<Budget>) {
         self.set.cold.factor = factor;
