--- a/crates/coveroute-emu/src/fleet/processes.rs
+++ b/crates/coveroute-emu/src/fleet/processes.rs
@@ -318,6 +318,12 @@
         std::fs::read_to_string(self.dir.join(format!("n{node}.log"))).unwrap_or_default()
     }
 
+    /// Another share of the tenant's, in the configurations of these nodes; they read it when they are told to.
+    pub fn share(&mut self, nodes: &[NodeId], share: f64) -> Result<(), String> {
+        self.tenant.iter_mut().for_each(|tenant| tenant.1 = share);
+        nodes.iter().try_for_each(|node| self.configure(*node))
+    }
+
     /// Where clients of that node call.
     pub fn listens(&self, node: NodeId) -> SocketAddr {
         ([127, self.block, 61, node as u8], 9100).into()
--- a/crates/coveroute-emu/src/fleet/proof.rs
+++ b/crates/coveroute-emu/src/fleet/proof.rs
@@ -17,6 +17,7 @@
 use crate::loopback::{self, taken_by};
 use crate::proof::{Place, Proof};
 use crate::scenario::{Direction, FleetPart, Scenario, What};
+use crate::search::{drawn_fleet, search};
 use crate::world::NodeId;
 
 const THERE: [&str; 2] = ["alive", "returned"];
@@ -30,6 +31,7 @@
     let mut proof = Proof::new();
     virtual_time(place.long, &mut proof);
     orders(place.long, &mut proof);
+    together(place.long, &mut proof)?;
     let (nodes, kills, cuts, stall) = if place.long { (12, 50, 10, 20.0) } else { (5, 3, 1, 3.0) };
     processes(&place.node, nodes, (kills, cuts, stall), &mut proof)?;
     service(place, &mut proof)?;
@@ -68,6 +70,17 @@
     }
 }
 
+/// The fleet's faults together with all others, under work.
+fn together(long: bool, proof: &mut Proof) -> Result<(), String> {
+    let seeds = if long { 5000 } else { 300 };
+    let searched = search(1, seeds, 0, false, drawn_fleet, || {})?;
+    proof.note("searched", (seeds, searched.mean));
+    for found in &searched.broken {
+        proof.want(false, format!("seed {}: {}", found.seed, found.words));
+    }
+    Ok(())
+}
+
 fn orders(long: bool, proof: &mut Proof) {
     let plans: &[(usize, usize, usize)] =
         if long { &[(2, 16, 400_000), (3, 12, 250_000), (4, 10, 150_000)] } else { &[(2, 7, 30_000)] };
--- a/crates/coveroute-fleet/src/rights.rs
+++ b/crates/coveroute-fleet/src/rights.rs
@@ -8,7 +8,9 @@
 //! who was given them, counted from its question. So a right is used within twice the stock's time of its minting, or
 //! never: in any window of W seconds all nodes together use at most
 //!
-//!     rate x (W + 2 x stock)
+//! ```text
+//! rate x (W + 2 x stock)
+//! ```
 //!
 //! whoever is cut off, stands still, starts again, forgets, or is told twice or late. A strict limit of L in W mints at
 //! L / (W + 2 x stock), and is never over; one whose rate matters more mints at L / W, and is over by 2 x stock / W at the
--- a/crates/coveroute-fleet/src/tests.rs
+++ b/crates/coveroute-fleet/src/tests.rs
@@ -136,7 +136,8 @@
 #[test_case("[members]", "[detector]\nevery = 99\n[members]", "detector.every: 99 is not seconds, 0.02 to 10"; "out of range")]
 #[test_case("[members]", "[detector]\nevery = 1\n[members]", "detector.suspicion: 0.4 is not 1"; "too short for a probe")]
 #[test_case("[members]", "[records]\nlife = 0\n[members]", "records.life"; "records without a life")]
-#[test_case("[members]", "[limits]\n[members]", "limits"; "a part that is not there")]
+#[test_case("[members]", "[verdicts]\n[members]", "verdicts"; "a part that is not there")]
+#[test_case("[members]", "[limits]\nvoters = [\"z\"]\n[members]", "limits.voters: z is not among"; "a voter that is none")]
 fn a_file_that_is_not_fit_is_told_in_one_line(old: &str, new: &str, words: &str) {
     let told = Plan::parse(&FILE.replacen(old, new, 1)).expect_err("a fault");
     assert!(told.contains(words) && !told.contains('\n'), "{told}");
--- a/crates/coveroute-node/tests/limits.rs
+++ b/crates/coveroute-node/tests/limits.rs
@@ -113,6 +113,43 @@
     assert!(had > 0.5 * SHARE * 24.0, "most of it is used: {had}");
 }
 
+/// A share that is lowered by SIGHUP under load holds from then on, also at a node that is cut off from the others; one
+/// that is raised is had within seconds.
+#[test]
+fn a_share_read_anew_holds_under_load() {
+    let (mut fleet, callers) = met(4);
+    let all = [0, 1, 2, 3];
+    callers.iter().for_each(|caller| caller.calls(SHARE / 2.0));
+    std::thread::sleep(Duration::from_secs(2));
+    fleet.strike(What::LinkCut, 0.0, &[3], Direction::Both);
+    fleet.share(&all, SHARE / 4.0).expect("files");
+    all.iter().for_each(|node| fleet.reread(*node));
+    let lower = |p: &Processes| all.iter().all(|node| share_in_force(p, *node) == Some(SHARE / 4.0));
+    assert!(fleet.until(5.0, lower).is_some(), "{}", fleet.log(0));
+    let had = |p: &Processes| all.iter().filter_map(|node| p.within(*node, TENANT)).map(|w| w.1).sum::<f64>();
+    let (before, began) = (had(&fleet), Instant::now());
+    std::thread::sleep(Duration::from_secs(4));
+    let (after, span) = (had(&fleet), began.elapsed().as_secs_f64());
+    let most = SHARE / 4.0 * (span * 1.02 + 2.0 * 0.5) + 1.0;
+    assert!(after - before <= most, "{} of {most} in {span} s", after - before);
+    fleet.heal();
+    fleet.share(&all, SHARE).expect("files");
+    all.iter().for_each(|node| fleet.reread(*node));
+    let minted = |p: &Processes| all.iter().all(|node| mints(p, *node) == Some(1));
+    std::thread::sleep(Duration::from_secs(1));
+    assert!(fleet.until(20.0, minted).is_some(), "{:?}", fleet.fleet(0));
+    let (before, began) = (had(&fleet), Instant::now());
+    std::thread::sleep(Duration::from_secs(4));
+    let part = (had(&fleet) - before) / (SHARE * began.elapsed().as_secs_f64());
+    assert!(part > 0.85, "{part} of the share is had");
+}
+
+/// What the door says of the share: invocations a second.
+fn share_in_force(fleet: &Processes, node: usize) -> Option<f64> {
+    let limit = fleet.fleet(node)?["limits"][TENANT].clone();
+    Some(limit["share"].as_f64()? / limit["window"].as_f64()?)
+}
+
 /// Who is cut off from most voters goes by an equal part, as without a fleet, and says so.
 #[test]
 fn who_is_cut_off_goes_by_an_equal_part() {
