--- a/crates/coveroute-emu/src/scenario.rs
+++ b/crates/coveroute-emu/src/scenario.rs
@@ -1,6 +1,7 @@
 //! A scenario: one TOML file, strictly read. A fault in it is told with line, key and what is allowed.
 use std::path::Path;
 
+use coveroute_fleet::plan::one_line;
 use serde::{Deserialize, Serialize};
 
 macro_rules! figure {
@@ -774,18 +775,6 @@
     }
 }
 
-/// The library's words, on one line, with the line that they speak of.
-fn one_line(text: &str, e: &toml::de::Error) -> String {
-    let line = e.span().map(|span| 1 + text[..span.start.min(text.len())].matches('\n').count());
-    let key = line.and_then(|line| text.lines().nth(line - 1)).and_then(|l| l.split_once('='));
-    let words = e.message().replace('\n', ", ");
-    match (line, key) {
-        (Some(line), Some((key, _))) => format!("line {line}: {}: {words}", key.trim()),
-        (Some(line), None) => format!("line {line}: {words}"),
-        _ => words,
-    }
-}
-
 /// The line of the nth table of that name.
 fn line_of(text: &str, key: &str, nth: usize) -> Option<usize> {
     let heads = [format!("[[{key}]]"), format!("[{key}]")];
--- a/crates/coveroute-fleet/src/plan.rs
+++ b/crates/coveroute-fleet/src/plan.rs
@@ -204,8 +204,8 @@
     }
 }
 
-/// The library's words, on one line, with the line that they speak of.
-fn one_line(text: &str, e: &toml::de::Error) -> String {
+/// The TOML library's words on one line, with the line of the text that they speak of.
+pub fn one_line(text: &str, e: &toml::de::Error) -> String {
     let line = e.span().map(|span| 1 + text[..span.start.min(text.len())].matches('\n').count());
     let key = line.and_then(|line| text.lines().nth(line - 1)).and_then(|l| l.split_once('='));
     let words = e.message().replace('\n', ", ");
--- a/crates/coveroute-fleet/src/tests.rs
+++ b/crates/coveroute-fleet/src/tests.rs
@@ -347,8 +347,12 @@
 const LIMIT: Limit = Limit { id: 1, most: 30.0, window: 3.0, strict: false };
 
 fn rights(me: u32, members: u32) -> Rights {
+    limited(me, members, vec![LIMIT])
+}
+
+fn limited(me: u32, members: u32, limits: Vec<Limit>) -> Rights {
     let ids: Vec<Id> = (1..=members).map(Id).collect();
-    let terms = Terms { limits: vec![LIMIT], voters: ids.clone(), lease: 2.0, drift: 0.01 };
+    let terms = Terms { limits, voters: ids.clone(), lease: 2.0, drift: 0.01 };
     Rights::new(0.0, Id(me), Incarnation::new(1, u64::from(me)), ids, terms)
 }
 
@@ -423,6 +427,49 @@
     assert!((8.0..=14.0).contains(&covered), "{covered}");
 }
 
+/// A hundred tenants at four nodes, one of them greedy: it has its own share and nothing of the others', who have nearly
+/// all that they want, each at a node of its own.
+#[test]
+fn one_greedy_tenant_takes_nothing_of_the_others() {
+    let limits: Vec<Limit> = (1..=100).map(|id| Limit { id, ..LIMIT }).collect();
+    let mut all: Vec<Rights> = (1..=4).map(|me| limited(me, 4, limits.clone())).collect();
+    share(&mut all, 0.0, 5.0, &[]);
+    let (mut wanted, mut had) = ([0, 0], [0, 0]);
+    for at in 0..100 {
+        let now = 5.0 + f64::from(at) * 0.1;
+        for id in 1..=100_u32 {
+            let greedy = usize::from(id == 1);
+            // Eight a second of ten; the greedy one two hundred.
+            let wants = if greedy == 1 { 20 } else { u32::from(!(at + id).is_multiple_of(5)) };
+            for _ in 0..wants {
+                wanted[greedy] += 1;
+                had[greedy] += u32::from(all[id as usize % 4].take(now, id, 1.0));
+            }
+        }
+        share(&mut all, now, now + 0.1, &[]);
+    }
+    assert!(f64::from(had[0]) > 0.95 * f64::from(wanted[0]), "{had:?} of {wanted:?}");
+    let bound = LIMIT.rate() * (10.0 + 2.0 * LIMIT.stock());
+    assert!(f64::from(had[1]) <= bound && f64::from(had[1]) > 0.85 * LIMIT.rate() * 10.0, "{had:?}, {bound}");
+}
+
+/// Who gave is gone before its answer is heard: what it gave is nobody's, and nobody has more for it.
+#[test]
+fn what_is_given_and_lost_is_nobodys() {
+    let mut all = [rights(1, 2), rights(2, 2)];
+    share(&mut all, 0.0, 5.0, &[]);
+    let [one, other] = &mut all;
+    for _ in 0..20 {
+        one.take(5.3, 1, 1.0);
+    }
+    let (mut asks, mut answers) = (Vec::new(), Vec::new());
+    one.advance(5.3, |_| false, &mut asks);
+    let before = (one.has(5.3, 1), other.has(5.3, 1));
+    asks.iter().for_each(|(_, bytes)| other.heard(5.3, Id(1), 1, bytes, &mut answers));
+    assert!(!answers.is_empty() && other.has(5.3, 1) < before.1, "taken off before it is told");
+    assert_eq!(one.has(5.3, 1), before.0);
+}
+
 /// Guards against an answer that comes twice, or long after: rights are had once, and while they last.
 #[test]
 fn what_is_given_is_had_once_and_in_time() {
--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -9,9 +9,10 @@
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH};
 use actix_http::test::TestRequest;
 use actix_http::{Method, Payload, StatusCode};
-use actix_rt::time::timeout;
+use actix_rt::time::{sleep, timeout};
 use coveroute::types::{Outcome, Report, Sizes, Standing, Told};
 use coveroute_engine::{Call, Figures, Listing, Phase, Reply, Tally, Word};
+use coveroute_fleet::Plan;
 use test_case::test_case;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
 
@@ -21,6 +22,7 @@
 use crate::discovery::Lines;
 use crate::driver::{Driver, Others};
 use crate::executors::{Links, Patience};
+use crate::fleet::{Carrier, Place};
 use crate::guest::{Claim, Doing, Guest};
 use crate::happening::Happening;
 use crate::hosts::Hosts;
@@ -726,6 +728,43 @@
     });
 }
 
+/// Hints and the fleet's datagrams share an address: each comes where it belongs, and neither is taken for the other.
+#[test]
+fn hints_and_the_fleet_share_an_address() {
+    block(async {
+        let addrs: Vec<SocketAddr> = (0..2).map(|_| free_datagrams()).collect();
+        let text = format!(
+            "fleet = \"f\"\n[members]\na = {{ address = \"{}\" }}\nb = {{ address = \"{}\" }}\n",
+            addrs[0], addrs[1]
+        );
+        let plan = Plan::parse(&text).expect("fit");
+        let (happenings, mut happens) = unbounded_channel();
+        let mut peers = Vec::new();
+        for (at, name) in ["a", "b"].into_iter().enumerate() {
+            let socket = std::net::UdpSocket::bind(addrs[at]).expect("a port");
+            let place = Place { path: "f".into(), name: name.into() };
+            let own = (socket.try_clone().expect("a socket"), Rc::new(Life::new()), happenings.clone());
+            let carrier = Rc::new(Carrier::new(&place, plan.clone(), Vec::new(), own).expect("a member"));
+            actix_rt::spawn(carrier.clone().run());
+            let mut one = Peers::new(at, addrs.clone(), socket, happenings.clone(), Some(carrier.clone()))
+                .expect("a port");
+            one.hear(true);
+            peers.push((one, carrier));
+        }
+        sleep(seconds(1.0)).await;
+        peers[1].0.tell(0, Told::Held, 0xab, 4);
+        let heard = timeout(seconds(9.0), happens.recv()).await.expect("in time");
+        assert!(matches!(heard, Some(Happening::Heard { from: 1, told: Told::Held, mark: 0xab, count: 4 })));
+        let shown = serde_json::to_value(peers[0].1.shown()).expect("figures");
+        assert_eq!((&shown["states"]["b"], &shown["dropped"]), (&"alive".into(), &serde_json::json!({})));
+    });
+}
+
+fn free_datagrams() -> SocketAddr {
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0").and_then(|socket| socket.local_addr());
+    socket.expect("a free port")
+}
+
 /// A node's operators' door, and what comes to the driver.
 async fn desk(life: &Rc<Life>) -> (SocketAddr, UnboundedReceiver<Happening>) {
     let (happenings, happens) = unbounded_channel();
