--- a/crates/coveroute-node/src/main.rs
+++ b/crates/coveroute-node/src/main.rs
@@ -166,7 +166,8 @@
             let (operations, nodes) = (config.settings.operations.len(), config.settings.nodes);
             println!("fit: {operations} operations, {nodes} nodes, listens on {}", config.listen);
             if let Some((place, plan, address)) = fleet {
-                let shares = config.shares();
+                // Those without a share have no limit.
+                let shares: Vec<_> = config.shares().into_iter().filter(|(_, share)| *share > 0.0).collect();
                 let terms = plan.terms(&shares);
                 for (name, limit) in terms.iter().flat_map(|terms| shares.iter().zip(&terms.limits)) {
                     let (bound, one) = (limit.bound(), limit.most / plan.members.len() as f64);
