Review: a use of a limit looks at that limit alone; one piece for what stood twice

Cause: reading the whole change again. A use of one tenant's limit minted for all limits, with a copy of their list, on the path of a call: a hundred tenants cost a hundred times one. Change: each purse holds its limit and mints alone. One piece each for a limit's number, for who speaks, for what is told once more, for proving all orders, and for a bare stage; two counters that nobody read and an unused timer are gone.

--- a/crates/coveroute-emu/src/fleet/links.rs
+++ b/crates/coveroute-emu/src/fleet/links.rs
@@ -47,9 +47,6 @@
     /// When a slow link is free again.
     free: BTreeMap<(NodeId, NodeId), f64>,
     draw: Pcg64Mcg,
-    /// Datagrams that were lost on the way, and all.
-    pub lost: u64,
-    pub passed: u64,
 }
 
 impl Links {
@@ -60,7 +57,7 @@
         let struck = faults.map(|fault| Struck { set: set(fault, zones, &mut draw), fault: fault.clone() });
         let struck = struck.collect();
         let latency = scenario.fleet.as_ref().map_or(0.0, |fleet| fleet.latency.0);
-        Links { latency, struck, apart: BTreeMap::new(), free: BTreeMap::new(), draw, lost: 0, passed: 0 }
+        Links { latency, struck, apart: BTreeMap::new(), free: BTreeMap::new(), draw }
     }
 
     /// Moves all faults: the time until the nodes are ready is not the scenario's.
@@ -93,7 +90,6 @@
 
     /// When and how a datagram arrives: after so many seconds each.
     pub fn pass(&mut self, now: f64, from: NodeId, to: NodeId, bytes: Vec<u8>) -> Vec<(f64, Vec<u8>)> {
-        self.passed += 1;
         let strikes: Vec<(What, f64)> = self
             .struck
             .iter()
@@ -101,7 +97,6 @@
             .map(|struck| (struck.fault.what, struck.fault.strength()))
             .collect();
         if self.is_cut(now, from, to) {
-            self.lost += 1;
             return Vec::new();
         }
         let mut copies = vec![(self.latency * (1.0 + self.draw.random::<f64>()), bytes)];
@@ -130,7 +125,6 @@
                 _ => {}
             }
         }
-        self.lost += u64::from(copies.is_empty());
         copies
     }
 
--- a/crates/coveroute-emu/src/fleet/measure.rs
+++ b/crates/coveroute-emu/src/fleet/measure.rs
@@ -12,10 +12,15 @@
 use crate::search::{drawn, on_all_cores};
 use crate::world::{NodeId, Order};
 
-pub fn begun(nodes: usize, seed: u64, part: FleetPart) -> Stage {
+/// A stage without faults, and nobody on it.
+fn bare(nodes: usize, seed: u64, part: FleetPart) -> Stage {
     let mut scenario: Scenario = drawn(1);
     (scenario.fleet, scenario.faults) = (Some(part), Vec::new());
-    let mut stage = Stage::new(&scenario, seed, &vec!["a".into(); nodes]);
+    Stage::new(&scenario, seed, &vec!["a".into(); nodes])
+}
+
+pub fn begun(nodes: usize, seed: u64, part: FleetPart) -> Stage {
+    let mut stage = bare(nodes, seed, part);
     (0..nodes).for_each(|node| stage.start(0.0, node, false));
     stage
 }
@@ -237,9 +242,7 @@
 }
 
 fn limited(nodes: usize, seed: u64, limit: (f64, f64, bool)) -> Stage {
-    let mut scenario: Scenario = drawn(1);
-    (scenario.fleet, scenario.faults) = (Some(FleetPart::default()), Vec::new());
-    let mut stage = Stage::new(&scenario, seed, &vec!["a".into(); nodes]);
+    let mut stage = bare(nodes, seed, FleetPart::default());
     stage.limit(terms(&stage, limit));
     (0..nodes).for_each(|node| stage.start(0.0, node, false));
     stage
@@ -320,9 +323,7 @@
 /// Bytes that a node sends a second, with so many tenants of whom each wants more than the share at one node in ten, and
 /// nothing elsewhere.
 pub fn price_of_limits(nodes: usize, tenants: u32) -> f64 {
-    let mut scenario: Scenario = drawn(1);
-    (scenario.fleet, scenario.faults) = (Some(FleetPart::default()), Vec::new());
-    let mut stage = Stage::new(&scenario, 1, &vec!["a".into(); nodes]);
+    let mut stage = bare(nodes, 1, FleetPart::default());
     let limit = |id| Limit { id, most: 100.0, window: 10.0, strict: false };
     let terms = Terms { limits: (0..tenants).map(limit).collect(), ..terms(&stage, (1.0, 1.0, false)) };
     stage.limit(terms);
--- a/crates/coveroute-emu/src/fleet/proof.rs
+++ b/crates/coveroute-emu/src/fleet/proof.rs
@@ -2,7 +2,7 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-use coveroute_fleet::explore::explore;
+use coveroute_fleet::explore::{explore, Model};
 use serde::Serialize;
 use serde_json::json;
 
@@ -11,7 +11,7 @@
     false_deaths_an_hour, limited_schedules, price_of_limits, quantile, schedules, size, small, uneven,
 };
 use super::model::{way, Few};
-use super::model_limits::Sharing;
+use super::model_limits::{self, Sharing};
 use super::processes::Processes;
 use crate::load::{load, Plan};
 use crate::loopback::{self, taken_by};
@@ -30,7 +30,9 @@
 pub fn fleet(place: &Place) -> Result<Proof, String> {
     let mut proof = Proof::new();
     virtual_time(place.long, &mut proof);
-    orders(place.long, &mut proof);
+    let plans: &[(usize, usize, usize)] =
+        if place.long { &[(2, 16, 400_000), (3, 12, 250_000), (4, 10, 150_000)] } else { &[(2, 7, 30_000)] };
+    plans.iter().for_each(|plan| orders(&mut proof, *plan, &Few::new(plan.0, 0.01), way));
     together(place.long, &mut proof)?;
     let (nodes, kills, cuts, stall) = if place.long { (12, 50, 10, 20.0) } else { (5, 3, 1, 3.0) };
     processes(&place.node, nodes, (kills, cuts, stall), &mut proof)?;
@@ -81,19 +83,19 @@
     Ok(())
 }
 
-fn orders(long: bool, proof: &mut Proof) {
-    let plans: &[(usize, usize, usize)] =
-        if long { &[(2, 16, 400_000), (3, 12, 250_000), (4, 10, 150_000)] } else { &[(2, 7, 30_000)] };
-    for (nodes, depth, most) in plans {
-        let explored = explore(&Few::new(*nodes, 0.01), *depth, *most);
-        let (states, steps) = (explored.states, explored.steps);
-        proof.note(
-            &format!("orders_{nodes}"),
-            json!({ "states": states, "steps": steps, "depth": explored.depth }),
-        );
-        let breach = explored.breach.map(|breach| format!("{}: {}", way(&breach.steps), breach.words));
-        proof.want(breach.is_none(), format!("{nodes} nodes: {}", breach.unwrap_or_default()));
-    }
+/// All orders of what can happen to so many nodes, to a depth, or as deep as so many states allow.
+fn orders<M: Model>(
+    proof: &mut Proof,
+    (nodes, depth, most): (usize, usize, usize),
+    model: &M,
+    way: impl Fn(&[M::Step]) -> String,
+) {
+    let explored = explore(model, depth, most);
+    let (states, steps) = (explored.states, explored.steps);
+    let looked = json!({ "states": states, "steps": steps, "depth": explored.depth });
+    proof.note(&format!("orders_{nodes}"), looked);
+    let breach = explored.breach.map(|breach| format!("{}: {}", way(&breach.steps), breach.words));
+    proof.want(breach.is_none(), format!("{nodes} nodes: {}", breach.unwrap_or_default()));
 }
 
 #[derive(Serialize)]
@@ -231,16 +233,8 @@
     proof.note("schedules", &all);
     let plans: &[(usize, usize, usize)] =
         if place.long { &[(2, 14, 400_000), (3, 10, 300_000)] } else { &[(2, 7, 30_000)] };
-    for (nodes, depth, most) in plans {
-        let explored = explore(&Sharing::new(*nodes, 0.01), *depth, *most);
-        let (states, steps) = (explored.states, explored.steps);
-        proof.note(
-            &format!("orders_{nodes}"),
-            json!({ "states": states, "steps": steps, "depth": explored.depth }),
-        );
-        let breach = explored.breach.map(|breach| format!("{:?}: {}", breach.steps, breach.words));
-        proof.want(breach.is_none(), format!("{nodes} nodes: {}", breach.unwrap_or_default()));
-    }
+    let way = |steps: &[model_limits::Step]| format!("{steps:?}");
+    plans.iter().for_each(|plan| orders(&mut proof, *plan, &Sharing::new(plan.0, 0.01), way));
     for (nodes, rate) in if place.long { vec![(12, 120.0), (100, 1000.0)] } else { vec![(12, 120.0)] } {
         let (had, equal) = uneven(nodes, 1, 60.0, (rate, 1.0));
         proof.note(&format!("uneven_{nodes}"), json!({ "had": had, "equal_parts": equal }));
--- a/crates/coveroute-emu/src/fleet/tests.rs
+++ b/crates/coveroute-emu/src/fleet/tests.rs
@@ -3,20 +3,13 @@
 
 use coveroute_fleet::State;
 
+use super::measure::begun;
 use super::stage::Stage;
 use crate::scenario::{Count, Direction, FleetPart, Scenario, Span, What};
 use crate::world::{NodeId, Order};
 
-fn stage(nodes: usize, seed: u64, part: FleetPart) -> Stage {
-    let mut scenario: Scenario = crate::search::drawn(1);
-    (scenario.fleet, scenario.faults) = (Some(part), Vec::new());
-    let mut stage = Stage::new(&scenario, seed, &vec!["a".into(); nodes]);
-    (0..nodes).for_each(|node| stage.start(0.0, node, false));
-    stage
-}
-
 fn usual(nodes: usize, seed: u64) -> Stage {
-    let mut stage = stage(nodes, seed, FleetPart { writes: Span(1.0), ..FleetPart::default() });
+    let mut stage = begun(nodes, seed, FleetPart { writes: Span(1.0), ..FleetPart::default() });
     stage.play(5.0);
     stage
 }
@@ -44,7 +37,7 @@
 #[test_case(12; "twelve")]
 #[test_case(60; "sixty")]
 fn all_start_at_once_and_know_each_other(nodes: usize) {
-    let mut stage = stage(nodes, 1, FleetPart::default());
+    let mut stage = begun(nodes, 1, FleetPart::default());
     let all = range(0, nodes);
     let known = stage.until(0.0, 5.0, |stage| all_hold(stage, &all, &all, &THERE) && stage.agree());
     assert!(known.is_some_and(|at| at < 3.0), "{known:?}");
@@ -170,7 +163,7 @@
 
 #[test]
 fn a_member_that_never_comes_is_not_dead() {
-    let mut stage = stage(4, 7, FleetPart { absent: Count(2), ..FleetPart::default() });
+    let mut stage = begun(4, 7, FleetPart { absent: Count(2), ..FleetPart::default() });
     stage.play(30.0);
     let unseen = stage.figures(30.0, 0).map(|figures| figures.members[&State::Unseen]);
     assert_eq!((unseen, stage.seen.iter().filter(|seen| seen.to == State::Dead).count()), (Some(2), 0));
@@ -211,7 +204,7 @@
 #[test_case(0.01; "one in a hundred")]
 fn told_ages_are_above_the_truth_and_near_it(drift: f64) {
     let part = FleetPart { drift: crate::scenario::Part(drift), writes: Span(20.0), ..FleetPart::default() };
-    let mut stage = stage(20, 10, part);
+    let mut stage = begun(20, 10, part);
     stage.play(120.0);
     let ages = stage.witness.ages;
     assert!(ages.nearest <= 1.0 && ages.nearest > 0.9, "{ages:?}");
--- a/crates/coveroute-fleet/src/fleet.rs
+++ b/crates/coveroute-fleet/src/fleet.rs
@@ -258,7 +258,7 @@
         }
         self.due = if late > tick { now + tick } else { self.due + tick };
         self.purse = (self.purse + self.plan.detector.budget * tick).min(self.plan.detector.budget);
-        if self.part && now >= self.silent && !self.left {
+        if self.speaks(now) {
             self.tick(now, out);
         }
     }
@@ -272,6 +272,11 @@
         doubts.for_each(|doubt| doubt.began += late);
     }
 
+    /// Not while another process goes on as this member, nor after it has left.
+    fn speaks(&self, now: f64) -> bool {
+        self.part && !self.left && now >= self.silent
+    }
+
     fn tick(&mut self, now: f64, out: &mut Vec<Action>) {
         self.ticks += 1;
         self.look(now, out);
@@ -296,7 +301,7 @@
         if written {
             let times = self.times();
             self.fresh.insert(key, times);
-            if self.part && now >= self.silent && !self.left {
+            if self.speaks(now) {
                 // They see that this one holds something else, and ask.
                 let some = self.some_of(TALKS, |_, peer| peer.state.is_there());
                 some.into_iter().for_each(|to| self.ping(now, to, Purpose::Talk, out));
@@ -307,8 +312,7 @@
 
     /// For a part on top, to the same one at that member. It may be lost, or come twice.
     pub fn say(&mut self, now: f64, to: Id, kind: Kind, bytes: Vec<u8>, out: &mut Vec<Action>) {
-        let speaks = self.part && !self.left && now >= self.silent;
-        if speaks && bytes.len() <= FILL - WORDS * WORD_SIZE {
+        if self.speaks(now) && bytes.len() <= FILL - WORDS * WORD_SIZE {
             self.send(to, What::Part { kind, bytes }, out);
         }
     }
--- a/crates/coveroute-fleet/src/fleet/spread.rs
+++ b/crates/coveroute-fleet/src/fleet/spread.rs
@@ -1,4 +1,5 @@
 //! What is said and heard: words of members, records, and what differs.
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use super::{Fleet, TALKS};
@@ -296,7 +297,7 @@
         let mut by: Vec<(u32, Key)> = self.fresh.iter().map(|(key, left)| (*left, *key)).collect();
         by.sort_by(|one, two| two.cmp(one)); // What was told least first.
         let (mut room, mut records) = (FILL - WORDS * WORD_SIZE, Vec::new());
-        for (left, key) in by {
+        for (_, key) in by {
             let Some(record) = self.table.record(now, &key) else {
                 self.fresh.remove(&key);
                 continue;
@@ -306,10 +307,7 @@
             }
             room -= record.size();
             records.push(record);
-            match left {
-                0 | 1 => drop(self.fresh.remove(&key)),
-                left => drop(self.fresh.insert(key, left - 1)),
-            }
+            tell_once(&mut self.fresh, key);
         }
         records
     }
@@ -333,7 +331,7 @@
         by.sort_by(|one, two| two.cmp(one));
         for (_, id) in by.into_iter().filter(|(_, id)| *id != to).take(WORDS - 1) {
             words.extend(self.word(id));
-            self.tell_once(id);
+            tell_once(&mut self.words, id);
         }
         words
     }
@@ -361,7 +359,7 @@
         let mut words = self.word_of_itself(to);
         for id in ids.into_iter().filter(|id| *id != to) {
             words.extend(self.word(id));
-            self.tell_once(id);
+            tell_once(&mut self.words, id);
         }
         words
     }
@@ -375,13 +373,6 @@
         }
     }
 
-    pub(super) fn tell_once(&mut self, id: Id) {
-        match self.words.get_mut(&id) {
-            Some(left @ 2..) => *left -= 1,
-            _ => drop(self.words.remove(&id)),
-        }
-    }
-
     pub(super) fn next_number(&mut self) -> u64 {
         self.number = self.number.wrapping_add(1);
         self.number
@@ -424,3 +415,11 @@
         out.push(Action::Send { to: addr, bytes });
     }
 }
+
+/// It is told once more; what was told often enough is told no more.
+fn tell_once<K: Ord>(left: &mut BTreeMap<K, u32>, what: K) {
+    match left.get_mut(&what) {
+        Some(left @ 2..) => *left -= 1,
+        _ => drop(left.remove(&what)),
+    }
+}
--- a/crates/coveroute-fleet/src/plan.rs
+++ b/crates/coveroute-fleet/src/plan.rs
@@ -7,7 +7,7 @@
 
 use crate::detector::Detector;
 use crate::member::Id;
-use crate::rights::{Limit, Terms};
+use crate::rights::{limit_id, Limit, Terms};
 
 /// A member by the file.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -118,7 +118,7 @@
     /// Limits on tenants, by name and invocations a second; none where each node has an equal part.
     pub fn terms(&self, tenants: &[(String, f64)]) -> Option<Terms> {
         let limits = tenants.iter().filter(|(_, rate)| *rate > 0.0).map(|(name, rate)| Limit {
-            id: coveroute::chance::hash(name.as_bytes()) as u32,
+            id: limit_id(name),
             most: rate * self.limits.window,
             window: self.limits.window,
             strict: false,
--- a/crates/coveroute-fleet/src/rights.rs
+++ b/crates/coveroute-fleet/src/rights.rs
@@ -26,6 +26,10 @@
 /// A limit's number: its name's, the same at every node.
 pub type LimitId = u32;
 
+pub fn limit_id(name: &str) -> LimitId {
+    coveroute::chance::hash(name.as_bytes()) as LimitId
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limit {
     pub id: LimitId,
@@ -87,7 +91,7 @@
         self.voters.len() / 2 + 1
     }
 
-    fn limit(&self, id: LimitId) -> Option<Limit> {
+    pub fn limit(&self, id: LimitId) -> Option<Limit> {
         self.limits.iter().find(|limit| limit.id == id).copied()
     }
 }
@@ -130,8 +134,9 @@
 }
 
 /// Rights to one limit, and what was wanted of it.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 struct Purse {
+    limit: Limit,
     /// Of the own mints.
     own: f64,
     minted: f64,
@@ -149,6 +154,27 @@
 }
 
 impl Purse {
+    fn new(now: f64, limit: Limit) -> Self {
+        let (given, nil) = (VecDeque::new(), 0.0);
+        let (wanted, had, rate, had_rate, all_wanted, all_had) = (nil, nil, nil, nil, nil, nil);
+        let (own, minted, since) = (nil, now, now);
+        Purse { limit, own, minted, given, wanted, had, since, rate, had_rate, all_wanted, all_had }
+    }
+
+    /// Adds what the mints have given since, while they were held, and lets lapse what is older than the stock.
+    fn mint(&mut self, now: f64, held: &[(f64, f64)], rate: f64, stock: f64) {
+        let over = |from: f64| -> f64 {
+            held.iter().map(|(since, until)| (until.min(now) - since.max(from)).max(0.0)).sum()
+        };
+        let new = rate * over(self.minted);
+        self.own = (self.own + new).min(rate * over(now - stock));
+        self.minted = now;
+    }
+
+    fn has(&mut self, now: f64) -> f64 {
+        self.given(now) + self.own
+    }
+
     fn given(&mut self, now: f64) -> f64 {
         self.given.retain(|(lapses, many)| now < *lapses && *many > 0.0);
         self.given.iter().map(|(_, many)| many).sum()
@@ -195,7 +221,7 @@
 
 impl Rights {
     pub fn new(now: f64, me: Id, incarnation: Incarnation, members: Vec<Id>, terms: Terms) -> Self {
-        let purse = |limit: &Limit| (limit.id, Purse { minted: now, since: now, ..Purse::default() });
+        let purse = |limit: &Limit| (limit.id, Purse::new(now, *limit));
         Rights {
             me,
             mark: incarnation.mark(),
@@ -218,10 +244,9 @@
 
     /// Wants so much of a limit now: whether it may be used, and then it is.
     pub fn take(&mut self, now: f64, id: LimitId, amount: f64) -> bool {
-        self.mint(now);
-        let Some(purse) = self.purses.get_mut(&id) else { return false };
+        let Some(purse) = self.mint(now, id) else { return false };
         (purse.wanted, purse.all_wanted) = (purse.wanted + amount, purse.all_wanted + amount);
-        if purse.given(now) + purse.own < amount {
+        if purse.has(now) < amount {
             return false;
         }
         // What lapses soonest goes first.
@@ -238,9 +263,10 @@
     /// So much a second is within the limit here: what was had of late, and what could be. None while there is no mint
     /// and nothing was given: nobody here knows.
     pub fn covered(&mut self, now: f64, id: LimitId) -> Option<f64> {
-        let (limit, has, holds) = (self.terms.limit(id)?, self.has(now, id), self.holds(now));
-        let purse = self.purses.get(&id)?;
-        (holds > 0 || has > 0.0).then_some(purse.had_rate + has / limit.stock())
+        let holds = self.holds(now);
+        let purse = self.mint(now, id)?;
+        let has = purse.has(now);
+        (holds > 0 || has > 0.0).then_some(purse.had_rate + has / purse.limit.stock())
     }
 
     /// Wanted and had since the start.
@@ -250,8 +276,7 @@
 
     /// Rights that are here now.
     pub fn has(&mut self, now: f64, id: LimitId) -> f64 {
-        self.mint(now);
-        self.purses.get_mut(&id).map_or(0.0, |purse| purse.given(now) + purse.own)
+        self.mint(now, id).map_or(0.0, |purse| purse.has(now))
     }
 
     /// Mints that are held here now.
@@ -268,27 +293,25 @@
         &self.terms
     }
 
-    /// An N-th of a limit's rate.
-    fn part(&self, limit: &Limit) -> f64 {
-        limit.rate() / self.members.len().max(1) as f64
+    /// Since when the mints here give rights, and until when they are held.
+    fn held(&self) -> Vec<(f64, f64)> {
+        let majority = self.terms.majority();
+        self.mints.values().map(|mint| (mint.since, mint.until(majority))).collect()
     }
 
-    /// Adds what the mints have given since, for as long as they were held, and lets lapse what is older than the stock.
-    fn mint(&mut self, now: f64) {
-        let majority = self.terms.majority();
-        let held: Vec<(f64, f64)> =
-            self.mints.values().map(|mint| (mint.since, mint.until(majority))).collect();
+    /// That limit's purse, with what has been minted until now: a use looks at no other.
+    fn mint(&mut self, now: f64, id: LimitId) -> Option<&mut Purse> {
+        let (held, members) = (self.held(), self.members.len());
+        let purse = self.purses.get_mut(&id)?;
+        // By a clock that may run fast.
+        let rate = part(&purse.limit, members) / (1.0 + self.terms.drift);
+        purse.mint(now, &held, rate, self.terms.within(purse.limit.stock()));
+        Some(purse)
+    }
+
+    fn mint_all(&mut self, now: f64) {
         for limit in self.terms.limits.clone() {
-            let (part, stock) = (self.part(&limit), self.terms.within(limit.stock()));
-            let Some(purse) = self.purses.get_mut(&limit.id) else { continue };
-            let over = |from: f64| -> f64 {
-                held.iter().map(|(since, until)| (until.min(now) - since.max(from)).max(0.0)).sum()
-            };
-            // By a clock that may run fast.
-            let rate = part / (1.0 + self.terms.drift);
-            let new = rate * over(purse.minted);
-            purse.own = (purse.own + new).min(rate * over(now - stock));
-            purse.minted = now;
+            self.mint(now, limit.id);
         }
     }
 
@@ -307,10 +330,6 @@
 
     // Time.
 
-    pub fn next_due(&self) -> f64 {
-        self.renews.min(self.asks)
-    }
-
     /// `is_gone`: whether a member is held to be dead, or has left.
     pub fn advance(&mut self, now: f64, is_gone: impl Fn(Id) -> bool, out: &mut Vec<Post>) {
         if now >= self.renews {
@@ -320,7 +339,7 @@
         if now >= self.asks {
             let stock = self.terms.limits.iter().map(Limit::stock).fold(f64::INFINITY, f64::min);
             self.asks = now + stock.min(self.terms.lease) / ASKS;
-            self.mint(now);
+            self.mint_all(now);
             self.reckon(now);
             self.ask(now, &is_gone, out);
             self.forget(now);
@@ -384,7 +403,7 @@
     }
 
     fn count_votes(&mut self, now: f64, asked: f64, voter: Id, mints: Vec<Id>) {
-        self.mint(now); // By what was held until now.
+        self.mint_all(now); // By what was held until now.
         let majority = self.terms.majority();
         for id in mints {
             let mint = self.mints.entry(id).or_insert(Mint { votes: BTreeMap::new(), since: now });
@@ -401,15 +420,14 @@
     /// Of others what is wanted beyond what the own mints give: by turns.
     fn ask(&mut self, now: f64, is_gone: &impl Fn(Id) -> bool, out: &mut Vec<Post>) {
         let mut short: Vec<(LimitId, f64)> = Vec::new();
-        let held = self.holds(now) as f64;
-        for limit in self.terms.limits.clone() {
-            let mints = held * self.part(&limit);
-            let Some(purse) = self.purses.get_mut(&limit.id) else { continue };
+        let (held, members) = (self.holds(now) as f64, self.members.len());
+        for (id, purse) in &mut self.purses {
+            let (limit, mints) = (purse.limit, held * part(&purse.limit, members));
             // What the time until rights lapse will want, with one use in hand.
             let (span, one) = (limit.stock(), if purse.rate > LEAST { 1.0 } else { 0.0 });
-            let lacks = (purse.rate - mints) * span + one - purse.given(now) - purse.own;
+            let lacks = (purse.rate - mints) * span + one - purse.has(now);
             if lacks > LEAST {
-                short.push((limit.id, lacks.min(limit.rate() * span)));
+                short.push((*id, lacks.min(limit.rate() * span)));
             }
         }
         let there: Vec<Id> = self.members.iter().copied().filter(|m| *m != self.me && !is_gone(*m)).collect();
@@ -462,9 +480,9 @@
                 let asked = self.asked.remove(&number).filter(|(_, other, _)| *other == from);
                 let Some((at, ..)) = asked else { return };
                 for (id, many) in rights {
-                    let Some(limit) = self.terms.limit(id) else { continue };
-                    let (lapses, many) = (at + self.terms.within(limit.stock()), f64::from(many));
-                    let purse = self.purses.entry(id).or_default();
+                    let Some(purse) = self.purses.get_mut(&id) else { continue };
+                    let lapses = at + self.terms.within(purse.limit.stock());
+                    let many = f64::from(many);
                     if many.is_finite() && many > 0.0 && now < lapses {
                         purse.given.push_back((lapses, many));
                     }
@@ -476,10 +494,10 @@
     /// Rights that another one gets, first taken from here: of the own what is not wanted here while it lasts, and never
     /// what was given, whose time has begun.
     fn give(&mut self, now: f64, id: LimitId, wanted: f32) -> Option<(LimitId, f32)> {
-        self.mint(now);
-        let (limit, askers) = (self.terms.limit(id)?, self.askers.len().max(1) as f64);
-        let mints = self.holds(now) as f64 * self.part(&limit);
-        let purse = self.purses.get_mut(&id)?;
+        let (askers, held) = (self.askers.len().max(1) as f64, self.holds(now) as f64);
+        let members = self.members.len();
+        let purse = self.mint(now, id)?;
+        let (limit, mints) = (purse.limit, held * part(&purse.limit, members));
         // The own wants come from the mint first, as it gives on; the stock covers what they are more.
         let keeps =
             if purse.rate > LEAST { ((purse.rate - mints) * limit.stock()).max(0.0) + 1.0 } else { 0.0 };
@@ -506,6 +524,11 @@
     }
 }
 
+/// An N-th of a limit's rate: what one mint gives.
+fn part(limit: &Limit, members: usize) -> f64 {
+    limit.rate() / members.max(1) as f64
+}
+
 fn bytes(say: &Say) -> Vec<u8> {
     // Can't fail: nothing in it has a length that is not known.
     postcard::to_stdvec(say).unwrap_or_default()
--- a/crates/coveroute-node/src/fleet.rs
+++ b/crates/coveroute-node/src/fleet.rs
@@ -10,7 +10,7 @@
 use coveroute::chance::mix;
 use coveroute_engine::Phase;
 use coveroute_fleet::member::Id;
-use coveroute_fleet::rights::{LimitId, Rights};
+use coveroute_fleet::rights::{limit_id, Rights};
 use coveroute_fleet::standing::{Stage, Standing};
 use coveroute_fleet::{Action, Figures, Fleet, Kind, News, Plan, State};
 use log::{error, info};
@@ -73,10 +73,6 @@
     read.map_or(0.0, |time| time.tv_sec() as f64 + time.tv_nsec() as f64 / 1e9)
 }
 
-fn limit_id(tenant: &str) -> LimitId {
-    coveroute::chance::hash(tenant.as_bytes()) as LimitId
-}
-
 pub struct Carrier {
     fleet: RefCell<Fleet>,
     /// For what is sent; it never blocks.
@@ -330,7 +326,7 @@
         let limited = |rights: &mut Rights| -> BTreeMap<String, Limited> {
             let limited = shares.iter().filter_map(|(name, _)| {
                 let id = limit_id(name);
-                let limit = rights.terms().limits.iter().find(|limit| limit.id == id).copied()?;
+                let limit = rights.terms().limit(id)?;
                 let ((wanted, had), here) = (rights.totals(id), rights.covered(now, id).unwrap_or(0.0));
                 let (share, bound, window) = (limit.most, limit.bound(), limit.window);
                 let rights = rights.has(now, id);
--- a/crates/coveroute-node/src/main.rs
+++ b/crates/coveroute-node/src/main.rs
@@ -43,6 +43,7 @@
 
 use clock::Clock;
 use config::Config;
+use coveroute_fleet::rights::limit_id;
 use coveroute_fleet::Plan;
 use driver::{Driver, Others, Successors};
 use executors::Links;
@@ -166,17 +167,19 @@
             let (operations, nodes) = (config.settings.operations.len(), config.settings.nodes);
             println!("fit: {operations} operations, {nodes} nodes, listens on {}", config.listen);
             if let Some((place, plan, address)) = fleet {
-                // Those without a share have no limit.
-                let shares: Vec<_> = config.shares().into_iter().filter(|(_, share)| *share > 0.0).collect();
+                let (shares, members) = (config.shares(), plan.members.len());
                 let terms = plan.terms(&shares);
-                for (name, limit) in terms.iter().flat_map(|terms| shares.iter().zip(&terms.limits)) {
-                    let (bound, one) = (limit.bound(), limit.most / plan.members.len() as f64);
+                for (name, _) in &shares {
+                    // Those without a share have no limit.
+                    let limit = terms.as_ref().and_then(|terms| terms.limit(limit_id(name)));
+                    let Some(limit) = limit else { continue };
+                    let (bound, one) = (limit.bound(), limit.most / members as f64);
                     println!(
-                        "tenant {}: {:.1} in {:.0} s, {bound:.1} at most; {one:.1} more for each node that is cut off from most voters",
-                        name.0, limit.most, limit.window
+                        "tenant {name}: {:.1} in {:.0} s, {bound:.1} at most; {one:.1} more for each node that is cut off from most voters",
+                        limit.most, limit.window
                     );
                 }
-                let (fleet, members) = (&plan.fleet, plan.members.len());
+                let fleet = &plan.fleet;
                 println!("fit: fleet {fleet}, {members} members; {} hears at {address}", place.name);
             }
         }
