A list that is cut within a number is not whole yet; a test cuts one everywhere

Change: a fault at the very end of what has come is no fault yet. The test cuts a list, plain and indented, at each byte.

--- a/crates/coveroute-node/src/discovery.rs
+++ b/crates/coveroute-node/src/discovery.rs
@@ -119,6 +119,12 @@
         self.buffer.extend_from_slice(chunk);
     }
 
+    /// Guards against a chunk that ends within a number, as `1.`: that is told as a fault, and may only not be whole.
+    fn at_end(&self, e: &serde_json::Error) -> bool {
+        let last = self.buffer.rsplit(|&b| b == b'\n').next().unwrap_or_default();
+        e.line() > self.buffer.iter().filter(|&&b| b == b'\n').count() && e.column() >= last.len()
+    }
+
     /// The next list that has come whole, or what else there is.
     pub fn next(&mut self) -> Result<Told, String> {
         let blank = self.buffer.iter().take_while(|b| b.is_ascii_whitespace()).count();
@@ -130,7 +136,7 @@
                 self.buffer.advance(end);
                 Ok(Told::List(hosts.into()))
             }
-            Some(Err(e)) if !e.is_eof() => Err(format!("a list can't be read: {e}")),
+            Some(Err(e)) if !e.is_eof() && !self.at_end(&e) => Err(format!("a list can't be read: {e}")),
             Some(Err(_)) if self.buffer.len() > LIST_MOST => Err("a list is too long".into()),
             // The end of a list's own line is none that was left empty, but tells as much.
             Some(Err(_)) | None if lives => Ok(Told::Lives),
--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -601,6 +601,25 @@
     }
 }
 
+// Guards against a watch that ends because a chunk did, in the middle of whatever it was.
+#[test]
+fn a_list_may_be_cut_anywhere() {
+    let odd =
+        "{\"version\":-0,\"full\":true,\"servers\":[{\"id\":\"s\\u00e5\",\"weight\":-1.5e-3,\"cell\":-10}]}";
+    let odd = odd.replace("-0,", "10,");
+    let value: serde_json::Value = serde_json::from_str(&odd).expect("a list");
+    for text in [odd, serde_json::to_string_pretty(&value).expect("a text")] {
+        for cut in 0..text.len() {
+            let mut came = Lists::default();
+            came.add(&text.as_bytes()[..cut]);
+            let told = came.next().unwrap_or_else(|e| panic!("{e} at {cut}: {}", &text[..cut]));
+            assert!(!matches!(told, ListTold::List(_)), "not whole at {cut}");
+            came.add(&text.as_bytes()[cut..]);
+            assert_eq!(lists(&mut came), [10], "cut at {cut}");
+        }
+    }
+}
+
 // Guards against a list that is told over several lines: taken for broken, it would never arrive.
 #[test]
 fn lists_may_be_indented() {
