A stop waits for requests on their way in and answers on their way out

Both count as taken. Ruled out: the stop's own times (the request fits in them), idle connections (they still close: the test has one beside it). Change: a guest that asks, or whose answer is stuck, is busy: not closed as idle, and the process does not call itself idle while there is one; who takes too long to ask loses its place as before, and the end of all time stands.

--- a/crates/coveroute-node/src/crossings.rs
+++ b/crates/coveroute-node/src/crossings.rs
@@ -10,6 +10,7 @@
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
 
 use crate::clock::{seconds, Clock};
+use crate::guest::{Guest, Stream};
 use crate::happening::Happening;
 use crate::phase::Life;
 use crate::server::{self, Door};
@@ -137,3 +138,37 @@
         drop(stream);
     });
 }
+
+// Guards against a process that ends while an answer is still on its way out: the client reads slowly, and the kernel
+// holds less than all of it.
+#[test]
+fn an_answer_that_is_not_all_written_keeps_the_connection() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    block(async {
+        let listener = actix_rt::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let client = actix_rt::net::TcpStream::connect(addr).await.expect("a connection");
+        let socket = listener.accept().await.expect("a connection").0;
+        let guest = Rc::new(Guest::new(-1));
+        let mut stream = Stream { socket, guest: guest.clone() };
+        guest.rests();
+        assert!(!guest.is_busy(), "nothing is on its way");
+        // More than the kernel takes for a client that reads nothing.
+        let answer = vec![b'x'; 32 << 20];
+        let mut client = client;
+        let write = stream.write_all(&answer);
+        tokio::pin!(write);
+        assert!(timeout(seconds(0.2), &mut write).await.is_err(), "it can't all be written");
+        assert!(guest.is_busy() && !guest.idle_for(Duration::ZERO), "a part is on its way");
+        let read = async {
+            let mut held = vec![0; 1 << 20];
+            let mut many = 0;
+            while many < answer.len() {
+                many += client.read(&mut held).await.expect("more");
+            }
+        };
+        let (written, ()) = tokio::join!(write, read);
+        written.expect("all of it");
+        assert!(!guest.is_busy(), "it has left");
+    });
+}
--- a/crates/coveroute-node/src/driver.rs
+++ b/crates/coveroute-node/src/driver.rs
@@ -207,7 +207,8 @@
                 self.hand_over();
             }
             // An answer has left once its request is no longer in hand.
-            if closing.is_some() && self.life.idle() {
+            let busy = || self.guests.borrow().values().any(|guest| guest.is_busy());
+            if closing.is_some() && self.life.idle() && !busy() {
                 self.tell(Event::Idle);
             }
         }
--- a/crates/coveroute-node/src/guest.rs
+++ b/crates/coveroute-node/src/guest.rs
@@ -120,7 +120,13 @@
     }
 
     pub fn idle_for(&self, least: Duration) -> bool {
-        self.doing() != Doing::Waiting && self.since().elapsed() >= least
+        !self.is_busy() && self.doing() != Doing::Waiting && self.since().elapsed() >= least
+    }
+
+    /// A request is on its way in, or an answer on its way out. Guards against a stop in between: the request's last
+    /// byte may come with the very next breath, and then it counts as taken.
+    pub fn is_busy(&self) -> bool {
+        self.doing() == Doing::Asking || self.stuck.get()
     }
 
     pub fn claim(&self) -> Claim {
--- a/crates/coveroute-node/tests/replace.rs
+++ b/crates/coveroute-node/tests/replace.rs
@@ -465,3 +465,32 @@
     answered(after);
     assert_eq!(world.ran.load(Ordering::Relaxed), 20, "none ran twice");
 }
+
+// A request that is on its way in when a stopping process begins to close connections: it began while all were open, and
+// its last byte comes after. Guards against a close, and an end, in between: what is taken gets its answer.
+#[test]
+fn a_request_that_comes_in_pieces_outlives_the_close_of_idle_connections() {
+    let world = World::new();
+    let mut process = world.ready(None);
+    let request =
+        "POST /look HTTP/1.1\r\nHost: b\r\nX-Call-Id: pieces\r\nX-Budget-Ms: 4000\r\nContent-Length: 2\r\n\r\n10";
+    let (first, rest) = request.split_at(request.len() / 2);
+    let mut client = TcpStream::connect(world.node).expect("a connection");
+    client.set_read_timeout(Some(SOON)).expect("a limit");
+    let mut idle = TcpStream::connect(world.node).expect("a connection");
+    idle.set_read_timeout(Some(SOON)).expect("a limit");
+    process.signal("-TERM");
+    until(|| world.log().contains("Serving -> Leaving"));
+    // Begun as late as can be: whoever takes too long to ask is closed at any time.
+    let quiet = Instant::now() + Duration::from_millis(1000);
+    thread::sleep(quiet - Instant::now());
+    client.write_all(first.as_bytes()).expect("half a request");
+    until(|| world.log().contains("Leaving -> Closing"));
+    // Idle connections are closed by now: this one stood beside it, and has ended.
+    assert!(matches!(idle.read(&mut [0]), Ok(0)), "the idle one");
+    client.write_all(rest.as_bytes()).expect("the rest");
+    let (head, body) = read_message(&mut BufReader::new(client)).expect("an answer");
+    let closes = head.iter().any(|line| line.eq_ignore_ascii_case("connection: close"));
+    assert!(head[0].contains(" 200 ") && closes && body == b"r-pieces", "{head:?}");
+    assert!(process.ends(), "{}", world.log());
+}
