--- a/crates/coveroute-emu/src/virtual_time.rs
+++ b/crates/coveroute-emu/src/virtual_time.rs
@@ -781,6 +781,8 @@
         match action {
             Action::Send { id, forward, tgt, .. } => self.send(now, node, id, forward, tgt),
             Action::Abort { id, forward } => self.abort(now, node, id, forward),
+            // A connection takes two ways here, far less than any grace.
+            Action::Recall { .. } => {}
             Action::GiveUp { tgt, call } => {
                 let (worker, tri) = (self.worker(node, tgt), tri_of(&call));
                 if let Some((worker, tri)) = worker.zip(tri) {
--- a/crates/coveroute-engine/src/book.rs
+++ b/crates/coveroute-engine/src/book.rs
@@ -106,6 +106,19 @@
         self.records.len()
     }
 
+    /// Forwards to these executors that have not been answered for yet.
+    pub fn sending(&self, tgts: &[Tgt]) -> Vec<(InvId, usize)> {
+        let there = |forward: &Forward| forward.stage == Stage::Sending && tgts.contains(&forward.tgt);
+        let of = |(id, record): (&InvId, &Record)| {
+            let at = (0..record.forwards.len()).filter(|&at| there(&record.forwards[at]));
+            at.map(|at| (*id, at)).collect::<Vec<_>>()
+        };
+        if tgts.is_empty() {
+            return Vec::new();
+        }
+        self.records.iter().flat_map(of).collect()
+    }
+
     /// Ends a forward; the one that ended, unless it had before.
     pub fn end(&mut self, id: InvId, forward: usize) -> Option<&mut Forward> {
         let forward = self.records.get_mut(&id)?.forwards.get_mut(forward)?;
--- a/crates/coveroute-engine/src/engine.rs
+++ b/crates/coveroute-engine/src/engine.rs
@@ -144,6 +144,11 @@
         id: InvId,
         forward: usize,
     },
+    /// Stop sending if no byte of the job has been written yet, and say so: the executor wants nothing new.
+    Recall {
+        id: InvId,
+        forward: usize,
+    },
     /// Tell the executor, which has the job, to give it up.
     GiveUp {
         tgt: Tgt,
@@ -707,6 +712,13 @@
         if !listing.hosts.is_empty() {
             self.step(Step::Ready);
         }
+        // Guards against a connection that comes up after the grace: what was decided before would be written then.
+        let drains = told.iter().filter(|entry| entry.standing == Standing::Draining).map(|entry| entry.tgt);
+        let gone = moves.iter().filter_map(|to| if let Move::Gone(tgt) = to { Some(*tgt) } else { None });
+        let closed: Vec<Tgt> = drains.chain(gone).collect();
+        let recalls =
+            self.book.sending(&closed).into_iter().map(|(id, forward)| Action::Recall { id, forward });
+        out.extend(recalls);
         out.extend(moves.into_iter().map(|to| match to {
             Move::At(tgt, addr) => Action::At(tgt, addr),
             Move::Gone(tgt) => Action::Gone(tgt),
--- a/crates/coveroute-node/src/driver.rs
+++ b/crates/coveroute-node/src/driver.rs
@@ -1,4 +1,5 @@
 //! The driver: owns the engine and the clock, gives it everything that happens, and carries out its actions.
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::{SocketAddr, UdpSocket};
 use std::os::fd::OwnedFd;
@@ -47,6 +48,12 @@
     answer: oneshot::Sender<Answer>,
 }
 
+/// What sends a forward, and whether bytes of it may have been written.
+struct Sending {
+    task: JoinHandle<()>,
+    begun: Rc<Cell<bool>>,
+}
+
 /// What of the configuration in force a new one is held against.
 struct Running {
     keys: Keys,
@@ -112,7 +119,7 @@
     discovery: Discovery,
     held: HashMap<InvId, Held>,
     /// What sends a forward; stopped when it is given up before an answer, which closes the connection.
-    sending: HashMap<(InvId, usize), JoinHandle<()>>,
+    sending: HashMap<(InvId, usize), Sending>,
     reports: bool,
     running: Running,
     /// Where nodes may tell each other.
@@ -495,8 +502,9 @@
         match action {
             Action::Send { id, forward, tgt, left } => return self.send(id, forward, tgt, left),
             Action::Abort { id, forward } => {
-                self.sending.remove(&(id, forward)).into_iter().for_each(|task| task.abort());
+                self.sending.remove(&(id, forward)).into_iter().for_each(|sending| sending.task.abort());
             }
+            Action::Recall { id, forward } => return self.recall(id, forward),
             Action::GiveUp { tgt, call } => {
                 let patience = self.links.patience();
                 let lease = self.links.lease(tgt);
@@ -526,14 +534,23 @@
             return Some(Event::Replied(id, forward, Reply::Ended(Outcome::Moot, Report::default())));
         };
         let (happenings, within) = (self.happenings.clone(), self.links.taken_within());
+        let begun = Rc::new(Cell::new(false));
+        let mine = begun.clone();
         let task = actix_rt::spawn(async move {
             let tell = |reply| drop(happenings.send(Happening::Replied(id, forward, reply)));
-            send::forward(lease, &job, left, within, tell).await;
+            send::forward(lease, &job, left, within, mine, tell).await;
         });
-        self.sending.insert((id, forward), task);
+        self.sending.insert((id, forward), Sending { task, begun });
         None
     }
 
+    /// Takes a forward back whose executor was told to be draining while its connection was still coming up.
+    fn recall(&mut self, id: InvId, forward: usize) -> Option<Event<'static>> {
+        self.sending.get(&(id, forward)).filter(|sending| !sending.begun.get())?;
+        self.sending.remove(&(id, forward))?.task.abort();
+        Some(Event::Replied(id, forward, Reply::Ended(Outcome::Moot, Report::default())))
+    }
+
     fn probe(&mut self, tgt: Tgt) -> Option<Event<'static>> {
         let Some(lease) = self.links.lease(tgt) else {
             // It has no room that could be used now.
--- a/crates/coveroute-node/src/driver/tests.rs
+++ b/crates/coveroute-node/src/driver/tests.rs
@@ -75,7 +75,7 @@
         let (mut driver, _happens, _) = driver(&[CLOSED.into()]);
         let task = actix_rt::spawn(std::future::pending());
         let watch = task.abort_handle();
-        driver.sending.insert((ID, 0), task);
+        driver.sending.insert((ID, 0), Sending { task, begun: Rc::default() });
         driver.act(Action::Abort { id: ID, forward: 0 });
         actix_rt::task::yield_now().await;
         assert!(watch.is_finished() && driver.sending.is_empty());
@@ -127,3 +127,67 @@
         assert!(happens.try_recv().is_err() && life.phase() == phase);
     });
 }
+
+// A connection that takes long to come up, and a drain that is told meanwhile: by then the grace is over. Guards against a
+// request that is written there all the same; and one whose bytes are on their way is not taken back.
+#[test_case(true, 0; "its connection is still coming up")]
+#[test_case(false, 1; "it was written before")]
+fn what_waits_for_a_connection_is_taken_back_when_a_drain_is_told(late: bool, reach: usize) {
+    use std::io::Read;
+    block(async {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let connect = |_| {
+            let limit = std::time::Duration::from_millis(20);
+            std::net::TcpStream::connect_timeout(&addr, limit).ok()
+        };
+        // Its queue is filled: the next connection comes up when there is room again, a second later.
+        let filling: Vec<_> = (0..if late { 5000 } else { 0 }).map_while(connect).collect();
+        let (mut driver, mut happens, _) = driver(&[addr]);
+        driver.links = Links::new(64, seconds(8.0), seconds(60.0));
+        driver.links.listed(0, addr);
+        let (answer, _answered) = oneshot::channel();
+        // It tells of room, and so the job goes there.
+        let room = Report { free: Some(8.0), queue: Some(0.0), inflight: Some(0.0), ..Report::default() };
+        driver.tell(Event::Probed(0, Outcome::Succeeded, room));
+        let now = driver.clock.now();
+        driver.happened(Happening::Taken(ID, Box::new(job(CALL, "look", 9.0, now)), answer));
+        assert!(driver.sending.contains_key(&(ID, 0)), "it is on its way");
+        if !late {
+            while !driver.sending[&(ID, 0)].begun.get() {
+                actix_rt::task::yield_now().await;
+            }
+        }
+        let drains = format!(
+            "{{\"version\":9,\"full\":true,\"servers\":[{{\"id\":\"s-0\",\"addr\":\"{addr}\",\"state\":\"draining\"}}]}}"
+        );
+        let hosts: crate::hosts::Hosts = serde_json::from_str(&drains).expect("a list");
+        driver.happened(Happening::Watch(0, coveroute_engine::Watched::Listed(hosts.into())));
+        assert_eq!(driver.sending.contains_key(&(ID, 0)), !late, "taken back if nothing of it was written");
+        // Now there is room: whatever still wants to comes up, and tells what it writes.
+        let heard = actix_rt::task::spawn_blocking(move || {
+            let many = filling.len();
+            drop(filling);
+            let (mut heard, until) = (0, Instant::now() + seconds(if late { 2.5 } else { 0.5 }));
+            listener.set_nonblocking(true).expect("a way to look");
+            let mut streams = Vec::new();
+            while Instant::now() < until {
+                streams.extend(listener.accept().ok().map(|accepted| accepted.0));
+                std::thread::sleep(std::time::Duration::from_millis(if streams.len() < many {
+                    0
+                } else {
+                    5
+                }));
+            }
+            for mut stream in streams {
+                let _ = stream.set_nonblocking(true);
+                let mut held = [0; 4];
+                heard += usize::from(stream.read(&mut held).is_ok_and(|read| &held[..read] == b"POST"));
+            }
+            heard
+        });
+        let heard = heard.await.expect("what was heard");
+        assert_eq!(heard, reach, "requests written");
+        while happens.try_recv().is_ok() {}
+    });
+}
--- a/crates/coveroute-node/src/send.rs
+++ b/crates/coveroute-node/src/send.rs
@@ -28,7 +28,15 @@
 /// Sends the job as it came; `left` is how long the node will wait. Tells the reply as soon as it is known.
 /// An executor that does not say in time that it has the job is told of first, then given up, by closing the
 /// connection. Guards against machines that vanish and jobs that get lost: neither says anything.
-pub async fn forward(lease: Lease, job: &Job, left: f64, patience: Patience, tell: impl Fn(Reply)) {
+/// `begun` is set once the first bytes of it may have been written: until then it can be taken back.
+pub async fn forward(
+    lease: Lease,
+    job: &Job,
+    left: f64,
+    patience: Patience,
+    begun: Rc<Cell<bool>>,
+    tell: impl Fn(Reply),
+) {
     let uri = Uri::builder().scheme("http").authority(lease.addr().to_string());
     let Ok(uri) = uri.path_and_query(job.target.clone()).build() else {
         // Can't be: both parts were read as such before.
@@ -36,7 +44,7 @@
     };
     let mut request = lease.client().request(job.method.clone(), uri);
     *request.headers_mut() = headers(&job.headers, left);
-    let (body, ended) = Body::new(job.body.clone());
+    let (body, ended) = Body::new(job.body.clone(), begun);
     let mut sent = pin!(watched(request.send_body(body), &ended, || tell(Reply::Written)));
     let mut answer = timeout(patience.heard, &mut sent).await;
     if answer.is_err() {
@@ -59,13 +67,14 @@
 /// A job's body, which notes that its end was asked for: what came before is then written.
 struct Body {
     bytes: Bytes,
+    begun: Rc<Cell<bool>>,
     ended: Rc<Cell<bool>>,
 }
 
 impl Body {
-    fn new(bytes: Bytes) -> (Self, Rc<Cell<bool>>) {
+    fn new(bytes: Bytes, begun: Rc<Cell<bool>>) -> (Self, Rc<Cell<bool>>) {
         let ended = Rc::new(Cell::new(false));
-        (Body { bytes, ended: ended.clone() }, ended)
+        (Body { bytes, begun, ended: ended.clone() }, ended)
     }
 }
 
@@ -82,6 +91,7 @@
     }
 
     fn poll_next(mut self: Pin<&mut Self>, _: &mut Context) -> Poll<Option<Result<Bytes, Infallible>>> {
+        self.begun.set(true);
         let bytes = std::mem::take(&mut self.bytes);
         self.ended.set(bytes.is_empty());
         Poll::Ready((!bytes.is_empty()).then_some(Ok(bytes)))
--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -124,8 +124,8 @@
 async fn forwarded(links: &mut Links, patience: Patience) -> Vec<Reply> {
     let told = RefCell::new(Vec::new());
     let lease = links.lease(0).expect("a connection");
-    send::forward(lease, &job("c", "look", 1.0, 0.0), 1.0, patience, |reply| told.borrow_mut().push(reply))
-        .await;
+    let tell = |reply| told.borrow_mut().push(reply);
+    send::forward(lease, &job("c", "look", 1.0, 0.0), 1.0, patience, Rc::default(), tell).await;
     told.into_inner()
 }
 
