--- a/crates/coveroute-node/src/crossings.rs
+++ b/crates/coveroute-node/src/crossings.rs
@@ -1,5 +1,5 @@
 //! Tests of events that cross, on real connections: each forces its order, and what must hold holds in either.
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
