The price on taking refuses only where nobody that began at once stands free

Cause, measured before: a late start tells of one executor; with hundreds of nodes each sees few, raises its price to half of the usual press at once, and so refuses the whole of a class that presses a quarter of it. Change: `submitted` refuses by the price only where no executor, able to take it, began this node's last forward at once and holds nothing of this node: there the next draw goes first, so there is room. In a true overload hardly any start comes at once. Test: `the_price_refuses_only_where_nobody_stands_free`, five cases; two fail with the condition taken out.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -204,7 +204,8 @@
         self.queue(sub.id);
         // Met in part by chance: no operation falls out as a whole.
         let least = if self.price > 0.0 { self.price * self.usual * (0.5 + self.chance.draw()) } else { 0.0 };
-        if now > aim + spare || self.invs[&sub.id].press < least {
+        let begins = |t: &Executor| t.kept && t.held == 0 && self.able(now, &self.invs[&sub.id], t);
+        if now > aim + spare || self.invs[&sub.id].press < least && !self.tgts.iter().any(begins) {
             self.step(now, sub.id, Turn::GaveUp, out);
         }
     }
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -917,6 +917,29 @@
     assert!(node.price < 0.01, "only where nothing tells of room");
 }
 
+#[test_case(true, 0, None, true; "it began the last one at once and stands free")]
+#[test_case(false, 0, None, false; "it made the last one wait")]
+#[test_case(true, 1, None, false; "it holds a forward of ours")]
+#[test_case(true, 0, Some(1), false; "the operation may not run there")]
+#[test_case(true, 0, Some(0), true; "the operation may run there")]
+fn the_price_refuses_only_where_nobody_stands_free(
+    kept: bool,
+    held: usize,
+    kind: Option<usize>,
+    taken: bool,
+) {
+    // Guards against a late start or two, which tell of one executor each, that refuse most of what comes while others
+    // stand free: with hundreds of nodes each sees too few starts to tell an overload by.
+    let mut node = blind(Effect::Idempotent, 3);
+    node.set.operations[0].kind = kind;
+    (node.price, node.usual, node.phi, node.value) = (2.0, 100.0, 1.0, 1.0);
+    (node.tgts[1].kept, node.tgts[1].held) = (kept, held);
+    let mut out = Vec::new();
+    node.handle(5.0, Input::Submitted(submit(9.0, 0)), &mut out);
+    let sent = out.iter().any(|o| matches!(o, Output::Forward { tgt: 1, .. }));
+    assert_eq!((sent, out.contains(&Output::Throttle { id: ID, pause: 0.0 })), (taken, !taken), "{out:?}");
+}
+
 #[test]
 fn a_promise_ends_though_others_go_on_asking() {
     // Guards against an executor that is asked for more often than a promise holds: it promised all its slots for ever.
