No attempt begins for a client that has left: the kernel is asked before a forward's first byte

Cause: a node learns of a close by its turn. Where it is busy the close lies in the kernel, or `Left` in the driver's queue, while a decision is carried out and the forward is written. In another process of the node a job was sent before its connection was looked at, and behind more unread bytes than the kernel holds (nobody read on there) the close never came at all.

Change: what sends a forward looks at the client's connection (poll, POLLRDHUP: also behind unread bytes) before each step until its first byte; if the client has left, what serves it ends and tells so as before. `Happening::Taken` brings the connection along (`Client`); a job that comes over the link has it from the start. `gone` waits for the kernel's word in place of looking each 50 ms, and drops what is said beyond 32 KiB; such a connection stays where its job is, and ends with its answer.

--- a/crates/coveroute-node/src/driver.rs
+++ b/crates/coveroute-node/src/driver.rs
@@ -2,7 +2,7 @@
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::{SocketAddr, UdpSocket};
-use std::os::fd::OwnedFd;
+use std::os::fd::{AsRawFd, OwnedFd};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Instant;
@@ -22,7 +22,7 @@
 use crate::discovery::Discovery;
 use crate::executors::Links;
 use crate::fleet::Carrier;
-use crate::guest::{Guests, Leaves};
+use crate::guest::{Client, Guest, Guests, Leaves};
 use crate::handed::{Handed, HandedJob};
 use crate::happening::{Happening, Happenings};
 use crate::link::{Link, Said, Side};
@@ -30,7 +30,6 @@
 use crate::peers::Peers;
 use crate::phase::Life;
 use crate::probe::{give_up, probe};
-use crate::relay::Answer;
 use crate::replace::{self, Waits};
 use crate::send::{self, Written};
 use crate::server::Comes;
@@ -45,7 +44,7 @@
 /// What is kept of a job until its client has the final answer.
 struct Held {
     job: Rc<Job>,
-    answer: oneshot::Sender<Answer>,
+    client: Client,
 }
 
 /// What sends a forward, and how far it is.
@@ -238,10 +237,10 @@
 
     pub fn happened(&mut self, happening: Happening) {
         match happening {
-            Happening::Taken(id, job, answer) => {
+            Happening::Taken(id, job, client) => {
                 self.carrier.iter().for_each(|carrier| carrier.wanted(job.call.caller.as_deref()));
                 let job: Rc<Job> = job.into();
-                self.held.insert(id, Held { job: job.clone(), answer });
+                self.held.insert(id, Held { job: job.clone(), client });
                 self.tell(Event::Taken(id, &job.call));
             }
             Happening::Left(id) => {
@@ -396,7 +395,9 @@
                 self.hand_over();
             }
             (Side::Before, Said::Stopped) => self.taken_over(),
-            (Side::Before, Said::Guest(socket)) => self.come(socket, Comes::Idle),
+            (Side::Before, Said::Guest(socket)) => {
+                self.come(socket, Comes::Idle);
+            }
             (Side::Before, Said::Job(job, socket)) => self.take_in(*job, socket),
             (Side::After, Said::Guest(_) | Said::Job(..)) => warn!("a successor hands nothing over"),
             (side, Said::News(body, tell)) => match callbacks::parse(&body) {
@@ -420,13 +421,15 @@
         }
     }
 
-    fn come(&mut self, socket: OwnedFd, how: impl FnOnce(TcpStream) -> Comes) {
+    /// Whether somebody serves it from now on.
+    fn come(&mut self, socket: OwnedFd, how: impl FnOnce(TcpStream) -> Comes) -> bool {
         let stream = TcpStream::from_std(std::net::TcpStream::from(socket));
         match (stream, &self.comes) {
-            (Ok(stream), Some(comes)) => drop(comes.send(how(stream))),
+            (Ok(stream), Some(comes)) => return comes.send(how(stream)).is_ok(),
             (Ok(_), None) => {}
             (Err(e), _) => warn!("a connection of the process before is lost: {e}"),
         }
+        false
     }
 
     /// Goes on with a job of the process before.
@@ -434,8 +437,14 @@
         let job = handed.job().filter(|_| handed.parcel.is_sound());
         let Some(job) = job else { return error!("a job of the process before can't be read") };
         let (id, (answer, answered)) = (self.life.next_id(), oneshot::channel());
-        self.held.insert(id, Held { job: Rc::new(job), answer });
-        self.come(socket, |stream| Comes::Waiting(stream, id, answered));
+        // It may have left on its way here: that is looked at before anything is sent.
+        let guest = Rc::new(Guest::new(socket.as_raw_fd()));
+        let client = Client { answer, guest: Some(guest.clone()) };
+        self.held.insert(id, Held { job: Rc::new(job), client });
+        let mine = guest.clone();
+        if !self.come(socket, |stream| Comes::Waiting(stream, mine, id, answered)) {
+            guest.closed();
+        }
         self.engine.take_in(self.clock.now(), id, handed.parcel, &mut self.actions);
         self.carry_out();
     }
@@ -512,7 +521,7 @@
             }
             Action::Answer { id, answer } => {
                 let held = self.held.remove(&id);
-                held.map(|held| held.answer.send(answer.into()));
+                held.map(|held| held.client.answer.send(answer.into()));
             }
             Action::Probe(tgt) => return self.probe(tgt),
             Action::Release(tgt) => self.links.release(tgt),
@@ -527,8 +536,8 @@
     }
 
     fn send(&mut self, id: InvId, forward: usize, tgt: Tgt, left: f64) -> Option<Event<'static>> {
-        let job = self.held.get(&id).map(|held| held.job.clone());
-        let Some((job, lease)) = job.zip(self.links.lease(tgt)) else {
+        let held = self.held.get(&id).map(|held| (held.job.clone(), held.client.guest.clone()));
+        let Some(((job, guest), lease)) = held.zip(self.links.lease(tgt)) else {
             // Never sent, and no fault of the executor's: it must not be doubted for want of descriptors
             // here, nor for a client that has left.
             return Some(Event::Replied(id, forward, Reply::Ended(Outcome::Moot, Report::default())));
@@ -538,7 +547,12 @@
         let mine = written.clone();
         let task = actix_rt::spawn(async move {
             let tell = |reply| drop(happenings.send(Happening::Replied(id, forward, reply)));
-            send::forward(lease, &job, left, within, mine, tell).await;
+            let has_left = || mine.get() == Written::Waits && guest.iter().any(|guest| guest.has_left());
+            let forward = send::forward(lease, &job, left, within, mine.clone(), tell);
+            if send::unless(has_left, forward).await.is_none() {
+                // What serves it ends, and tells that it has left.
+                guest.iter().for_each(|guest| guest.close.notify_one());
+            }
         });
         self.sending.insert((id, forward), Sending { task, written });
         None
--- a/crates/coveroute-node/src/driver/tests.rs
+++ b/crates/coveroute-node/src/driver/tests.rs
@@ -6,6 +6,7 @@
 use tokio::sync::oneshot;
 
 use super::*;
+use crate::relay::Answer;
 use crate::tests::{block, config, driver, executor, job};
 
 const ID: InvId = 7;
@@ -13,12 +14,17 @@
 /// Nothing listens there.
 const CLOSED: ([u8; 4], u16) = ([127, 0, 0, 1], 1);
 
+/// One who is connected to no door.
+fn client(answer: oneshot::Sender<Answer>) -> Client {
+    Client { answer, guest: None }
+}
+
 /// Gives the driver what happens, until the client has its answer; how long that took.
 async fn answered(addr: SocketAddr, class: &str, budget: f64, late: f64) -> (Answer, f64) {
     let (mut driver, mut happens, _) = driver(&[addr]);
     let (answer, mut answered) = oneshot::channel();
     let begun = driver.clock.now();
-    driver.happened(Happening::Taken(ID, Box::new(job(CALL, class, budget, begun - late)), answer));
+    driver.happened(Happening::Taken(ID, Box::new(job(CALL, class, budget, begun - late)), client(answer)));
     loop {
         if let Ok(answer) = answered.try_recv() {
             return (answer, driver.clock.now() - begun);
@@ -61,7 +67,7 @@
         driver.links.listed(0, CLOSED.into());
         let (answer, _answered) = oneshot::channel();
         let now = driver.clock.now();
-        driver.held.insert(ID, Held { job: Rc::new(job(CALL, "pay", 5.0, now)), answer });
+        driver.held.insert(ID, Held { job: Rc::new(job(CALL, "pay", 5.0, now)), client: client(answer) });
         let moot = Reply::Ended(Outcome::Moot, Report::default());
         let told = driver.send(ID, 0, 0, 1.0);
         assert!(matches!(told, Some(Event::Replied(ID, 0, reply)) if reply == moot));
@@ -151,7 +157,7 @@
         let room = Report { free: Some(8.0), queue: Some(0.0), inflight: Some(0.0), ..Report::default() };
         driver.tell(Event::Probed(0, Outcome::Succeeded, room));
         let now = driver.clock.now();
-        driver.happened(Happening::Taken(ID, Box::new(job(CALL, "look", 9.0, now)), answer));
+        driver.happened(Happening::Taken(ID, Box::new(job(CALL, "look", 9.0, now)), client(answer)));
         assert!(driver.sending.contains_key(&(ID, 0)), "it is on its way");
         if !late {
             while driver.sending[&(ID, 0)].written.get() == Written::Waits {
@@ -191,3 +197,75 @@
         while happens.try_recv().is_ok() {}
     });
 }
+
+// A client that leaves while its job is on the link between two processes: the next one has room at once. Guards against an
+// attempt that begins before its connection is looked at.
+#[test_case(true, 0; "it has left")]
+#[test_case(false, 1; "it stays")]
+fn a_job_that_comes_over_the_link_without_its_client_is_not_sent(has_left: bool, attempts: usize) {
+    use std::io::Read;
+    block(async {
+        let (mut before, _happens, _) = driver(&[CLOSED.into()]);
+        let (answer, _answered) = oneshot::channel();
+        let now = before.clock.now();
+        before.happened(Happening::Taken(ID, Box::new(job(CALL, "look", 9.0, now)), client(answer)));
+        let parcel = before.engine.part_with(ID).expect("a job that waits");
+        let handed = HandedJob::of(parcel, &job(CALL, "look", 9.0, now));
+        let door = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let client = std::net::TcpStream::connect(door.local_addr().expect("an address")).expect("a door");
+        let socket = door.accept().expect("a client").0;
+        socket.set_nonblocking(true).expect("a way to look");
+        let stays = Some(client).filter(|_| !has_left);
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        listener.set_nonblocking(true).expect("a way to look");
+        let (mut driver, _happens, _) = driver(&[listener.local_addr().expect("an address")]);
+        let (comes, _coming) = mpsc::unbounded_channel();
+        (driver.before, driver.comes) =
+            (Some(Rc::new(Link::new(Side::Before, 0, mpsc::unbounded_channel().0))), Some(comes));
+        let room = Report { free: Some(8.0), queue: Some(0.0), inflight: Some(0.0), ..Report::default() };
+        driver.tell(Event::Probed(0, Outcome::Succeeded, room));
+        driver.happened(Happening::Said(Side::Before, 0, Said::Job(Box::new(handed), socket.into())));
+        assert_eq!(driver.sending.len(), 1, "it is about to be sent");
+        let mut heard = 0;
+        for _ in 0..100 {
+            actix_rt::time::sleep(seconds(0.003)).await;
+            if let Ok((mut stream, _)) = listener.accept() {
+                let mut held = [0; 4];
+                let _ = stream.set_read_timeout(Some(seconds(0.1)));
+                actix_rt::time::sleep(seconds(0.02)).await;
+                heard += usize::from(stream.read_exact(&mut held).is_ok() && &held == b"POST");
+            }
+        }
+        assert_eq!(heard, attempts, "requests written");
+        drop(stays);
+    });
+}
+
+// As many clients as an example's node takes at once ask in one breath, and one of them leaves: its word stands behind all the
+// others' in the driver's queue. Measures for how long; what is sent meanwhile is looked at by itself (`departures.rs`).
+#[test]
+fn a_burst_holds_up_the_word_that_a_client_has_left() {
+    const CLIENTS: InvId = 340;
+    let executors: Vec<SocketAddr> = (0..300).map(|at| ([127, 0, 1, 1], 1 + at).into()).collect();
+    block(async move {
+        let (mut driver, happens, _) = driver(&executors);
+        let happenings = driver.happenings.clone();
+        let room = Report { free: Some(8.0), queue: Some(0.0), inflight: Some(0.0), ..Report::default() };
+        (0..executors.len()).for_each(|tgt| driver.tell(Event::Probed(tgt, Outcome::Succeeded, room)));
+        let now = driver.clock.now();
+        let ask = |id| {
+            let (answer, answered) = oneshot::channel();
+            let asked = Box::new(job(&format!("c{id}"), "look", 9.0, now));
+            let _ = happenings.send(Happening::Taken(id, asked, client(answer)));
+            answered
+        };
+        let mut answers: Vec<_> = (0..CLIENTS).map(ask).collect();
+        let _ = happenings.send(Happening::Left(CLIENTS - 1));
+        let begun = Instant::now();
+        let driver = actix_rt::spawn(driver.run(happens));
+        let answer = answers.pop().expect("its own").await;
+        println!("the word waited for {:?} behind {CLIENTS} clients", begun.elapsed());
+        assert!(answer.is_err(), "nobody is left to answer: {answer:?}");
+        driver.abort();
+    });
+}
--- a/crates/coveroute-node/src/guest.rs
+++ b/crates/coveroute-node/src/guest.rs
@@ -12,8 +12,11 @@
 
 use actix_rt::net::TcpStream;
 use coveroute::types::InvId;
+use nix::libc;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::sync::Notify;
+use tokio::sync::{oneshot, Notify};
+
+use crate::relay::Answer;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Doing {
@@ -67,8 +70,8 @@
 pub struct Guest {
     doing: Cell<Doing>,
     since: Cell<Instant>,
-    /// Its socket, which is open for as long as it is a guest.
-    socket: RawFd,
+    /// Its socket, until that is closed.
+    socket: Cell<Option<RawFd>>,
     /// The job that it waits for.
     job: Cell<Option<InvId>>,
     /// More came while it waited, and stands in the server's buffer.
@@ -84,6 +87,13 @@
     pub close: Notify,
 }
 
+/// Who waits for a job's answer.
+pub struct Client {
+    pub answer: oneshot::Sender<Answer>,
+    /// None where nobody is connected.
+    pub guest: Option<Rc<Guest>>,
+}
+
 /// All guests of a door, by their addresses.
 pub type Guests = Rc<RefCell<BTreeMap<SocketAddr, Rc<Guest>>>>;
 
@@ -98,7 +108,7 @@
     pub fn new(socket: RawFd) -> Self {
         let (doing, since, job) = (Cell::new(Doing::Silent), Cell::new(Instant::now()), Cell::new(None));
         let (ahead, stuck, gone) = (Cell::new(false), Cell::new(false), Cell::new(false));
-        let (said, overran) = (Cell::new((0, 0)), Cell::new(false));
+        let (said, overran, socket) = (Cell::new((0, 0)), Cell::new(false), Cell::new(Some(socket)));
         Guest { doing, since, socket, job, ahead, said, overran, stuck, gone, close: Notify::new() }
     }
 
@@ -106,6 +116,7 @@
     pub fn since_long(doing: Doing, age: Duration) -> Self {
         let since = Instant::now().checked_sub(age).expect("a machine that is up for longer");
         let guest = Guest::new(-1);
+        guest.closed();
         guest.doing.set(doing);
         guest.since.set(since);
         guest
@@ -144,7 +155,7 @@
         let (said, looked) = self.said.get();
         match self.doing() {
             Doing::Waiting if said >= SAID_MOST => {
-                self.overran.set(true);
+                self.overruns();
                 Hears::Drops
             }
             Doing::Silent | Doing::Asking | Doing::Resting if said - looked >= BREATH => {
@@ -199,9 +210,41 @@
 
     /// Its socket, once more.
     pub fn socket(&self) -> io::Result<OwnedFd> {
-        // SAFETY: what serves a guest drops its socket after it was taken off the list of guests, and nobody else has
-        // a guest for longer than it takes to look at the list.
-        unsafe { BorrowedFd::borrow_raw(self.socket) }.try_clone_to_owned()
+        let socket = self.socket.get().ok_or(io::ErrorKind::NotConnected)?;
+        // SAFETY: whoever closes it tells so first.
+        unsafe { BorrowedFd::borrow_raw(socket) }.try_clone_to_owned()
+    }
+
+    /// How much the kernel holds that has not been read.
+    pub fn unread(&self) -> usize {
+        let mut many: libc::c_int = 0;
+        // SAFETY: writes one number; a socket that is none is told as an error.
+        let told = unsafe { libc::ioctl(self.socket.get().unwrap_or(-1), libc::FIONREAD, &mut many) };
+        if told == 0 {
+            many as usize
+        } else {
+            0
+        }
+    }
+
+    /// Some of what it said is dropped: after its answer it can't go on, here or in another process.
+    pub fn overruns(&self) {
+        self.overran.set(true);
+        self.ahead.set(true);
+    }
+
+    /// Its socket is about to be closed, or is another guest's.
+    pub fn closed(&self) {
+        self.socket.set(None);
+    }
+
+    /// Whether its client has closed the connection, or half of it, behind whatever has not been read yet. Guards
+    /// against a busy node, which would learn of it by its turn: the kernel is asked.
+    pub fn has_left(&self) -> bool {
+        let Some(fd) = self.socket.get() else { return true };
+        let mut look = libc::pollfd { fd, events: libc::POLLRDHUP, revents: 0 };
+        // SAFETY: one record, which outlives the call; it waits for nothing.
+        unsafe { libc::poll(&mut look, 1, 0) > 0 }
     }
 
     pub fn rests(&self) {
@@ -223,6 +266,12 @@
     pub guest: Rc<Guest>,
 }
 
+impl Drop for Stream {
+    fn drop(&mut self) {
+        self.guest.closed();
+    }
+}
+
 impl AsyncRead for Stream {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         match self.guest.hears() {
--- a/crates/coveroute-node/src/happening.rs
+++ b/crates/coveroute-node/src/happening.rs
@@ -8,16 +8,16 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::config::Config;
+use crate::guest::Client;
 use crate::handed::Handed;
 use crate::link::{Link, Said, Side};
-use crate::relay::Answer;
 use crate::take_in::Job;
 
 pub type Happenings = mpsc::UnboundedSender<Happening>;
 
 /// What the units on sockets tell the driver.
 pub enum Happening {
-    Taken(InvId, Box<Job>, oneshot::Sender<Answer>),
+    Taken(InvId, Box<Job>, Client),
     /// The client has closed its connection.
     Left(InvId),
     Replied(InvId, usize, Reply),
--- a/crates/coveroute-node/src/main.rs
+++ b/crates/coveroute-node/src/main.rs
@@ -5,6 +5,8 @@
 mod config;
 #[cfg(test)]
 mod crossings;
+#[cfg(test)]
+mod departures;
 mod discovery;
 mod driver;
 mod executors;
--- a/crates/coveroute-node/src/send.rs
+++ b/crates/coveroute-node/src/send.rs
@@ -64,6 +64,17 @@
     }
 }
 
+/// Does the work, and looks before each step of it whether that is still wanted; none if it is not. Guards against a
+/// client that leaves while the node is busy, or a connection comes up: nothing is begun for it any more.
+pub async fn unless<T>(unwanted: impl Fn() -> bool, work: impl Future<Output = T>) -> Option<T> {
+    let mut work = pin!(work);
+    poll_fn(|context| match unwanted() {
+        true => Poll::Ready(None),
+        false => work.as_mut().poll(context).map(Some),
+    })
+    .await
+}
+
 /// How far a job's bytes are.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Written {
--- a/crates/coveroute-node/src/server.rs
+++ b/crates/coveroute-node/src/server.rs
@@ -18,7 +18,7 @@
 use tokio::sync::{mpsc, oneshot, Notify};
 
 use crate::clock::Clock;
-use crate::guest::{Claim, Doing, Guest, Guests, Stream};
+use crate::guest::{Claim, Client, Doing, Guest, Guests, Stream};
 use crate::happening::{Happening, Happenings};
 use crate::hosts::Hosts;
 use crate::phase::Life;
@@ -105,7 +105,7 @@
 
     async fn serve(self: Rc<Self>, request: Request) -> Response<BoxBody> {
         let guest = request.peer_addr().and_then(|peer| self.guests.borrow().get(&peer).cloned());
-        let (answer, next) = self.answer(request, guest.as_deref()).await;
+        let (answer, next) = self.answer(request, guest.as_ref()).await;
         let goes_on = guest.as_ref().is_none_or(|guest| guest.goes_on());
         let keep = next == Next::Asks && goes_on && self.keeps(&answer);
         guest.iter().for_each(|guest| guest.rests());
@@ -127,7 +127,7 @@
         }
     }
 
-    async fn answer(&self, mut request: Request, guest: Option<&Guest>) -> (Answer, Next) {
+    async fn answer(&self, mut request: Request, guest: Option<&Rc<Guest>>) -> (Answer, Next) {
         let came = self.clock.now();
         let answer = match (request.path(), request.method()) {
             (wire::UP, &Method::GET | &Method::HEAD) if self.life.is_up() => Answer::Succeeded("up\n".into()),
@@ -211,7 +211,7 @@
         }
     }
 
-    async fn job(&self, job: take_in::Job, guest: Option<&Guest>) -> (Answer, Next) {
+    async fn job(&self, job: take_in::Job, guest: Option<&Rc<Guest>>) -> (Answer, Next) {
         let _held = self.life.hold();
         let waits = |guest: &&Rc<Guest>| guest.doing() == Doing::Waiting;
         if self.guests.borrow().values().filter(waits).count() > self.life.part(self.most) {
@@ -221,7 +221,8 @@
         let id = self.life.next_id();
         guest.iter().for_each(|guest| guest.waits_for(id));
         let (answer, answered) = oneshot::channel();
-        let _ = self.happenings.send(Happening::Taken(id, Box::new(job), answer));
+        let client = Client { answer, guest: guest.cloned() };
+        let _ = self.happenings.send(Happening::Taken(id, Box::new(job), client));
         // Dropped with this future, when the client has closed the connection.
         let mut visit = Visit { id, happenings: &self.happenings, over: false };
         let answer = answered.await;
@@ -290,7 +291,7 @@
 pub enum Comes {
     Idle(TcpStream),
     /// Its client waits for this job.
-    Waiting(TcpStream, InvId, oneshot::Receiver<Answer>),
+    Waiting(TcpStream, Rc<Guest>, InvId, oneshot::Receiver<Answer>),
 }
 
 impl Comes {
@@ -301,20 +302,23 @@
     {
         let (socket, job) = match self {
             Comes::Idle(socket) => (socket, None),
-            Comes::Waiting(socket, id, answered) => (socket, Some((id, answered))),
+            Comes::Waiting(socket, guest, id, answered) => (socket, Some((guest, id, answered))),
         };
         match (socket.peer_addr(), job) {
             (Ok(peer), None) => welcome(door, service, socket, peer),
-            (Ok(peer), Some((id, answered))) => {
+            (Ok(peer), Some((guest, id, answered))) => {
                 let (door, service) = (door.clone(), service.clone());
                 actix_rt::spawn(async move {
-                    if let Some(socket) = door.attend(socket, peer, id, answered).await {
+                    if let Some(socket) = door.attend(socket, (peer, guest), id, answered).await {
                         welcome(&door, &service, socket, peer);
                     }
                 });
             }
             // It has gone on its way here.
-            (Err(_), Some((id, _))) => drop(door.happenings.send(Happening::Left(id))),
+            (Err(_), Some((guest, id, _))) => {
+                guest.closed();
+                let _ = door.happenings.send(Happening::Left(id));
+            }
             (Err(_), None) => {}
         }
     }
@@ -325,11 +329,11 @@
     async fn attend(
         &self,
         mut socket: TcpStream,
-        peer: SocketAddr,
+        (peer, guest): (SocketAddr, Rc<Guest>),
         id: InvId,
         answered: oneshot::Receiver<Answer>,
     ) -> Option<TcpStream> {
-        let (_held, guest) = (self.life.hold(), Rc::new(Guest::new(socket.as_raw_fd())));
+        let _held = self.life.hold();
         guest.waits();
         guest.waits_for(id);
         let mine = guest.clone();
@@ -340,35 +344,37 @@
             biased;
             () = mine.close.notified() => None,
             answer = answered => Some(answer.unwrap_or(Answer::Errored)),
-            () = gone(&socket) => None,
+            () = gone(&socket, &mine) => None,
         };
         let kept = match answer {
             Some(answer) => {
                 visit.over = true;
-                let keep = self.keeps(&answer);
+                let keep = self.keeps(&answer) && mine.goes_on();
                 socket.write_all(&answer.bytes(keep)).await.is_ok() && keep
             }
             None => false,
         };
+        mine.closed();
         self.guests.borrow_mut().remove(&peer);
         self.left.notify_one();
         kept.then_some(socket)
     }
 }
 
-/// Until the client has closed, also behind more that it says meanwhile, which stays unread.
-async fn gone(socket: &TcpStream) {
-    const LOOK_EVERY: Duration = Duration::from_millis(50); // Where bytes stand ahead of the end.
-    loop {
-        match socket.ready(Interest::READABLE).await {
-            Ok(ready) if ready.is_read_closed() || ready.is_error() => return,
-            Err(_) => return,
-            Ok(_) => {}
-        }
-        if !matches!(socket.peek(&mut [0]).await, Ok(1..)) {
-            return;
-        }
-        sleep(LOOK_EVERY).await;
+/// Until the client has closed, also behind more that it says meanwhile. That stays unread while it is little;
+/// beyond that it is dropped. Guards against a close that never comes, behind more than the kernel holds.
+async fn gone(socket: &TcpStream, guest: &Guest) {
+    const UNREAD_MOST: usize = 32 * 1024; // Half of what a kernel holds unread at the least.
+    let look = || match (guest.has_left(), guest.unread()) {
+        (true, _) => Ok(true),
+        (false, UNREAD_MOST..) => Ok(false),
+        (false, _) => Err(std::io::ErrorKind::WouldBlock.into()),
+    };
+    let mut nothing = vec![0; UNREAD_MOST];
+    // Waits for the next word of the kernel after each that was not the end.
+    while let Ok(false) = socket.async_io(Interest::READABLE, look).await {
+        guest.overruns();
+        while let Ok(1..) = socket.try_read(&mut nothing) {}
     }
 }
 
--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -23,7 +23,7 @@
 use crate::driver::{Driver, Others};
 use crate::executors::{Links, Patience};
 use crate::fleet::{Carrier, Place};
-use crate::guest::{Claim, Doing, Guest};
+use crate::guest::{Claim, Client, Doing, Guest};
 use crate::happening::{Happening, Happenings};
 use crate::hosts::Hosts;
 use crate::logger::{Pace, Turn};
@@ -105,7 +105,7 @@
 }
 
 /// A driver that goes by this configuration, with what tells it and what it is told.
-fn driver_by(config: Config) -> (Driver, Happenings, UnboundedReceiver<Happening>, Rc<Life>) {
+pub fn driver_by(config: Config) -> (Driver, Happenings, UnboundedReceiver<Happening>, Rc<Life>) {
     let (clock, life, (happenings, happens)) = (Clock::new(), Rc::new(Life::new()), unbounded_channel());
     let links = Links::new(64, config.dial, config.idle);
     let driver = Driver::new(config, clock, life.clone(), links, Others::default(), happenings.clone());
@@ -113,7 +113,7 @@
 }
 
 /// The example's configuration with these changes.
-fn changed(pairs: &[(&str, &str)]) -> Config {
+pub fn changed(pairs: &[(&str, &str)]) -> Config {
     Config::parse(&other(pairs), config::Told::default()).expect("fit")
 }
 
@@ -747,8 +747,11 @@
     let sent = block(async move {
         let (driver, happenings, happens, _) = driver_by(config);
         let (answer, _answered) = tokio::sync::oneshot::channel();
-        let _ =
-            happenings.send(Happening::Taken(7, Box::new(job("c", "look", 3.0, Clock::new().now())), answer));
+        let _ = happenings.send(Happening::Taken(
+            7,
+            Box::new(job("c", "look", 3.0, Clock::new().now())),
+            Client { answer, guest: None },
+        ));
         let driver = actix_rt::spawn(driver.run(happens));
         let sent = actix_rt::task::spawn_blocking(move || came.recv_timeout(seconds(2.0)));
         let sent = sent.await.expect("a word");
