--- a/crates/coveroute-node/src/server.rs
+++ b/crates/coveroute-node/src/server.rs
@@ -14,6 +14,7 @@
 use coveroute::types::InvId;
 use coveroute_engine::{Phase, Verdict, Watched, UNASKED};
 use log::{debug, warn};
+use nix::errno::Errno;
 use tokio::io::{AsyncWriteExt, Interest};
 use tokio::sync::{mpsc, oneshot, Notify};
 
@@ -27,6 +28,10 @@
 
 /// A connection that stands idle is closed then, whether or not others want its place.
 const IDLE_MOST: Duration = Duration::from_secs(120);
+/// What an accept fails with where no descriptor is left, to the process or on the machine.
+const OUT: [Errno; 2] = [Errno::EMFILE, Errno::ENFILE];
+/// How often connections are looked through.
+const SWEEP_EVERY: Duration = Duration::from_millis(100);
 /// How long a client that is told to come back when all is crowded should stay away, where it can be told:
 /// about as long as the work in hand takes.
 const CROWDED_FOR: f64 = 1.0;
@@ -47,14 +52,16 @@
     /// Connections that wait for an answer, and connections beyond those, idle or only answered.
     most: usize,
     beyond: usize,
+    /// Connections that there are descriptors for, as far as has been seen.
+    fit: Cell<f64>,
     /// Told when a connection has ended.
     left: Notify,
 }
 
 impl Door {
     pub fn new(clock: Clock, life: Rc<Life>, happenings: Happenings, (most, beyond): (usize, usize)) -> Self {
-        let (guests, left) = (Guests::default(), Notify::new());
-        Door { clock, life, happenings, guests, most, beyond, left }
+        let (guests, fit, left) = (Guests::default(), Cell::new(f64::INFINITY), Notify::new());
+        Door { clock, life, happenings, guests, most, beyond, fit, left }
     }
 
     pub fn guests(&self) -> Guests {
@@ -81,15 +88,33 @@
         const AT_ONCE: usize = 16; // Idle ones closed for each that comes: clients that only connect lose.
         let open = || self.guests.borrow().len();
         let (most, beyond) = (self.life.part(self.most), self.life.part(self.beyond));
-        if open() >= most + beyond / 2 {
+        let all = (most + beyond).min(self.fit.get() as usize);
+        if open() >= all.saturating_sub(beyond.div_ceil(2)) {
             self.make_room(AT_ONCE);
         }
-        while open() >= most + beyond {
+        while open() >= all {
             self.make_room(AT_ONCE);
             let _ = timeout(Duration::from_millis(10), self.left.notified()).await;
         }
     }
 
+    /// No descriptor was left for a connection. Guards against idle clients that hold them for as long as they stay,
+    /// where the bound is no bound: the machine gives fewer than the configuration says, or other files hold some. A
+    /// part is left free from then on: the list and executors need some too.
+    fn runs_out(&self) {
+        const KEPT: f64 = 0.75; // Of the connections that there were.
+        let open = self.guests.borrow().len();
+        let fit = (KEPT * open as f64).floor().max(1.0);
+        self.fit.set(fit);
+        self.make_room(open.saturating_sub(fit as usize));
+    }
+
+    /// One more connection may fit each second: what took the descriptors may have gone.
+    fn tries_more(&self) {
+        let more = SWEEP_EVERY.as_secs_f64();
+        self.fit.set(self.fit.get() + more);
+    }
+
     /// The next connection, while they are taken here.
     async fn accepts(&self, listener: &TcpListener) -> std::io::Result<(TcpStream, SocketAddr)> {
         loop {
@@ -280,6 +305,9 @@
             }
             Err(e) => {
                 warn!("accept: {e}");
+                if e.raw_os_error().is_some_and(|code| OUT.contains(&Errno::from_raw(code))) {
+                    door.runs_out();
+                }
                 sleep(Duration::from_millis(10)).await;
             }
         }
@@ -396,7 +424,8 @@
 /// Closes what has not asked in time, and what stands idle: after long, or at once when the node closes.
 pub async fn sweep(door: Rc<Door>) {
     loop {
-        sleep(Duration::from_millis(100)).await;
+        sleep(SWEEP_EVERY).await;
+        door.tries_more();
         let closing = door.life.phase() == Phase::Closing;
         let idle = if closing { Duration::from_millis(100) } else { IDLE_MOST };
         door.close(|guest| guest.claim() == Claim::Overdue || guest.idle_for(idle));
