300 nodes start again at once in virtual time, 30 processes on loopback: shares ready in time

Nothing measured how soon restarted nodes are ready where discovery is slow and full. The emulator notes for each process how long it was without a list (Outcome::follows), and discovery.known = false starts processes that know nobody; tests/restarts.rs plays 300 nodes at several capacities, tests/crowds/restarts.rs 30 processes that are told of 300 nodes, with a discovery of a tenth of 40 calls a second, refusing after 2 s by a 503 or a reset.

--- a/crates/coveroute-emu/src/world/mod.rs
+++ b/crates/coveroute-emu/src/world/mod.rs
@@ -159,6 +159,16 @@
     /// The front sends clients to it.
     pub fronted: bool,
     turn: u64,
+    start: Start,
+}
+
+/// How far a node's process has come since it started.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Start {
+    Begins,
+    /// Discovery has not answered it since.
+    Asks(f64),
+    Follows,
 }
 
 /// What happened over a run, beside service.
@@ -187,6 +197,8 @@
     pub forwards: Vec<u64>,
     /// What each node was last told of the list, for its next start.
     had: Vec<Listing>,
+    /// When each process started, and how long after discovery answered it.
+    follows: Vec<(f64, f64)>,
     due: Queue<Due>,
     generations: Vec<u64>,
     /// By fault: whom it strikes now.
@@ -238,8 +250,13 @@
         };
         let zones =
             if scenario.nodes.zones.is_empty() { scenario.zones() } else { scenario.nodes.zones.clone() };
-        let seen =
-            |at: usize| Seen { zone: zones[at % zones.len()].clone(), alive: false, fronted: false, turn: 0 };
+        let seen = |at: usize| Seen {
+            zone: zones[at % zones.len()].clone(),
+            alive: false,
+            fronted: false,
+            turn: 0,
+            start: Start::Follows,
+        };
         let nodes: Vec<Seen> = (0..scenario.nodes.count.0).map(seen).collect();
         let places = workers.iter().map(|w| (w.make.zone.clone(), w.cell)).collect();
         let referee = Referee::new(nodes.len(), places, platform.slack.0, platform.grace.0);
@@ -247,6 +264,7 @@
         let mut world = World {
             clients: Clients::new(&scenario, seed),
             had: vec![list.whole(); nodes.len()],
+            follows: Vec::new(),
             generations: vec![0; workers.len()],
             struck: vec![Vec::new(); scenario.faults.len()],
             draw: Pcg64Mcg::seed_from_u64(seed ^ 0xfa17),
@@ -333,7 +351,7 @@
             Due::Ack(worker, node, tri, process) => self.ack(worker, node, tri, process, out),
             Due::News(worker, node, tri, word) => self.news(now, worker, node, tri, word, out),
             Due::Tell(node) => self.tell(now, node, out),
-            Due::Turn(node, watch, refused) => self.turn(node, watch, refused, out),
+            Due::Turn(node, watch, refused) => self.turn(now, node, watch, refused, out),
             Due::Deem(worker, version, again) => self.deem(now, worker, version, again),
             Due::Begin(fault) => self.begin(now, fault, out),
             Due::Cease(fault) => self.cease(now, fault, out),
@@ -693,10 +711,10 @@
         if at > now {
             return self.at(at, Due::Turn(node, watch, refused));
         }
-        self.turn(node, watch, refused, out);
+        self.turn(now, node, watch, refused, out);
     }
 
-    fn turn(&mut self, node: NodeId, watch: u64, refused: bool, out: &mut Vec<Out>) {
+    fn turn(&mut self, now: f64, node: NodeId, watch: u64, refused: bool, out: &mut Vec<Out>) {
         // Its node has died since, or asked anew.
         let Some((watch, version)) = self.list.turn(node, watch) else { return };
         match self.list.watch(node, watch, version).filter(|_| !refused) {
@@ -705,6 +723,9 @@
                 out.push(Out::Lost { node, watch });
             }
             Some(listing) => {
+                if let Start::Asks(since) = std::mem::replace(&mut self.nodes[node].start, Start::Follows) {
+                    self.follows.push((since, now - since));
+                }
                 out.push(Out::Begun { node, watch });
                 out.extend(listing.map(|listing| Out::Listed { node, watch, listing }));
             }
@@ -724,17 +745,25 @@
             self.referee.told(now, node, worker, host.standing == Standing::Ready, host.started);
         }
         self.had[node] = self.list.whole();
+        let start = &mut self.nodes[node].start;
+        if *start == Start::Begins {
+            *start = Start::Asks(now);
+        }
     }
 
     /// What a node that starts is told to have known.
     pub fn known(&self, node: NodeId) -> Listing {
-        self.had[node].clone()
+        match self.scenario.discovery.known {
+            true => self.had[node].clone(),
+            false => Listing::default(),
+        }
     }
 
     // Nodes.
 
     pub fn node_began(&mut self, node: NodeId) {
-        self.nodes[node].alive = true;
+        let seen = &mut self.nodes[node];
+        (seen.alive, seen.start) = (true, Start::Begins);
     }
 
     /// It says that it is up: the front takes it in.
@@ -936,6 +965,7 @@
             counts: self.counts,
             broken: self.referee.broken,
             breaches: self.referee.breaches.clone(),
+            follows: std::mem::take(&mut self.follows),
         }
     }
 
@@ -953,6 +983,9 @@
     pub counts: Counts,
     pub broken: u64,
     pub breaches: Vec<Breach>,
+    /// When each process of a node started, and how long after discovery answered its call.
+    #[serde(skip)]
+    pub follows: Vec<(f64, f64)>,
 }
 
 impl Outcome {
--- /dev/null
+++ b/crates/coveroute-node/tests/crowds/restarts.rs
@@ -0,0 +1,58 @@
+//! Many processes start again at once, and discovery is slow and full: a part of a fleet of 300, and of its discovery.
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use test_case::test_case;
+
+use crate::stand_in::{executor, free, until, Bound, Discovery, Process, Seat};
+
+/// Processes that are started, of a fleet that each is told of.
+const STARTED: usize = 30;
+const FLEET: usize = 300;
+/// Nine in ten of them are ready by then, and all in three times that.
+const READY: Duration = Duration::from_secs(10);
+
+/// How long each took to be ready, in order; `calls` a second would be the whole fleet's.
+fn started(bound: Bound, known: bool) -> Vec<f64> {
+    let bound = Bound { calls: bound.calls * STARTED as f64 / FLEET as f64, ..bound };
+    let node = free();
+    let discovery = Discovery::down(executor(node), bound);
+    discovery.comes_up();
+    let known = known.then_some(discovery.executor);
+    let seat = Seat { nodes: FLEET, known, ..Seat::of(128) };
+    let (began, at) = (Instant::now(), discovery.addr);
+    let start = |_| {
+        thread::spawn(move || {
+            let process = Process::start(free(), at, seat);
+            let ready = until(3 * READY, || process.is_ready()).then(|| began.elapsed().as_secs_f64());
+            if ready.is_none() {
+                println!("{} is not ready: {}", process.node, process.log());
+            }
+            (ready.unwrap_or(f64::INFINITY), process)
+        })
+    };
+    let starts: Vec<_> = (0..STARTED).map(start).collect();
+    let ended = starts.into_iter().map(|start| start.join().expect("a process"));
+    // All of them live until the last is ready.
+    let (mut took, _processes): (Vec<f64>, Vec<Process>) = ended.unzip();
+    took.sort_by(f64::total_cmp);
+    let (calls, refused) =
+        (discovery.calls.load(Ordering::Relaxed), discovery.refused.load(Ordering::Relaxed));
+    println!("{bound:?}: {calls} calls, {refused} refused");
+    took
+}
+
+const PATIENCE: Duration = Duration::from_secs(2);
+const LATE: Duration = Duration::from_millis(500);
+
+#[test_case(Bound { calls: 40.0, patience: PATIENCE, answers: true, late: LATE }, true; "the last list known")]
+fn nine_in_ten_that_start_at_once_are_ready_in_time(bound: Bound, known: bool) {
+    let took = started(bound, known);
+    let at = |part: f64| took[((took.len() - 1) as f64 * part) as usize];
+    let within = took.iter().filter(|took| **took <= READY.as_secs_f64()).count() as f64 / took.len() as f64;
+    let (half, most, last) = (at(0.5), at(0.9), at(1.0));
+    println!("known {known}: {within:.3} ready in time, p50 {half:.1}, p90 {most:.1}, longest {last:.1}");
+    assert!(within >= 0.9, "{within} within {READY:?}");
+    assert!(last <= 3.0 * READY.as_secs_f64(), "longest {last}");
+}
