Lists at the size to design for: read once, twice as long, empty, unfit; one line each

Need: odd input at 7,800 executors and 130 teams must cost one clear line, and what was before goes on.

- LIST_MOST 4 MiB for 2: a list of 15,600 with the ids of the platform's pages is 2.2 MB and was refused.
- One that is broken off is still told as soon as another begins on the next line, not by its silence.
- Entries that can't be read: one line for all of a list; a line for each before.
- An empty whole list where executors were listed: a warning; jobs go on, nothing new goes out.
- A tenant without a share beside others that have one: a warning at a start; at SIGHUP the file was and is turned down.
A share below 0 and a tenant told of twice are refused.

Seen to fail without: reading anew with each piece (5 tests of at_size), LIST_MOST of 2 MiB (2), no look at line breaks (1).

--- a/crates/coveroute-engine/src/engine.rs
+++ b/crates/coveroute-engine/src/engine.rs
@@ -11,7 +11,7 @@
     Submission, Tgt, Told,
 };
 use coveroute_shared::Names;
-use log::{debug, error, info};
+use log::{debug, error, info, warn};
 
 use crate::admit::{admit, Call};
 use crate::answer::{Answer, Unfit};
@@ -705,7 +705,10 @@
     ) {
         self.version = listing.version;
         let (version, many) = (listing.version, listing.hosts.len());
-        info!("list {version}: {many} {}", if listing.full { "executors" } else { "changes" });
+        match self.fleet.empties(listing) {
+            Some(before) => warn!("{before}"),
+            None => info!("list {version}: {many} {}", if listing.full { "executors" } else { "changes" }),
+        }
         let drains = listing.hosts.iter().filter(|host| host.standing == Standing::Draining);
         drains.for_each(|host| info!("executor {:06x} drains", coveroute_shared::mark(&host.id)));
         let (told, moves) = self.fleet.listed(now, listing);
--- a/crates/coveroute-engine/src/list.rs
+++ b/crates/coveroute-engine/src/list.rs
@@ -98,6 +98,16 @@
         self.listed.len()
     }
 
+    /// A line on a list that takes everything away: whoever made it may have forgotten all, and jobs under way go on.
+    pub fn empties(&self, listing: &Listing) -> Option<String> {
+        let empties = listing.full && listing.hosts.is_empty() && !self.listed.is_empty();
+        let (version, before) = (listing.version, self.listed.len());
+        empties.then(|| {
+            let then = if self.keeps { "all may still be called" } else { "nothing new goes out" };
+            format!("list {version} is empty, {before} executors were listed: what runs goes on, {then} until one is listed")
+        })
+    }
+
     /// The list as it is held.
     pub fn listing(&self, version: u64) -> Listing {
         Listing { version, full: true, hosts: self.listed.values().cloned().collect() }
--- a/crates/coveroute-engine/src/tests.rs
+++ b/crates/coveroute-engine/src/tests.rs
@@ -282,6 +282,35 @@
     assert!(!out.iter().any(|action| matches!(action, Action::Send { .. })), "nothing new goes there");
 }
 
+// A keeper of the list that forgets everything, at the size that is designed for: one line, and who comes back is known.
+#[test]
+fn a_list_that_shrinks_to_nothing_ends_no_job() {
+    const MANY: usize = 7_800;
+    let mut engine = engine().0;
+    let whole = |version| listing(version, true, (0..MANY).map(|at| host(at, Standing::Ready)).collect());
+    told(&mut engine, NOW, Event::Watch(1, Watched::Listed(whole(2))));
+    let sent = told(&mut engine, NOW, Event::Taken(ID, &call(CALL, "pay", 9.0)));
+    let send = sent.iter().find(|action| matches!(action, Action::Send { .. }));
+    let Some(&Action::Send { forward, tgt, .. }) = send else { panic!("sent nowhere: {sent:?}") };
+    told(&mut engine, NOW, Event::Replied(ID, forward, Reply::Taken));
+    let line = engine.fleet().empties(&listing(3, true, Vec::new())).expect("a line");
+    assert!(line.contains("list 3 is empty, 7800 executors") && !line.contains('\n'), "{line}");
+    let out = told(&mut engine, NOW, Event::Watch(1, Watched::Listed(listing(3, true, Vec::new()))));
+    assert!(answers(&out).is_empty() && !out.contains(&Action::Abort { id: ID, forward }), "it runs on");
+    assert_eq!(engine.fleet().empties(&listing(4, true, Vec::new())), None, "told once");
+    let out = told(&mut engine, NOW, Event::Taken(ID + 1, &call("d", "look", 5.0)));
+    assert!(!out.iter().any(|action| matches!(action, Action::Send { .. })), "nothing new goes out");
+    let out = told(&mut engine, NOW + 1.0, news(tgt, done()));
+    assert!(matches!(answers(&out)[..], [Answer::Succeeded(_)]), "{out:?}");
+    // All are listed again, under their numbers, and what waited goes out.
+    let out = told(&mut engine, NOW + 2.0, Event::Watch(1, Watched::Listed(whole(5))));
+    assert_eq!((engine.fleet().listed_now(), engine.fleet().known("s-7799")), (MANY, Some(MANY - 1)));
+    assert!(
+        out.iter().any(|action| matches!(action, Action::Send { id, .. } if *id == ID + 1)),
+        "it waits on"
+    );
+}
+
 #[test]
 fn a_new_configuration_moves_the_watch_and_nothing_else() {
     let mut engine = with("look", &[TAKEN]);
--- a/crates/coveroute-node/src/config.rs
+++ b/crates/coveroute-node/src/config.rs
@@ -1,4 +1,5 @@
 //! What the node is told at its start: the platform's variables and the configuration file.
+use std::collections::BTreeSet;
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::time::Duration;
@@ -6,6 +7,7 @@
 use coveroute::types::{Reports, Settings};
 use coveroute_engine::{Listing, Tuning};
 use coveroute_shared::{decode, Names};
+use log::warn;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
@@ -196,6 +198,7 @@
     fn config(self) -> Result<Config, String> {
         let file = self;
         let (settings, names) = decode(&file.settings)?;
+        shares(&names.tenants, &settings.quotas)?.iter().for_each(|line| warn!("{line}"));
         let sockets: Sockets =
             serde_json::from_str(file.settings.get()).map_err(|e| format!("settings: {e}"))?;
         shape(&sockets, &settings, file.peers.as_deref())?;
@@ -260,6 +263,27 @@
     Ok(())
 }
 
+/// Refuses shares that are no figure, or of a tenant that is told of twice; a line where some have a share and others none.
+pub fn shares(tenants: &[String], quotas: &[f64]) -> Result<Option<String>, String> {
+    let mut told = BTreeSet::new();
+    for (tenant, quota) in tenants.iter().zip(quotas) {
+        fit(&[Figure::Least(&format!("settings.orgs: {tenant}: quotaRps"), *quota)])?;
+        if !told.insert(tenant) {
+            return Err(format!("settings.orgs: {tenant} is there twice"));
+        }
+    }
+    let without: Vec<&str> =
+        tenants.iter().zip(quotas).filter(|(_, quota)| **quota == 0.0).map(|(name, _)| &**name).collect();
+    let line = || {
+        let (many, all) = (without.len(), tenants.len());
+        format!(
+            "settings.orgs: {many} of {all} have no share, the first: {}: all it sends is beyond it",
+            without[0]
+        )
+    };
+    Ok((1..tenants.len()).contains(&without.len()).then(line))
+}
+
 /// Refuses what mixes shapes of deployment, or would leave a node without a word of its executors, by the key.
 fn shape(sockets: &Sockets, settings: &Settings, peers: Option<&[SocketAddr]>) -> Result<(), String> {
     let one_of = |key, told: &str, words: &[&str]| match words.contains(&told) {
--- a/crates/coveroute-node/src/discovery.rs
+++ b/crates/coveroute-node/src/discovery.rs
@@ -22,8 +22,13 @@
 const LINE_WITHIN: Duration = Duration::from_secs(3);
 /// For a connection to come up, which on the platform's network takes milliseconds.
 const DIAL_WITHIN: Duration = Duration::from_secs(1);
-/// The longest list: one of some thousands of executors.
-pub const LIST_MOST: usize = 2 * 1024 * 1024;
+/// The longest list: twice the executors that are designed for (`docs/CAPACITY.md`), also where it is indented.
+pub const LIST_MOST: usize = 4 * 1024 * 1024;
+/// What has come of a list is read anew with each piece up to here. Beyond, only where it may be whole or there is twice
+/// as much of it as at the last time: each byte is then read a few times at most, however small the pieces are.
+const READ_EACH: usize = 16 * 1024;
+/// And where a line ends, after so many at most: of an indented list each entry has some.
+const BREAKS: usize = 4;
 
 /// The watch on changes; one runs at a time.
 pub struct Discovery {
@@ -110,6 +115,53 @@
 #[derive(Default)]
 pub struct Lists {
     buffer: BytesMut,
+    scan: Scan,
+    /// So much there was when it was last read.
+    read: usize,
+    /// Bytes that were read, each time anew.
+    #[cfg(test)]
+    pub worked: usize,
+}
+
+/// Where in a list the bytes end that have been looked through: each is looked at once.
+#[derive(Default)]
+struct Scan {
+    seen: usize,
+    depth: usize,
+    text: Text,
+    /// Line breaks, wherever they stand.
+    breaks: usize,
+}
+
+#[derive(Clone, Copy, Default)]
+enum Text {
+    #[default]
+    Outside,
+    Inside,
+    Escaped,
+}
+
+impl Scan {
+    /// Whether a value may be whole: as many brackets have been closed as opened, or it is none that has any.
+    fn whole(&mut self, buffer: &[u8]) -> bool {
+        while let Some(&byte) = buffer.get(self.seen) {
+            self.seen += 1;
+            self.breaks += usize::from(byte == b'\n');
+            (self.depth, self.text) = match (self.text, byte) {
+                (Text::Outside, b'"') => (self.depth, Text::Inside),
+                (Text::Outside, b'{' | b'[') => (self.depth + 1, Text::Outside),
+                (Text::Outside, b'}' | b']') => (self.depth.saturating_sub(1), Text::Outside),
+                (Text::Inside, b'"') | (Text::Outside, _) => (self.depth, Text::Outside),
+                (Text::Inside, b'\\') => (self.depth, Text::Escaped),
+                (Text::Inside | Text::Escaped, _) => (self.depth, Text::Inside),
+            };
+            if self.depth == 0 && matches!(self.text, Text::Outside) {
+                // The rest belongs to what comes behind.
+                self.seen = buffer.len();
+            }
+        }
+        self.depth == 0 && matches!(self.text, Text::Outside)
+    }
 }
 
 impl Lists {
@@ -123,22 +175,47 @@
         e.line() > self.buffer.iter().filter(|&&b| b == b'\n').count() && e.column() >= last.len()
     }
 
+    /// Whether it is worth while to read what there is. Guards against a long list in small pieces that is read from its
+    /// beginning with each: one of thousands of executors took a tenth of a second for itself.
+    fn is_worth_reading(&mut self) -> bool {
+        let (held, breaks) = (self.buffer.len(), self.scan.breaks);
+        let whole = self.scan.whole(&self.buffer);
+        // A list on one line that was broken off is told to be none as soon as another begins.
+        let broken = self.scan.breaks > breaks && breaks < BREAKS;
+        whole || broken || held <= READ_EACH || held >= 2 * self.read
+    }
+
     /// The next list that has come whole, or what else there is.
     pub fn next(&mut self) -> Result<Told, String> {
         let blank = self.buffer.iter().take_while(|b| b.is_ascii_whitespace()).count();
         let lives = self.buffer.split_to(blank).contains(&b'\n');
+        if !self.is_worth_reading() {
+            return self.unread(lives);
+        }
+        self.read = self.buffer.len();
+        #[cfg(test)]
+        {
+            self.worked += self.read;
+        }
         let mut lists = serde_json::Deserializer::from_slice(&self.buffer).into_iter::<Hosts>();
         match lists.next() {
             Some(Ok(hosts)) => {
                 let end = lists.byte_offset();
                 self.buffer.advance(end);
+                (self.scan, self.read) = (Scan::default(), 0);
                 Ok(Told::List(hosts.into()))
             }
             Some(Err(e)) if !e.is_eof() && !self.at_end(&e) => Err(format!("a list can't be read: {e}")),
-            Some(Err(_)) if self.buffer.len() > LIST_MOST => Err("a list is too long".into()),
-            // The end of a list's own line is none that was left empty, but tells as much.
-            Some(Err(_)) | None if lives => Ok(Told::Lives),
-            Some(Err(_)) | None => Ok(Told::Nothing),
+            Some(Err(_)) | None => self.unread(lives),
+        }
+    }
+
+    /// What is told while nothing is whole.
+    fn unread(&self, lives: bool) -> Result<Told, String> {
+        if self.buffer.len() > LIST_MOST {
+            return Err("a list is too long".into());
         }
+        // The end of a list's own line is none that was left empty, but tells as much.
+        Ok(if lives { Told::Lives } else { Told::Nothing })
     }
 }
--- a/crates/coveroute-node/src/hosts.rs
+++ b/crates/coveroute-node/src/hosts.rs
@@ -9,6 +9,9 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
+/// So much of an entry that can't be read is shown.
+const SHOWN: usize = 200;
+
 #[derive(Debug, Default, Deserialize)]
 pub struct Hosts {
     version: u64,
@@ -45,18 +48,36 @@
     Unknown,
 }
 
+impl Hosts {
+    /// The list without entries that can't be read, and a line that says of these: they must not cost the others.
+    pub fn read(self) -> (Listing, Option<String>) {
+        let (mut hosts, mut faults, mut first) = (Vec::with_capacity(self.servers.len()), 0, None);
+        for raw in &self.servers {
+            match serde_json::from_str::<Host>(raw.get()) {
+                Ok(host) => hosts.push(host.listed()),
+                Err(e) => {
+                    faults += 1;
+                    first.get_or_insert_with(|| format!("{e}: {}", shown(raw.get())));
+                }
+            }
+        }
+        let (version, full, all) = (self.version, self.full, self.servers.len());
+        let line = first
+            .map(|first| format!("list {version}: left out {faults} of {all} entries, the first: {first}"));
+        (Listing { version, full, hosts }, line)
+    }
+}
+
+/// On one line, and no longer than one can be.
+fn shown(raw: &str) -> String {
+    raw.chars().map(|c| if c.is_control() { ' ' } else { c }).take(SHOWN).collect()
+}
+
 impl From<Hosts> for Listing {
-    /// An entry that can't be read is left out and logged: it must not cost the others.
     fn from(hosts: Hosts) -> Listing {
-        let read = |raw: &RawValue| match serde_json::from_str::<Host>(raw.get()) {
-            Ok(host) => Some(host.listed()),
-            Err(e) => {
-                warn!("entry left out: {e}: {}", raw.get());
-                None
-            }
-        };
-        let entries = hosts.servers.iter().filter_map(|raw| read(raw)).collect();
-        Listing { version: hosts.version, full: hosts.full, hosts: entries }
+        let (listing, line) = hosts.read();
+        line.iter().for_each(|line| warn!("{line}"));
+        listing
     }
 }
 
--- a/crates/coveroute-node/src/main.rs
+++ b/crates/coveroute-node/src/main.rs
@@ -1,5 +1,7 @@
 //! coveroute, the node on sockets: takes invocations from clients and pushes them to executors. The decisions
 //! stand in the library `coveroute`; this program carries them out.
+#[cfg(test)]
+mod at_size;
 mod callbacks;
 mod clock;
 mod config;
