prove capacity: hollow workers and real nodes side by side, a line through three sizes or more

Need: the size to design for wants figures as formulas with slopes, each from a run.

`load` becomes a rig that can be begun, looked at and ended: several nodes before the same executors, tenants, a list that is told more of, memory and processor time by threads.

Tests of fleet/measure.rs go to a file beside it.

--- a/crates/coveroute-emu/src/fleet/measure.rs
+++ b/crates/coveroute-emu/src/fleet/measure.rs
@@ -1,4 +1,6 @@
 //! What the fleet's part of a node takes and gives, measured on the stage in virtual time.
+use std::time::Instant;
+
 use coveroute_fleet::rights::{Limit, Terms};
 use coveroute_fleet::State;
 use rand::seq::IndexedRandom;
@@ -320,56 +322,55 @@
     (stage.had - before) as f64 / (rate * seconds)
 }
 
-/// Bytes that a node sends a second, with so many tenants of whom each wants more than the share at one node in ten, and
-/// nothing elsewhere.
-pub fn price_of_limits(nodes: usize, tenants: u32) -> f64 {
+/// What a node sends a second, and what that took of this process.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Traffic {
+    pub nodes: usize,
+    pub tenants: u32,
+    pub messages: f64,
+    pub bytes: f64,
+    /// Part of a core a node, the stage's own work with it.
+    pub cores: f64,
+}
+
+/// Traffic at rest, with so many tenants of whom each wants more than the share at one node in ten, and nothing elsewhere;
+/// `apart`: the two halves of the nodes do not reach each other.
+pub fn traffic(nodes: usize, tenants: u32, apart: bool) -> Traffic {
     let mut stage = bare(nodes, 1, FleetPart::default());
     let limit = |id| Limit { id, most: 100.0, window: 10.0, strict: false };
-    let terms = Terms { limits: (0..tenants).map(limit).collect(), ..terms(&stage, (1.0, 1.0, false)) };
-    stage.limit(terms);
+    if tenants > 0 {
+        let terms = Terms { limits: (0..tenants).map(limit).collect(), ..terms(&stage, (1.0, 1.0, false)) };
+        stage.limit(terms);
+    }
     (0..nodes).for_each(|node| stage.start(0.0, node, false));
     for node in 0..nodes.div_ceil(10) {
         stage.demand(0.0, node, 12.0 * f64::from(tenants));
     }
+    let mut begins = 10.0;
+    if apart {
+        let half: Vec<NodeId> = (0..nodes / 2).collect();
+        stage.play(begins);
+        stage.links.strike(begins, What::LinkCut, 1.0, &half, Direction::Both);
+        // By then all on the one side hold all on the other for dead.
+        begins += 20.0;
+    }
     let sent = |stage: &Stage, now| {
-        (0..nodes).filter_map(|node| stage.figures(now, node)).map(|f| f.counts.sent_bytes).sum::<u64>()
-            as f64
+        let counts = (0..nodes).filter_map(|node| stage.figures(now, node)).map(|f| f.counts);
+        counts.fold((0.0, 0.0), |(many, bytes), c| (many + c.sent as f64, bytes + c.sent_bytes as f64))
     };
-    stage.play(10.0);
-    let before = sent(&stage, 10.0);
-    stage.play(20.0);
-    (sent(&stage, 20.0) - before) / 10.0 / nodes as f64
+    stage.play(begins);
+    let (before, began) = (sent(&stage, begins), Instant::now());
+    stage.play(begins + 10.0);
+    let (took, after) = (began.elapsed().as_secs_f64(), sent(&stage, begins + 10.0));
+    let each = 10.0 * nodes as f64;
+    let (messages, bytes) = ((after.0 - before.0) / each, (after.1 - before.1) / each);
+    Traffic { nodes, tenants, messages, bytes, cores: took / each }
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards against a process whose clock has gone back and that hears late of several incarnations of its earlier life:
-    /// it took each for another process under its name, and fell silent for half a minute.
-    #[test]
-    fn an_earlier_life_is_no_rival() {
-        let (stage, same) = schedule(4385);
-        assert!(same, "{:?}", (0..5).map(|node| stage.figures(35.0, node)).collect::<Vec<_>>());
-    }
-
-    #[test]
-    fn no_schedule_uses_more_than_the_bound() {
-        let all = limited_schedules(1, 60);
-        assert_eq!(all.broken, 0, "{all:?}");
-        assert!(all.fullest > 0.5 && all.had > all.wanted / 10, "{all:?}");
-    }
-
-    #[test]
-    fn a_share_goes_where_it_is_wanted() {
-        let (had, equal) = uneven(12, 1, 30.0, (120.0, 1.0));
-        assert!(had > 0.95 && had > equal, "{had} {equal}");
-    }
-
-    #[test]
-    fn random_schedules_break_nothing_and_end_in_one_table() {
-        let all = schedules(1, 60);
-        assert_eq!((all.broken, all.apart), (0, 0), "{all:?}");
-        assert!(all.ages.nearest > 0.5, "{all:?}");
-    }
+/// Bytes that a node sends a second, with so many tenants.
+pub fn price_of_limits(nodes: usize, tenants: u32) -> f64 {
+    traffic(nodes, tenants, false).bytes
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/coveroute-emu/src/fleet/proof.rs
+++ b/crates/coveroute-emu/src/fleet/proof.rs
@@ -13,7 +13,7 @@
 use super::model::{way, Few};
 use super::model_limits::{self, Sharing};
 use super::processes::Processes;
-use crate::load::{load, Plan};
+use crate::load::{load, Members, Plan};
 use crate::loopback::{self, taken_by};
 use crate::proof::{Place, Proof};
 use crate::scenario::{Direction, FleetPart, Scenario, What};
@@ -201,16 +201,10 @@
         for (with, costs) in costs.iter_mut().enumerate() {
             let mut others = Processes::start(program, 5, FleetPart::default())?;
             others.kill(0);
-            let plan = Plan {
-                node: program.to_owned(),
-                executors: 16,
-                connections: 64,
-                seconds: 3.0,
-                rate: None,
-                sockets: 4096,
-                runs: 0.0,
-                fleet: (with == 1).then(|| others.file(0)),
-            };
+            let (node, seconds) = (program.to_owned(), 3.0);
+            let (file, member) = others.file(0);
+            let members = if with == 1 { Members::File(file, member) } else { Members::Nobody };
+            let plan = Plan { node, seconds, members, ..Plan::default() };
             costs.push(load(&plan)?.cpu_us_a_call);
         }
     }
--- a/crates/coveroute-emu/src/lib.rs
+++ b/crates/coveroute-emu/src/lib.rs
@@ -2,6 +2,7 @@
 //! (now, input) -> outputs, and a referee that sees only what crosses; `virtual_time` and `loopback` are two hosts
 //! for the same scenario; the rest compares, searches, records and reports.
 pub mod baseline;
+pub mod capacity;
 pub mod compare;
 pub mod fleet;
 pub mod load;
--- a/crates/coveroute-emu/src/load.rs
+++ b/crates/coveroute-emu/src/load.rs
@@ -1,13 +1,15 @@
-//! Load on one real node on loopback: closed or open loop, so many connections and executors. Latencies are corrected
+//! Load on real nodes on loopback: closed or open loop, so many connections and executors. Latencies are corrected
 //! for coordinated omission: of an open loop they count from when a call was due, not from when it could be sent.
 use std::convert::Infallible;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::Stdio;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use coveroute_engine::Listing;
 use hdrhistogram::Histogram;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Bytes, Incoming};
@@ -16,29 +18,72 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
 use serde::Serialize;
 use serde_json::json;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::process::Child;
 use tokio::sync::mpsc;
 use tokio::time::{sleep, sleep_until};
 
+use crate::fleet::stage;
 use crate::loopback::taken_by;
-use crate::scenario::Scenario;
+use crate::scenario::{FleetPart, Scenario};
 use crate::settings;
+use crate::world::NodeId;
+
+/// Who else the node knows.
+#[derive(Clone, Debug, Default)]
+pub enum Members {
+    #[default]
+    Nobody,
+    /// The fleet's file, and the node's name there.
+    File(PathBuf, String),
+    /// All nodes of the run know each other, and tenants' shares hold over all.
+    Each,
+}
 
 #[derive(Clone, Debug)]
 pub struct Plan {
     pub node: PathBuf,
+    pub nodes: usize,
     pub executors: usize,
     pub connections: usize,
     pub seconds: f64,
     /// Calls a second over all connections; as fast as they are answered without it.
     pub rate: Option<f64>,
     pub sockets: usize,
+    pub memory_mb: usize,
     /// How long a job runs, in milliseconds; 0 for at once.
     pub runs: f64,
-    /// The fleet's file and the node's name there, for a node that knows others.
-    pub fleet: Option<(PathBuf, String)>,
+    /// Clients wait so long for a call, in seconds.
+    pub timeout: f64,
+    /// Connections to executors are kept so long, in seconds.
+    pub idle: f64,
+    /// So many have an equal part of the calls each, and a share of twice as much.
+    pub tenants: usize,
+    pub members: Members,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Plan {
+            node: PathBuf::new(),
+            nodes: 1,
+            executors: 16,
+            connections: 64,
+            seconds: 5.0,
+            rate: None,
+            sockets: 4096,
+            memory_mb: 192,
+            runs: 0.0,
+            timeout: 5.0,
+            idle: 60.0,
+            tenants: 0,
+            members: Members::Nobody,
+        }
+    }
 }
 
 #[derive(Clone, Debug, Default, Serialize)]
@@ -62,146 +107,378 @@
 
 /// What executors and clients share.
 struct Field {
-    node: SocketAddr,
+    nodes: Vec<SocketAddr>,
     news: Vec<mpsc::UnboundedSender<Bytes>>,
     jobs: Vec<AtomicU64>,
     inflight: Vec<AtomicU64>,
+    /// Connections that executors were called on.
+    dialled: AtomicU64,
     stop: AtomicBool,
     served: AtomicU64,
     other: AtomicU64,
     latencies: Mutex<Histogram<u64>>,
     runs: Duration,
+    budget: String,
+    tenants: usize,
+    /// Watches on the list that are open, and the list as a new one is told it.
+    watches: Mutex<Vec<mpsc::UnboundedSender<Bytes>>>,
+    whole: Mutex<Bytes>,
+    /// Connections that this process had no descriptor for.
+    turned_away: AtomicU64,
+    /// Discovery can't be reached.
+    apart: AtomicBool,
 }
 
 /// Slots that each executor says it has.
 const SLOTS: u64 = 16;
-/// Connections that executors share to tell their news on.
+/// Connections that executors share to tell a node their news on.
 const NEWS: usize = 16;
 /// Before what is measured: connections come up, shares settle.
 const WARM: Duration = Duration::from_secs(2);
+/// A node that does not serve by then never will.
+const UP_WITHIN: Duration = Duration::from_secs(20);
 
-/// A scenario with that many executors: what the node is told.
+/// A scenario with that many executors: what the nodes are told.
 fn scenario(plan: &Plan) -> Result<Scenario, String> {
-    Scenario::parse(&format!(
-        "name = \"load\"\nseconds = 60\n[nodes]\ncount = 1\nsockets = {}\nmemory_mb = 192\n[[workers]]\ncount = {}\n\
-         slots = {SLOTS}\n[platform]\nprogress = 0\ntells-start = false\n[[operations]]\nname = \"look\"\n\
-         effect = \"idempotent\"\nrate = 1\nwork = 0.01\nobjective = 1\ntimeout = 5\n",
-        plan.sockets, plan.executors
-    ).replace("tells-start", "tells_start"))
+    let mut text = format!(
+        "name = \"load\"\nseconds = 60\n[nodes]\ncount = {}\nsockets = {}\nmemory_mb = {}\n[[workers]]\ncount = {}\n\
+         slots = {SLOTS}\n[platform]\nprogress = 0\ntells_start = false\nidle = {:?}\n[[operations]]\nname = \"look\"\n\
+         effect = \"idempotent\"\nrate = 1\nwork = 0.01\nobjective = {:?}\ntimeout = {:?}\n",
+        plan.nodes,
+        plan.sockets,
+        plan.memory_mb,
+        plan.executors,
+        plan.idle,
+        1.0 + plan.runs / 1e3,
+        plan.timeout
+    );
+    for tenant in 0..plan.tenants {
+        let part = 1.0 / plan.tenants as f64;
+        let share = 2.0 * part * plan.rate.unwrap_or(0.0);
+        text += &format!("[[tenants]]\nname = \"t{tenant}\"\npart = {part:?}\nshare = {share:?}\n");
+    }
+    Scenario::parse(&text)
 }
 
-/// Runs the load and measures it.
-pub fn load(plan: &Plan) -> Result<Loaded, String> {
-    if !plan.node.is_file() {
-        return Err(format!("{}: no program; build it first", plan.node.display()));
+/// Real nodes with their executors, clients and list, all on loopback addresses of a block of their own.
+pub struct Rig {
+    plan: Plan,
+    field: Arc<Field>,
+    children: Vec<Child>,
+    files: Vec<PathBuf>,
+    /// The list as it was at first.
+    pub list: Listing,
+    /// From the nodes' start until all serve, and their processor time until then, in seconds.
+    pub up: f64,
+    pub up_cpu: f64,
+}
+
+/// What all nodes of a rig, its executors and clients have come to.
+#[derive(Clone, Debug)]
+pub struct Look {
+    pub at: Instant,
+    /// Processor time of each node, in seconds.
+    pub cpu: Vec<f64>,
+    pub jobs: Vec<u64>,
+    pub dialled: u64,
+    pub served: u64,
+    pub other: u64,
+}
+
+impl Look {
+    pub fn cpu(&self) -> f64 {
+        self.cpu.iter().sum()
     }
-    if plan.executors == 0 || plan.connections == 0 || plan.seconds <= 0.0 {
-        return Err("executors, connections and seconds are over 0".into());
+
+    pub fn starts(&self) -> u64 {
+        self.jobs.iter().sum()
     }
-    let runtime =
-        tokio::runtime::Builder::new_multi_thread().enable_all().build().map_err(|e| e.to_string())?;
-    let loaded = runtime.block_on(play(plan));
-    runtime.shutdown_background();
-    loaded
 }
 
-async fn play(plan: &Plan) -> Result<Loaded, String> {
-    let block = 16 + (std::process::id() % 200) as u8;
-    let at = |part: u8, at: usize| SocketAddr::from(([127, block, part + (at >> 8) as u8, at as u8], 9000));
-    let (node, list) = (at(250, 0), at(251, 0));
-    let (mut news, mut heard) = (Vec::new(), Vec::new());
-    for _ in 0..NEWS {
-        let (tell, hear) = mpsc::unbounded_channel();
-        news.push(tell);
-        heard.push(hear);
+/// Processor time of a process that runs, in seconds: by its threads, to the nanosecond where the kernel counts so.
+fn processor_time(pid: i32) -> f64 {
+    let threads = std::fs::read_dir(format!("/proc/{pid}/task")).into_iter().flatten().flatten();
+    let ran = |path: PathBuf| -> Option<u64> {
+        std::fs::read_to_string(path.join("schedstat")).ok()?.split_whitespace().next()?.parse().ok()
+    };
+    let nanoseconds: u64 = threads.filter_map(|thread| ran(thread.path())).sum();
+    if nanoseconds > 0 {
+        nanoseconds as f64 / 1e9
+    } else {
+        taken_by(pid).cpu_seconds
     }
-    let counts = || (0..plan.executors).map(|_| AtomicU64::new(0)).collect();
-    let field = Arc::new(Field {
-        node,
-        news,
-        jobs: counts(),
-        inflight: counts(),
-        stop: AtomicBool::new(false),
-        served: AtomicU64::new(0),
-        other: AtomicU64::new(0),
-        latencies: Mutex::new(Histogram::new(3).map_err(|e| e.to_string())?),
-        runs: Duration::from_secs_f64(plan.runs / 1e3),
-    });
-    for executor in 0..plan.executors {
-        let listener = bind(at(0, executor)).await?;
-        tokio::spawn(execute(field.clone(), executor, listener));
+}
+
+fn resident_mb(pid: i32) -> f64 {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    line.and_then(|line| line.split_whitespace().next()?.parse::<f64>().ok()).unwrap_or(0.0) / 1024.0
+}
+
+impl Rig {
+    /// Starts it all but the clients, and waits until the nodes serve.
+    pub async fn begin(plan: &Plan) -> Result<Rig, String> {
+        static BEGUN: AtomicU32 = AtomicU32::new(0);
+        if !plan.node.is_file() {
+            return Err(format!("{}: no program; build it first", plan.node.display()));
+        }
+        if plan.executors == 0 || plan.connections == 0 || plan.seconds <= 0.0 {
+            return Err("executors, connections and seconds are over 0".into());
+        }
+        if !(1..=250).contains(&plan.nodes) || plan.executors > 250 << 8 {
+            return Err(format!("nodes: 250 at most; executors: {} at most", 250 << 8));
+        }
+        let number = BEGUN.fetch_add(1, Ordering::Relaxed);
+        let block = 16 + ((std::process::id() + 101 * number) % 200) as u8;
+        let at = move |part: u8, at: usize| {
+            SocketAddr::from(([127, block, part + (at >> 8) as u8, at as u8], 9000))
+        };
+        let list = at(251, 0);
+        let counts = || (0..plan.executors).map(|_| AtomicU64::new(0)).collect();
+        let (news, heard): (Vec<_>, Vec<_>) =
+            (0..plan.nodes * NEWS).map(|_| mpsc::unbounded_channel()).unzip();
+        let scenario = scenario(plan)?;
+        let world = crate::world::World::new(scenario.clone(), 1, |worker| at(0, worker));
+        let listing = world.list.whole();
+        let whole = settings::hosts(&listing, 0.0);
+        let field = Arc::new(Field {
+            nodes: (0..plan.nodes).map(|node| at(250, node)).collect(),
+            news,
+            jobs: counts(),
+            inflight: counts(),
+            dialled: AtomicU64::new(0),
+            stop: AtomicBool::new(false),
+            served: AtomicU64::new(0),
+            other: AtomicU64::new(0),
+            latencies: Mutex::new(Histogram::new(3).map_err(|e| e.to_string())?),
+            runs: Duration::from_secs_f64(plan.runs / 1e3),
+            budget: format!("{:.0}", 1e3 * plan.timeout),
+            tenants: plan.tenants,
+            watches: Mutex::new(Vec::new()),
+            whole: Mutex::new(Bytes::from(format!("{whole}\n"))),
+            turned_away: AtomicU64::new(0),
+            apart: AtomicBool::new(false),
+        });
+        for executor in 0..plan.executors {
+            let listener = bind(at(0, executor)).await?;
+            tokio::spawn(execute(field.clone(), executor, listener));
+        }
+        for (lane, heard) in heard.into_iter().enumerate() {
+            tokio::spawn(tell(field.clone(), lane / NEWS, heard));
+        }
+        tokio::spawn(list_whole(field.clone(), bind(list).await?));
+        let (children, files) = (Vec::new(), Vec::new());
+        let plan = plan.clone();
+        let mut rig = Rig { plan, field, children, files, list: listing, up: 0.0, up_cpu: 0.0 };
+        for node in 0..rig.plan.nodes {
+            let config = json!({
+                "listen": rig.field.nodes[node].to_string(), "discovery": list.to_string(), "seed": format!("{:x}", node + 1),
+                "limits": { "memory_mb": rig.plan.memory_mb, "sockets": rig.plan.sockets },
+                "known": whole,
+                "settings": settings::settings(&scenario, node, "a"),
+            });
+            rig.spawn(node, (number, block), &config.to_string())?;
+        }
+        let began = Instant::now();
+        for node in 0..rig.plan.nodes {
+            rig.wait_up(node, began).await?;
+        }
+        (rig.up, rig.up_cpu) = (began.elapsed().as_secs_f64(), rig.look().cpu());
+        Ok(rig)
     }
-    heard.into_iter().for_each(|heard| drop(tokio::spawn(tell(field.clone(), heard))));
-    let scenario = scenario(plan)?;
-    let world = crate::world::World::new(scenario.clone(), 1, |worker| at(0, worker));
-    let whole = settings::hosts(&world.list.whole(), 0.0);
-    tokio::spawn(list_whole(bind(list).await?, format!("{whole}\n")));
-    let config = json!({
-        "listen": node.to_string(), "discovery": list.to_string(), "seed": "1",
-        "limits": { "memory_mb": scenario.nodes.memory_mb.0, "sockets": plan.sockets },
-        "known": whole,
-        "settings": settings::settings(&scenario, 0, "a"),
-    });
-    let path = std::env::temp_dir().join(format!("coveroute-load-{}.json", std::process::id()));
-    std::fs::write(&path, config.to_string()).map_err(|e| e.to_string())?;
-    let mut command = tokio::process::Command::new("/bin/sh");
-    let run = format!("ulimit -n {}; exec \"$0\" serve --log warn --config \"$@\"", plan.sockets);
-    command.arg("-c").arg(run).arg(&plan.node).arg(&path).stdin(Stdio::null()).kill_on_drop(true);
-    if let Some((file, member)) = &plan.fleet {
-        command.arg("--fleet").arg(file).arg("--member").arg(member);
+
+    /// A file of this run in the folder for such, taken away at its end.
+    fn file(&mut self, name: String, text: &str) -> Result<PathBuf, String> {
+        let path = std::env::temp_dir().join(format!("coveroute-load-{}-{name}", std::process::id()));
+        std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
+        self.files.push(path.clone());
+        Ok(path)
     }
-    let mut child = command.spawn().map_err(|e| e.to_string())?;
-    let pid = child.id().map_or(0, |pid| pid as i32);
-    for _ in 0..500 {
-        if TcpStream::connect(node).await.is_ok() {
-            break;
+
+    fn spawn(&mut self, node: NodeId, (number, block): (u32, u8), config: &str) -> Result<(), String> {
+        let path = self.file(format!("{number}-{node}.json"), config)?;
+        let mut command = tokio::process::Command::new("/bin/sh");
+        let run = format!("ulimit -n {}; exec \"$0\" serve --log warn --config \"$@\"", self.plan.sockets);
+        command.arg("-c").arg(run).arg(&self.plan.node).arg(&path).stdin(Stdio::null()).kill_on_drop(true);
+        let member = match self.plan.members.clone() {
+            Members::Nobody => None,
+            Members::File(file, member) => Some((file, member)),
+            Members::Each => {
+                let at = |node| SocketAddr::from(([127, block, 252, node as u8], 9400));
+                let mut fleet = stage::plan(self.plan.nodes, &FleetPart::default(), at);
+                fleet.limits.tenants = self.plan.tenants > 0;
+                let text = crate::fleet::processes::text(&fleet);
+                Some((self.file(format!("{number}-{node}.toml"), &text)?, stage::member(node)))
+            }
+        };
+        if let Some((file, member)) = member {
+            command.arg("--fleet").arg(file).arg("--member").arg(member);
         }
-        sleep(Duration::from_millis(10)).await;
+        self.children.push(command.spawn().map_err(|e| e.to_string())?);
+        Ok(())
     }
-    sleep(Duration::from_millis(300)).await;
-    let gap = plan.rate.map(|rate| Duration::from_secs_f64(plan.connections as f64 / rate.max(1e-3)));
-    for connection in 0..plan.connections {
-        tokio::spawn(ask(field.clone(), connection, gap));
+
+    async fn wait_up(&self, node: NodeId, began: Instant) -> Result<(), String> {
+        while began.elapsed() < UP_WITHIN {
+            if let Some(mut sender) = connect(self.field.nodes[node]).await {
+                let ask = Request::get("/up").header("host", "b").body(Full::default());
+                let answer = sender.send_request(ask.map_err(|e| e.to_string())?).await;
+                if answer.is_ok_and(|answer| answer.status() == 200) {
+                    return Ok(());
+                }
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+        Err(format!("node {node} does not serve in {UP_WITHIN:?}"))
+    }
+
+    /// Clients begin to call.
+    pub fn call(&self) {
+        let gap = |rate: f64| Duration::from_secs_f64(self.plan.connections as f64 / rate.max(1e-3));
+        for connection in 0..self.plan.connections {
+            tokio::spawn(ask(self.field.clone(), connection, self.plan.rate.map(gap)));
+        }
+    }
+
+    /// No call is begun from now on.
+    pub fn hush(&self) {
+        self.field.stop.store(true, Ordering::Relaxed);
     }
+
+    fn pids(&self) -> impl Iterator<Item = i32> + '_ {
+        self.children.iter().filter_map(|child| Some(child.id()? as i32))
+    }
+
+    pub fn look(&self) -> Look {
+        let field = &self.field;
+        Look {
+            at: Instant::now(),
+            cpu: self.pids().map(processor_time).collect(),
+            jobs: field.jobs.iter().map(|jobs| jobs.load(Ordering::Relaxed)).collect(),
+            dialled: field.dialled.load(Ordering::Relaxed),
+            served: field.served.load(Ordering::Relaxed),
+            other: field.other.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Memory that each node has resident now, in MB.
+    pub fn resident(&self) -> Vec<f64> {
+        self.pids().map(resident_mb).collect()
+    }
+
+    /// Jobs that run now.
+    pub fn running(&self) -> u64 {
+        self.field.inflight.iter().map(|many| many.load(Ordering::Relaxed)).sum()
+    }
+
+    /// A line to all who watch the list; its bytes.
+    pub fn tell(&self, listing: &Listing) -> usize {
+        let line = Bytes::from(format!("{}\n", settings::hosts(listing, 0.0)));
+        let mut watches = lock(&self.field.watches);
+        watches.retain(|watch| watch.send(line.clone()).is_ok());
+        line.len()
+    }
+
+    /// From now on discovery says nothing to anybody, and whoever calls it is hung up on.
+    pub fn part(&self) {
+        self.field.apart.store(true, Ordering::Relaxed);
+        lock(&self.field.watches).clear();
+    }
+
+    /// How long answers took since this was last asked anew, at two parts of all: in milliseconds.
+    pub fn latencies(&self, parts: [f64; 2]) -> [f64; 2] {
+        let latencies = lock(&self.field.latencies);
+        parts.map(|part| latencies.value_at_quantile(part) as f64 / 1e3)
+    }
+
+    pub fn reset(&self) {
+        lock(&self.field.latencies).reset();
+    }
+
+    /// Connections to executors that this process had no descriptor for: what is measured then is not the nodes.
+    pub fn turned_away(&self) -> u64 {
+        self.field.turned_away.load(Ordering::Relaxed)
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        for pid in self.pids() {
+            let _ = kill(Pid::from_raw(pid), signal);
+        }
+    }
+
+    /// Ends it all; a fault where a node had ended before.
+    pub async fn end(mut self) -> Result<(), String> {
+        self.hush();
+        let mut ended = None;
+        for child in &mut self.children {
+            ended = ended.or(child.try_wait().map_err(|e| e.to_string())?);
+            let _ = child.kill().await;
+        }
+        self.files.iter().for_each(|path| drop(std::fs::remove_file(path)));
+        match ended {
+            None => Ok(()),
+            Some(status) => Err(format!("a node ended under load: {status}")),
+        }
+    }
+}
+
+/// The least and the most that one of them got between two looks, over the mean.
+pub fn shares(before: &Look, after: &Look) -> (f64, f64) {
+    let each: Vec<f64> = after.jobs.iter().zip(&before.jobs).map(|(now, then)| (now - then) as f64).collect();
+    let mean = (each.iter().sum::<f64>() / each.len() as f64).max(1e-9);
+    let least = each.iter().copied().fold(f64::INFINITY, f64::min);
+    (least / mean, each.iter().copied().fold(0.0, f64::max) / mean)
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Runs what is to be played on a runtime of its own, which ends with it.
+pub fn on_runtime<T>(play: impl Future<Output = Result<T, String>>) -> Result<T, String> {
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().enable_all().build().map_err(|e| e.to_string())?;
+    let played = runtime.block_on(play);
+    runtime.shutdown_background();
+    played
+}
+
+/// Runs the load and measures it.
+pub fn load(plan: &Plan) -> Result<Loaded, String> {
+    on_runtime(play(plan))
+}
+
+async fn play(plan: &Plan) -> Result<Loaded, String> {
+    let rig = Rig::begin(plan).await?;
+    rig.call();
     sleep(WARM).await;
-    let before = taken_by(pid);
-    let counted =
-        |field: &Field| field.jobs.iter().map(|jobs| jobs.load(Ordering::Relaxed)).collect::<Vec<_>>();
-    let (jobs, served, other) =
-        (counted(&field), field.served.load(Ordering::Relaxed), field.other.load(Ordering::Relaxed));
-    field.latencies.lock().map_err(|_| "poisoned")?.reset();
-    let began = Instant::now();
+    let before = rig.look();
+    rig.reset();
     sleep(Duration::from_secs_f64(plan.seconds)).await;
-    let took = began.elapsed().as_secs_f64();
-    let after = taken_by(pid);
-    let served = field.served.load(Ordering::Relaxed) - served;
-    let other = field.other.load(Ordering::Relaxed) - other;
-    let each: Vec<f64> = counted(&field).iter().zip(&jobs).map(|(now, then)| (now - then) as f64).collect();
-    field.stop.store(true, Ordering::Relaxed);
-    let ended = child.try_wait().map_err(|e| e.to_string())?;
-    let _ = child.kill().await;
-    let _ = std::fs::remove_file(&path);
-    if let Some(status) = ended {
-        return Err(format!("the node ended under load: {status}"));
-    }
-    let mean = each.iter().sum::<f64>() / each.len() as f64;
-    let latencies = field.latencies.lock().map_err(|_| "poisoned")?;
+    let after = rig.look();
+    let taken = rig.pids().map(taken_by).fold((0.0, 0), |(mb, held): (f64, usize), taken| {
+        (mb.max(taken.peak_mb), held.max(taken.most_descriptors))
+    });
+    let latencies = lock(&rig.field.latencies).clone();
+    rig.end().await?;
+    let (served, other) = (after.served - before.served, after.other - before.other);
     let at = |part: f64| latencies.value_at_quantile(part) as f64 / 1e3;
+    let (share_least, share_most) = shares(&before, &after);
     Ok(Loaded {
         executors: plan.executors,
         connections: plan.connections,
         served,
         other,
-        a_second: served as f64 / took,
-        cpu_us_a_call: 1e6 * (after.cpu_seconds - before.cpu_seconds) / (served + other).max(1) as f64,
+        a_second: served as f64 / (after.at - before.at).as_secs_f64(),
+        cpu_us_a_call: 1e6 * (after.cpu() - before.cpu()) / (served + other).max(1) as f64,
         p50_ms: at(0.5),
         p99_ms: at(0.99),
         p999_ms: at(0.999),
         longest_ms: latencies.max() as f64 / 1e3,
-        peak_mb: after.peak_mb,
-        descriptors: after.most_descriptors,
-        share_least: each.iter().copied().fold(f64::INFINITY, f64::min) / mean.max(1e-9),
-        share_most: each.iter().copied().fold(0.0, f64::max) / mean.max(1e-9),
+        peak_mb: taken.0,
+        descriptors: taken.1,
+        share_least,
+        share_most,
     })
 }
 
@@ -209,15 +486,22 @@
     TcpListener::bind(addr).await.map_err(|e| format!("{addr}: {e}"))
 }
 
-async fn list_whole(listener: TcpListener, line: String) {
+async fn list_whole(field: Arc<Field>, listener: TcpListener) {
     while let Ok((stream, _)) = listener.accept().await {
-        let line = line.clone();
+        let field = field.clone();
+        if field.apart.load(Ordering::Relaxed) {
+            continue;
+        }
         tokio::spawn(async move {
             let service = service_fn(|_| {
                 let (lines, body) = mpsc::unbounded_channel();
-                let _ = lines.send(Bytes::from(line.clone()));
+                let _ = lines.send(lock(&field.whole).clone());
+                lock(&field.watches).push(lines.clone());
+                let field = field.clone();
                 tokio::spawn(async move {
-                    while lines.send(Bytes::from_static(b"\n")).is_ok() {
+                    while !field.apart.load(Ordering::Relaxed)
+                        && lines.send(Bytes::from_static(b"\n")).is_ok()
+                    {
                         sleep(Duration::from_secs(2)).await;
                     }
                 });
@@ -229,9 +513,16 @@
 }
 
 async fn execute(field: Arc<Field>, executor: usize, listener: TcpListener) {
-    while let Ok((stream, _)) = listener.accept().await {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // Guards against an executor that is gone for good once this process has had no descriptor left.
+            field.turned_away.fetch_add(1, Ordering::Relaxed);
+            sleep(Duration::from_millis(50)).await;
+            continue;
+        };
         let field = field.clone();
         let _ = stream.set_nodelay(true);
+        field.dialled.fetch_add(1, Ordering::Relaxed);
         tokio::spawn(async move {
             let service = service_fn(|request| respond(field.clone(), executor, request));
             let _ = server::Builder::new().serve_connection(TokioIo::new(stream), service).await;
@@ -272,7 +563,10 @@
         let line = format!(
             "{{\"id\":\"{id}\",\"from\":\"{from}\",\"state\":\"done\",\"result\":\"{id}\",\"load\":{load}}}"
         );
-        let _ = field.news[executor % NEWS].send(Bytes::from(line));
+        // An id begins with the number of the node that was asked.
+        let node = id.split('-').next().and_then(|node| usize::from_str_radix(node, 16).ok()).unwrap_or(0);
+        let lane = (node % field.nodes.len()) * NEWS + executor % NEWS;
+        let _ = field.news[lane].send(Bytes::from(line));
     });
     plain(StatusCode::ACCEPTED, String::new())
 }
@@ -285,12 +579,12 @@
     Some(sender)
 }
 
-async fn tell(field: Arc<Field>, mut heard: mpsc::UnboundedReceiver<Bytes>) {
+async fn tell(field: Arc<Field>, node: NodeId, mut heard: mpsc::UnboundedReceiver<Bytes>) {
     let mut sender = None;
     while let Some(line) = heard.recv().await {
         for _ in 0..10 {
             if sender.as_ref().is_none_or(client::SendRequest::is_closed) {
-                sender = connect(field.node).await;
+                sender = connect(field.nodes[node]).await;
             }
             let Some(open) = &mut sender else {
                 sleep(Duration::from_millis(20)).await;
@@ -312,10 +606,10 @@
 }
 
 async fn ask(field: Arc<Field>, connection: usize, gap: Option<Duration>) {
-    let (mut sender, mut nth) = (None, 0_u64);
-    // Connections begin at different parts of the gap.
-    let mut due =
-        Instant::now() + gap.map_or(Duration::ZERO, |gap| gap.mul_f64((connection % 97) as f64 / 97.0));
+    let (mut sender, mut nth, node) = (None, 0_u64, connection % field.nodes.len());
+    // Connections begin at different parts of the gap, evenly however many there are.
+    let part = (connection as f64 * 0.618_033_988_749_895).fract();
+    let mut due = Instant::now() + gap.map_or(Duration::ZERO, |gap| gap.mul_f64(part));
     while !field.stop.load(Ordering::Relaxed) {
         match gap {
             Some(gap) => {
@@ -326,16 +620,21 @@
         }
         let meant = gap.map_or(due, |gap| due - gap);
         if sender.as_ref().is_none_or(client::SendRequest::is_closed) {
-            sender = connect(field.node).await;
+            sender = connect(field.nodes[node]).await;
         }
         let Some(open) = &mut sender else {
             sleep(Duration::from_millis(20)).await;
             continue;
         };
         nth += 1;
-        let id = format!("{connection:x}-{nth:x}");
+        let id = format!("{node:x}-{connection:x}-{nth:x}");
         let request = Request::post("/look/x").header("host", "b").header("x-call-id", &id);
-        let request = request.header("x-budget-ms", "5000").body(Full::from(Bytes::from_static(b"job")));
+        let request = match field.tenants {
+            0 => request,
+            tenants => request.header("x-caller", format!("t{}", (connection + nth as usize) % tenants)),
+        };
+        let request =
+            request.header("x-budget-ms", &field.budget).body(Full::from(Bytes::from_static(b"job")));
         let Ok(request) = request else { return };
         let served = match open.ready().await {
             Ok(()) => match open.send_request(request).await {
--- a/crates/coveroute-emu/src/main.rs
+++ b/crates/coveroute-emu/src/main.rs
@@ -62,8 +62,10 @@
     Replay { record: PathBuf },
     /// Tell the first event where two records part
     Diff { one: PathBuf, two: PathBuf },
-    /// Load one real node on loopback and measure it
+    /// Load real nodes on loopback and measure them
     Load {
+        #[arg(long, default_value_t = 1)]
+        nodes: usize,
         #[arg(long, default_value_t = 16)]
         executors: usize,
         #[arg(long, default_value_t = 64)]
@@ -262,9 +264,10 @@
             }
             Some((at, one, two)) => Err(format!("part at event {at}:\n  {one}\n  {two}")),
         },
-        Command::Load { executors, connections, seconds, rate, sockets, runs, node } => {
-            let (node, fleet) = (program(node), None);
-            let plan = Plan { node, executors, connections, seconds, rate, sockets, runs, fleet };
+        Command::Load { nodes, executors, connections, seconds, rate, sockets, runs, node } => {
+            let node = program(node);
+            let plan =
+                Plan { node, nodes, executors, connections, seconds, rate, sockets, runs, ..Plan::default() };
             println!("{}", json!(load(&plan)?));
             Ok(())
         }
--- a/crates/coveroute-emu/src/prove.rs
+++ b/crates/coveroute-emu/src/prove.rs
@@ -4,6 +4,7 @@
 
 use serde_json::json;
 
+use crate::capacity::capacity;
 use crate::fleet::proof::{fleet, limits};
 use crate::loopback;
 use crate::proof::{Place, Proof};
@@ -12,7 +13,7 @@
 use crate::sink::Digest;
 use crate::virtual_time::{run, Policy};
 
-pub const NAMES: [&str; 4] = ["emulator", "daily", "fleet", "limits"];
+pub const NAMES: [&str; 5] = ["emulator", "daily", "fleet", "limits", "capacity"];
 
 pub fn prove(name: &str, place: &Place) -> Result<Proof, String> {
     match name {
@@ -20,6 +21,7 @@
         "daily" => daily(place),
         "fleet" => fleet(place),
         "limits" => limits(place),
+        "capacity" => capacity(place),
         other => Err(format!("no proof {other}; there are: {}", NAMES.join(", "))),
     }
 }
