A start's cost does not depend on the fleet's size; equal executors get equal parts

Change: beyond 320 executors draws are made by rejection from the shares' running sums, with a bounded window to fall back on; lists of who is of use; lots of keys in steps; connections counted as they change, the longest idle one makes room. Of a measured slowness counts what is beyond two standard errors. In large fleets the two of four drawn that have waited longest by share are looked at. A whole list is held against the known ones in one pass. The level and a record's draw moved to notes.rs.

--- a/crates/coveroute-node/src/executors.rs
+++ b/crates/coveroute-node/src/executors.rs
@@ -1,6 +1,7 @@
 //! Connections to executors: one awc client each, so that those of one can be closed without the others', and
 //! a bound on all together. awc itself neither resends nor queues here: it is given no limit of its own.
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,16 +24,43 @@
     peak: usize,
 }
 
+/// Executors none of whose connections is lent, the longest so first, each once; some have been lent again since.
+#[derive(Default)]
+struct Idlers {
+    queue: VecDeque<Tgt>,
+    queued: Vec<bool>,
+}
+
+impl Idlers {
+    fn push(&mut self, tgt: Tgt) {
+        self.queued.resize(self.queued.len().max(tgt + 1), false);
+        if !std::mem::replace(&mut self.queued[tgt], true) {
+            self.queue.push_back(tgt);
+        }
+    }
+
+    fn pop(&mut self) -> Option<Tgt> {
+        let tgt = self.queue.pop_front()?;
+        self.queued[tgt] = false;
+        Some(tgt)
+    }
+}
+
 /// The right to use one connection to an executor.
 pub struct Lease {
+    tgt: Tgt,
     client: Client,
     addr: SocketAddr,
     lent: Rc<Cell<usize>>,
+    idlers: Rc<RefCell<Idlers>>,
 }
 
 impl Drop for Lease {
     fn drop(&mut self) {
         self.lent.set(self.lent.get() - 1);
+        if self.lent.get() == 0 {
+            self.idlers.borrow_mut().push(self.tgt);
+        }
     }
 }
 
@@ -55,6 +83,9 @@
 
 pub struct Links {
     links: Vec<Option<Link>>,
+    /// The sum of all peaks.
+    open: usize,
+    idlers: Rc<RefCell<Idlers>>,
     most: usize,
     /// Of these, the part of this process: all, unless another one of this node lives.
     part: usize,
@@ -64,7 +95,8 @@
 
 impl Links {
     pub fn new(most: usize, dial: Duration, idle: Duration) -> Self {
-        Links { links: Vec::new(), most, part: most, dial, idle: idle.mul_f64(IDLE_SHARE) }
+        let idle = idle.mul_f64(IDLE_SHARE);
+        Links { links: Vec::new(), open: 0, idlers: Rc::default(), most, part: most, dial, idle }
     }
 
     fn client(&self) -> Client {
@@ -81,50 +113,51 @@
         }
         if self.links[tgt].as_ref().is_none_or(|link| link.addr != addr) {
             let link = Link { addr, client: self.client(), lent: Rc::default(), peak: 0 };
+            self.gone(tgt);
             self.links[tgt] = Some(link);
         }
     }
 
     pub fn gone(&mut self, tgt: Tgt) {
-        self.links.iter_mut().skip(tgt).take(1).for_each(|link| *link = None);
+        let link = self.links.get_mut(tgt).and_then(Option::take);
+        self.open -= link.map_or(0, |link| link.peak);
     }
 
     /// A connection to the executor, if it has an address and the bound allows one.
     pub fn lease(&mut self, tgt: Tgt) -> Option<Lease> {
         let link = self.links.get(tgt)?.as_ref()?;
         if link.lent.get() >= link.peak {
-            if !self.has_room(tgt) {
+            if !self.has_room() {
                 debug!("no descriptor left for executor {tgt}");
                 return None;
             }
             self.links[tgt].as_mut()?.peak += 1;
+            self.open += 1;
         }
         let link = self.links[tgt].as_ref()?;
         link.lent.set(link.lent.get() + 1);
-        Some(Lease { client: link.client.clone(), addr: link.addr, lent: link.lent.clone() })
-    }
-
-    /// Makes room for one more connection, by closing the idle ones of another executor where it must.
-    fn has_room(&mut self, tgt: Tgt) -> bool {
-        let open = |links: &Vec<Option<Link>>| links.iter().flatten().map(|link| link.peak).sum::<usize>();
-        if open(&self.links) >= self.part {
-            let idle = |link: &Link| link.lent.get() == 0 && link.peak > 0;
-            let spare =
-                (0..self.links.len()).filter(|&i| i != tgt && self.links[i].as_ref().is_some_and(idle));
-            if let Some(spare) = spare.max_by_key(|&i| self.links[i].as_ref().map(|link| link.peak)) {
-                self.release(spare);
-            }
+        let (client, lent, idlers) = (link.client.clone(), link.lent.clone(), self.idlers.clone());
+        Some(Lease { tgt, client, addr: link.addr, lent, idlers })
+    }
+
+    /// Makes room for one more connection, by closing the idle ones of another executor where it must: who has lent
+    /// none for the longest. Its cost depends on neither the executors nor the connections: one comes off the queue for
+    /// each that was given back.
+    fn has_room(&mut self) -> bool {
+        while self.open >= self.part {
+            let Some(tgt) = self.idlers.borrow_mut().pop() else { return false };
+            self.release(tgt);
         }
-        open(&self.links) < self.part
+        true
     }
 
     /// Closes the idle connections to the executor.
     pub fn release(&mut self, tgt: Tgt) {
+        let unused = |link: &&mut Link| link.lent.get() == 0 && link.peak > 0;
+        let Some(link) = self.links.get_mut(tgt).and_then(Option::as_mut).filter(unused) else { return };
+        self.open -= std::mem::take(&mut link.peak);
         let client = self.client();
-        let link = self.links.get_mut(tgt).and_then(Option::as_mut).filter(|link| link.lent.get() == 0);
-        if let Some(link) = link {
-            (link.client, link.peak) = (client, 0);
-        }
+        self.links[tgt].iter_mut().for_each(|link| link.client = client.clone());
     }
 
     /// From now on half of the bound is another process's, or no more.
@@ -143,6 +176,7 @@
         for (link, client) in self.links.iter_mut().zip(clients) {
             link.iter_mut().for_each(|link| (link.client, link.peak) = (client.clone(), link.lent.get()));
         }
+        self.open = self.links.iter().flatten().map(|link| link.peak).sum();
     }
 
     /// How long a probe, or telling an executor to give up, may take: as long as two connections.
--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -217,6 +217,29 @@
     assert!(links.lease(0).is_none() && links.lease(7).is_none(), "no address, no connection");
 }
 
+#[test]
+fn who_has_been_idle_the_longest_makes_room() {
+    // Guards against connections of executors that are busy again being counted as idle, and against a bound that is
+    // used up by those of executors that have gone or moved.
+    let mut links = Links::new(3, seconds(1.0), seconds(60.0));
+    let addr = |port: usize| SocketAddr::from(([127, 0, 0, 1], port as u16));
+    (0..6).for_each(|tgt| links.listed(tgt, addr(9000 + tgt)));
+    let (one, two, three) = (links.lease(0), links.lease(1), links.lease(2));
+    drop((two, one));
+    let two = links.lease(1);
+    let four = links.lease(3).expect("the first is idle, the second no more");
+    assert!(links.lease(4).is_none(), "three are in use");
+    links.gone(2);
+    let five = links.lease(4).expect("one has gone");
+    drop((three, five, two));
+    links.listed(4, addr(9500));
+    let (six, seven) = (links.lease(5), links.lease(4));
+    assert!(six.is_some() && seven.is_some() && links.lease(0).is_none(), "one has moved, one was idle");
+    drop((four, six));
+    let (eight, nine) = (links.lease(0), links.lease(1));
+    assert!(eight.is_some() && nine.is_some() && links.lease(3).is_none(), "both idle ones made room");
+}
+
 #[test_case("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n{\"x0\":2}", Outcome::Succeeded, Some(2.0); "fit")]
 #[test_case("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", Outcome::Full, None; "not now")]
 #[test_case("HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n", Outcome::Errored, None; "not here")]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,9 +1,10 @@
 //! coveroute: a node pushes invocations to executors by the Nash-bargaining split.
-//! `policy` holds every decision, `notes` what is known of answers and reports, `types` what goes in and out; neither does I/O or reads a clock.
+//! `policy` holds every decision, `notes` what is known of answers and reports, `sampler` who is drawn from, `types` what goes in and out; neither does I/O or reads a clock.
 pub mod adopt;
 pub mod chance;
 pub mod learnt;
 mod notes;
 mod parcel;
 pub mod policy;
+mod sampler;
 pub mod types;
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -6,13 +6,42 @@
 /// Of remembered successes, after a failure: two in a row outweigh them.
 const GOOD_LEFT: f64 = 0.7;
 
+/// Weight of a latency in its executor's mean: some ten answers.
+const SLOW_NEW: f64 = 0.1;
+
+impl Kind {
+    /// The part of an executor's measured slowness that counts. Within `NOISE` standard errors of none it is noise of
+    /// the measurement, and equal executors count as equal; far beyond, all of it does (the non-negative garrote).
+    /// The standard error is that of a mean in which each answer weighs `SLOW_NEW`, from the spread of single answers.
+    pub(crate) fn slowness(&self, measured: f64) -> f64 {
+        const NOISE: f64 = 2.0; // One in twenty of equal ones lies beyond, and of these most by little.
+        let error = self.spread * SLOW_NEW / (2.0 - SLOW_NEW);
+        measured * (1.0 - NOISE.powi(2) * error / measured.powi(2).max(1e-12)).max(0.0)
+    }
+}
+
+const TRUSTED: f64 = 0.8; // The mean of an executor that is as good as it begins: of four successes in four.
+
 impl Record {
+    /// From its posterior.
+    pub(crate) fn draw(&self, chance: &mut Chance) -> f64 {
+        chance.beta(1 + self.good.round() as usize, 1 + self.bad.round().min(12.0) as usize)
+    }
+
     pub(crate) fn fail(&mut self, weight: f64) {
         (self.good, self.bad) = (self.good * GOOD_LEFT.powf(weight), self.bad + weight);
     }
 }
 
 impl Node {
+    /// What the better quarter of the ready executors reach: neither a few bad nor a few lucky ones move it.
+    pub(crate) fn level(&self) -> f64 {
+        let ready = self.tgts.iter().filter(|t| t.ready());
+        let mut means: Vec<f64> = ready.map(|t| t.whole.mean()).collect();
+        means.sort_by(|a, b| b.total_cmp(a));
+        means.get(means.len() / 4).map_or(1.0, |mean| (mean / TRUSTED).min(1.0))
+    }
+
     pub fn new(set: Settings, seed: u64) -> Self {
         Node {
             chance: Chance::new(seed),
@@ -34,18 +63,19 @@
         t: &mut Executor,
         op: usize,
         class: &mut Class,
-        kind: &mut f64,
+        kind: &mut Kind,
         took: f64,
     ) {
-        const SLOW_NEW: f64 = 0.1; // Weight of a latency in its executor's mean: some ten answers.
         const PACE_NEW: f64 = 0.02; // And in its operation's: some fifty, the first ones evenly.
         let log = took.max(1e-4).ln();
         let pace = class.pace.get_or_insert(log);
-        let ratio = (log - *pace - *kind).clamp(-3.0, 3.0);
-        class.answers += 1.0;
-        *pace += PACE_NEW.max(1.0 / class.answers) * (ratio - t.slow);
-        *kind += PACE_NEW * (ratio - t.slow);
-        t.slow += SLOW_NEW * (ratio - t.slow);
+        let ratio = (log - *pace - kind.slow).clamp(-3.0, 3.0);
+        let off = ratio - t.slow;
+        (class.answers, kind.answers) = (class.answers + 1.0, kind.answers + 1.0);
+        *pace += PACE_NEW.max(1.0 / class.answers) * off;
+        kind.slow += PACE_NEW * off;
+        kind.spread += PACE_NEW.max(1.0 / kind.answers) * (off.powi(2) - kind.spread);
+        t.slow += SLOW_NEW * off;
         t.woke(now);
         t.record(op).succeeded(now, GOOD_MOST, false);
         (t.sampled, t.refusals) = (now, 0);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,7 +1,7 @@
 //! Every decision of a coveroute node. `Node::new(settings, seed)` once, then `handle(now, input, &mut out)`
 //! for each thing that happens, in order; the caller carries out what is put out, in order. Nothing here
 //! waits or reads a clock. Its interface is `types.rs`; docs/design.md tells why it decides as it does.
-use crate::chance::{sums, unit, Chance};
+use crate::sampler::{Index, Sampler, LOOKED};
 use crate::types::*;
 
 const SOLVE: u64 = 0; // Timers: the solve,
@@ -30,11 +30,6 @@
 pub(crate) const GOOD_MOST: f64 = 8.0; // The most successes that count, so that failures soon outweigh them.
 
 impl Record {
-    /// From its posterior.
-    fn draw(&self, chance: &mut Chance) -> f64 {
-        chance.beta(1 + self.good.round() as usize, 1 + self.bad.round().min(12.0) as usize)
-    }
-
     fn blame(&mut self, weight: f64, level: f64) {
         self.fail(weight);
         self.shut = self.mean() < level * DOUBT[0];
@@ -80,7 +75,6 @@
     beta
 }
 
-const TRUSTED: f64 = 0.8; // The mean of an executor that is as good as it begins: of four successes in four.
 const FOG: f64 = 0.7; // Where the better ones reach no more, the way is slow or breaks to all alike:
 const FOG_HOLDS: f64 = 5.0; // reports come too late to go by, and what is taken back fares as badly again.
 const SOLVE_EVERY: f64 = 0.25; // Several times in the shortest running time met.
@@ -311,7 +305,8 @@
         t.memory = if t.held == 0 { 0.0 } else { (t.memory - memory).max(0.0) };
         t.running = t.running.saturating_sub(usize::from(began.is_finite()));
         t.kept &= outcome == Outcome::Succeeded;
-        let kind = &mut self.kinds[t.entry.kind].slow;
+        self.index.freed(t);
+        let kind = &mut self.kinds[t.entry.kind];
         match outcome {
             Outcome::Succeeded => Self::succeeded(now, t, op, &mut self.classes[op], kind, took),
             Outcome::Full => (t.refused, t.refusals) = (now, t.refusals + 1),
@@ -356,9 +351,8 @@
     /// All nodes with as many connections fill executors' tables, or they have a price, or no use.
     fn crowds(&self) -> bool {
         const TABLE: f64 = 30.0; // Connections: a seventh of the smallest table met, which takes capacity.
-        let open: usize = self.tgts.iter().map(|t| t.open).sum();
         let dear = self.set.connection_price > 0.0 || self.asks();
-        dear || (open * self.set.nodes) as f64 > TABLE * self.rank.len() as f64
+        dear || (self.opened() * self.set.nodes) as f64 > TABLE * self.rank.len() as f64
     }
 
     fn alive(&mut self, now: f64, id: InvId, forward: usize) {
@@ -399,7 +393,7 @@
         let fwd = inv.forwards.get(forward).filter(|f| f.fate == Fate::Out && f.wait.is_none());
         let Some(tgt) = fwd.map(|f| f.tgt) else { return };
         let more = self.set.cancelling && now >= self.fog && self.further(now) >= 1.0;
-        let again = more && self.tgts.iter().any(|t| self.may_go(now, inv, t));
+        let again = more && self.bound_to(inv).any(|t| self.may_go(now, inv, t));
         out.extend(again.then_some(Output::Withdraw { id, forward }));
         self.tgts[tgt].failed(1.0, self.level, out);
     }
@@ -524,24 +518,36 @@
     }
 
     /// Draws by beta, or evenly while all are zero; in a large fleet from the own zone before `cross`.
-    fn draw(&mut self, now: f64, id: InvId, times: usize) -> Vec<Tgt> {
+    pub(crate) fn draw(&mut self, now: f64, id: InvId, times: usize) -> Vec<Tgt> {
         let near = now < self.invs[&id].cross && self.near > 0 && !self.whole();
+        let mut chance = std::mem::take(&mut self.chance);
         let (many, inv) = (if near { self.near } else { self.rank.len() }, &self.invs[&id]);
-        let open = |i: &Tgt| self.open(now, inv, &self.tgts[*i]);
-        let mut pool: Vec<Tgt> = self.rank[..many].iter().copied().filter(open).collect();
+        let (few, blind, old) = (self.few(), !self.asks(), self.ways[NEW].shut);
+        let zoned = |t: &Executor| few || !near || t.entry.zone == self.set.zone;
+        let open = |i: &Tgt| zoned(&self.tgts[*i]) && self.open(now, inv, &self.tgts[*i]);
         // Guards against cold executors left idle: who has a turn sends there first what will be in time.
-        let fresh = |i: &Tgt| {
-            let w = self.tgts[*i].warmth(now, &self.set.cold);
-            w < 1.0 && inv.load * (1.0 / w - 1.0) <= 2.0 * inv.spare
-        };
-        prefer(&mut pool, !self.asks(), fresh);
-        prefer(&mut pool, self.ways[NEW].shut, |i| self.tgts[*i].has_fresh(now, self.set.idle));
+        let warm = |i: &Tgt| self.tgts[*i].warmth(now, &self.set.cold);
+        let fresh = |i: &Tgt| warm(i) < 1.0 && inv.load * (1.0 / warm(i) - 1.0) <= 2.0 * inv.spare;
+        let idle = |i: &Tgt| self.tgts[*i].has_fresh(now, self.set.idle);
         // Guards against queues that nothing tells of: an executor that began at once is drawn again.
         let kept = |i: &Tgt| self.tgts[*i].kept && self.tgts[*i].held == 0;
-        prefer(&mut pool, !self.asks(), kept);
-        pool.retain(|i| !inv.hasty || self.asks() || kept(i));
-        let sums = sums(pool.iter().map(|&i| self.tgts[i].share));
-        (0..times).filter_map(|_| pool.get(self.chance.pick(&sums)).copied()).collect()
+        let used = |i: &Tgt| few || blind && (fresh(i) || kept(i)) || old && idle(i);
+        let some = if few { self.rank[..many].to_vec() } else { self.index.of_use(&mut chance, blind, old) };
+        let mut pool: Vec<Tgt> = some.into_iter().filter(|i| used(i) && open(i)).collect();
+        prefer(&mut pool, blind, fresh);
+        prefer(&mut pool, old, idle);
+        prefer(&mut pool, blind, kept);
+        pool.retain(|i| !(inv.hasty && blind) || kept(i));
+        let part = self.part(inv, near).filter(|_| pool.is_empty() && !(inv.hasty && blind));
+        let all = Sampler::new(pool, |i| self.tgts[i].share);
+        let (many, from) = (if few { times } else { 2 * times }, self.index.from);
+        let mut drawn = part.unwrap_or(&all).draw(many, &mut chance, from, &open);
+        // Guards against one that is busy by chance alone: who has waited longer, by its share, is looked at.
+        let due = |i: &Tgt| if few { 0.0 } else { (now - self.tgts[*i].last_sent) * self.tgts[*i].share };
+        drawn.sort_by(|a, b| due(b).total_cmp(&due(a)));
+        drawn.truncate(times);
+        (self.chance, self.index.from) = (chance, from.wrapping_add(LOOKED));
+        drawn
     }
 
     /// Small enough to be gone through: more take over ten rounds, and all would meet at the same ones.
@@ -556,20 +562,19 @@
         const GAP: f64 = 0.005; // About a round trip at first, doubled each time
         const GAP_MOST: f64 = 0.16; // up to this: some six times in half a second.
         let (whole, inv) = (self.whole(), &self.invs[&id]);
-        let open = |i: &Tgt| self.open(now, inv, &self.tgts[*i]);
         if let Some(key) = inv.key {
-            let lot = |i: &Tgt| -self.tgts[*i].share / unit(key ^ u64::from(self.tgts[*i].entry.mark)).ln();
             if inv.sample.is_empty() {
-                let mut order = self.rank.clone();
-                order.sort_by_cached_key(|i| std::cmp::Reverse(lot(i).to_bits()));
+                let order = self.lots(key);
                 self.invs.entry(id).and_modify(|inv| inv.sample = order);
             }
             let inv = &self.invs[&id];
             let many = 1 + ((now - inv.aim + inv.spare) / (SPILL * inv.spare)).max(0.0) as usize;
             let able = |i: &Tgt| self.able(now, inv, &self.tgts[*i]);
-            return inv.sample.iter().copied().filter(able).take(many).collect();
+            let order: Vec<Tgt> = inv.sample.iter().copied().filter(able).take(many).collect();
+            return if order.is_empty() && !self.few() { self.draw(now, id, 1) } else { order };
         }
-        let mut sample: Vec<Tgt> = inv.sample.iter().copied().filter(open).collect();
+        let open = |i: &&Tgt| self.open(now, inv, &self.tgts[**i]);
+        let mut sample: Vec<Tgt> = inv.sample.iter().filter(open).copied().collect();
         if sample.is_empty() && (whole || now >= inv.again) {
             sample = self.draw(now, id, if whole { 1 } else { 2 });
             sample.dedup();
@@ -596,7 +601,7 @@
         let first = inv.forwards.is_empty() || inv.anchor().is_none() || inv.press >= self.usual;
         let none = !inv.forwards.is_empty() && self.further(now) < if first { 1.0 } else { 1.0 + few };
         let spent = none || inv.forwards.len() >= most || self.leaving.is_some() && now + inv.load > inv.end;
-        if spent || (inv.anchor().is_some() && !self.tgts.iter().any(|t| self.may_go(now, inv, t))) {
+        if spent || (inv.anchor().is_some() && !self.bound_to(inv).any(|t| self.may_go(now, inv, t))) {
             return Place::Never;
         }
         let (order, inv, mut stale) = (self.order(now, id), &self.invs[&id], Vec::new());
@@ -813,16 +818,8 @@
         }
     }
 
-    /// What the better quarter of the ready executors reach: neither a few bad nor a few lucky ones move it.
-    fn level(&self) -> f64 {
-        let ready = self.tgts.iter().filter(|t| t.ready());
-        let mut means: Vec<f64> = ready.map(|t| t.whole.mean()).collect();
-        means.sort_by(|a, b| b.total_cmp(a));
-        means.get(means.len() / 4).map_or(1.0, |mean| (mean / TRUSTED).min(1.0))
-    }
-
     /// Rates from own latencies and reports, then COOP, then the order of the pass.
-    fn solve(&mut self, now: f64) {
+    pub(crate) fn solve(&mut self, now: f64) {
         const DRIFT: f64 = 0.98; // Of an executor's difference from the mean, each interval without outcomes.
         const TRIAL: f64 = 0.02; // Of the mean share, for a zero share: one in fifty keeps its figures alive.
         const UNSAMPLED: f64 = 3.0; // Some invocations' time: so long without an own outcome, it drifts.
@@ -840,7 +837,7 @@
                 Sizes::Live => kind.size,
                 Sizes::Never => slots * (-kind.slow).exp(),
             };
-            (t.mu, t.beta) = (size * t.warmth(now, &self.set.cold) * (-t.slow).exp(), 0.0);
+            (t.mu, t.beta) = (size * t.warmth(now, &self.set.cold) * (-kind.slowness(t.slow)).exp(), 0.0);
         }
         let ready = |i: &Tgt| self.tgts[*i].ready();
         let mut rank: Vec<Tgt> = (0..self.tgts.len()).filter(ready).collect();
@@ -867,6 +864,7 @@
         let mean =
             |of: &[Tgt]| of.iter().map(|&i| self.tgts[i].held as f64).sum::<f64>() / of.len().max(1) as f64;
         self.held = [mean(&rank[..self.near]), mean(&rank[self.near..])];
+        self.index = Index::new(now, &self.set, &self.tgts, &rank, self.index.from);
         self.rank = rank;
     }
 
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeMap;
 
 use super::*;
+use crate::chance::Chance;
 use test_case::test_case;
 
 const DEDUP_ALL: Effect = Effect::Deduplicated { group: Group::All, window: 2.0 };
--- /dev/null
+++ b/src/sampler.rs
@@ -0,0 +1,272 @@
+//! Draws from many executors by their shares, and records of who may be of use, kept so that a start looks at a bounded
+//! number of them and never at all. No decision: `policy` tells who may be drawn. docs/design/size.md weighs the ways.
+use std::collections::BTreeMap;
+
+use crate::chance::{mix, sums, unit, Chance};
+use crate::types::*;
+
+/// Fleets up to this size are looked through whole; of a larger one, no more are looked through at a time.
+pub(crate) const LOOKED: usize = 320;
+/// Draws by share until one is open: with a quarter of the shares open, all fail once in ten thousand starts.
+const TRIES: usize = 32;
+/// Of those that are of use, so many are looked at.
+const LISTED: usize = 64;
+/// The first of a key's order that are worked out: more than a wait opens.
+const KEYED: usize = 12;
+
+/// The executors that an invocation is bound to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Part {
+    All,
+    Zone(usize),
+    Cell(i64),
+    Kind(usize),
+}
+
+/// Members and the running sums of their shares.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Sampler {
+    members: Vec<Tgt>,
+    sums: Vec<f64>,
+}
+
+impl Sampler {
+    pub fn new(members: Vec<Tgt>, share: impl Fn(Tgt) -> f64) -> Self {
+        Sampler { sums: sums(members.iter().map(|&i| share(i))), members }
+    }
+
+    /// So many draws by share among the open ones (sampling with rejection). Where a number of tries finds none, the
+    /// open ones of a bounded window are drawn from, which moves on with `from`: so all are looked at in turn.
+    pub fn draw(
+        &self,
+        times: usize,
+        chance: &mut Chance,
+        from: usize,
+        open: &impl Fn(&Tgt) -> bool,
+    ) -> Vec<Tgt> {
+        let mut pick = |sampler: &Sampler| sampler.members.get(chance.pick(&sampler.sums)).copied();
+        let mut one = || (0..TRIES).filter_map(|_| pick(self)).find(open);
+        let drawn: Vec<Tgt> = (0..times).filter_map(|_| one()).collect();
+        if !drawn.is_empty() {
+            return drawn;
+        }
+        let many = self.members.len();
+        let window = (0..many.min(LOOKED)).map(|i| (from + i) % many);
+        let found: Vec<usize> = window.filter(|&at| open(&self.members[at])).collect();
+        let share = |at: usize| self.sums[at] - if at == 0 { 0.0 } else { self.sums[at - 1] };
+        let found = Sampler {
+            sums: sums(found.iter().map(|&at| share(at))),
+            members: found.into_iter().map(|at| self.members[at]).collect(),
+        };
+        (0..times).filter_map(|_| pick(&found)).collect()
+    }
+}
+
+/// Executors in no order, each once.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Members {
+    list: Vec<Tgt>,
+    listed: Vec<bool>,
+}
+
+impl Members {
+    pub fn insert(&mut self, tgt: Tgt) {
+        self.listed.resize(self.listed.len().max(tgt + 1), false);
+        if !std::mem::replace(&mut self.listed[tgt], true) {
+            self.list.push(tgt);
+        }
+    }
+
+    /// A bounded number of them: all, or some at random.
+    fn some(&self, chance: &mut Chance, out: &mut Vec<Tgt>) {
+        let many = self.list.len();
+        if many <= LISTED {
+            return out.extend(&self.list);
+        }
+        out.extend((0..LISTED).map(|_| self.list[(chance.draw() * many as f64) as usize]));
+    }
+}
+
+/// Lots of keys, the same at every node, in steps by the fleet's logarithm: executors in the order of a hash of their
+/// marks, a run of equal leading digits being a branch with the sum of its shares. From the root down the branch, and
+/// at the end the executor, with the greatest lot is taken (weighted rendezvous hashing at each step), so that each
+/// executor is drawn by its share and a change moves the keys of its own branch alone.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Lots {
+    marks: Vec<u64>,
+    executors: Sampler,
+}
+
+impl Lots {
+    fn new(mut members: Vec<Tgt>, mark: impl Fn(Tgt) -> u64, share: impl Fn(Tgt) -> f64) -> Self {
+        members.sort_by_cached_key(|&i| (mark(i), i));
+        Lots { marks: members.iter().map(|&i| mark(i)).collect(), executors: Sampler::new(members, share) }
+    }
+
+    fn weight(&self, from: usize, to: usize) -> f64 {
+        let sum = |at: usize| if at == 0 { 0.0 } else { self.executors.sums[at - 1] };
+        sum(to) - sum(from)
+    }
+
+    /// The executor that the key draws; `None` of none.
+    fn draw(&self, key: u64) -> Option<Tgt> {
+        const LEAF: usize = 16; // As many as a branch has branches.
+        const DIGIT: u32 = 4; // Bits.
+        let lot = |name: u64, weight: f64| -weight / unit(key ^ mix(name)).ln();
+        let (mut from, mut to, mut shift) = (0, self.marks.len(), u64::BITS);
+        while to - from > LEAF && shift > 0 {
+            shift -= DIGIT;
+            let (mut best, mut at) = ((f64::NEG_INFINITY, from, to), from);
+            while at < to {
+                let branch = self.marks[at] >> shift;
+                let end = at + self.marks[at..to].partition_point(|mark| mark >> shift == branch);
+                let name = branch ^ u64::from(shift).rotate_right(8);
+                let found = (lot(name, self.weight(at, end)), at, end);
+                best = if found.0 > best.0 { found } else { best };
+                at = end;
+            }
+            (from, to) = (best.1, best.2);
+        }
+        let greatest = |i: &usize| lot(!self.marks[*i], self.weight(*i, i + 1));
+        let best = (from..to).max_by(|a, b| greatest(a).total_cmp(&greatest(b)));
+        best.map(|i| self.executors.members[i])
+    }
+
+    /// The first of the key's order: each by share among those that were not drawn before.
+    pub fn order(&self, key: u64) -> Vec<Tgt> {
+        let mut order: Vec<Tgt> = Vec::new();
+        for nth in 0..2 * KEYED as u64 {
+            let drawn = self.draw(mix(key.wrapping_add(nth.wrapping_mul(0x9e37_79b9_7f4a_7c15))));
+            order.extend(drawn.filter(|tgt| order.len() < KEYED && !order.contains(tgt)));
+        }
+        order
+    }
+}
+
+/// What is kept of a large fleet: made anew with each solve, and between two solves as things change.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Index {
+    parts: BTreeMap<Part, Sampler>,
+    /// Made with the first key after a solve.
+    lots: Option<Lots>,
+    cold: Members,
+    kept: Members,
+    idle: Members,
+    /// Connections to all, at the last solve.
+    opened: usize,
+    /// Where the next window begins.
+    pub from: usize,
+}
+
+impl Index {
+    /// Of ready executors; nothing is kept of a small fleet.
+    pub fn new(now: f64, set: &Settings, tgts: &[Executor], rank: &[Tgt], from: usize) -> Self {
+        let mut index = Index { from, ..Index::default() };
+        if rank.len() <= LOOKED {
+            return index;
+        }
+        let group = |op: &Operation| match op.effect {
+            Effect::Deduplicated { group, .. } => Some(group),
+            _ => None,
+        };
+        let bound = |to: Group| set.operations.iter().any(|op| group(op) == Some(to));
+        let (zones, cells) = (bound(Group::Zone) || set.cross_zone_price > 0.0, bound(Group::Cell));
+        let kinds = set.operations.iter().any(|op| op.kind.is_some());
+        let mut parts: BTreeMap<Part, Vec<Tgt>> = BTreeMap::from([(Part::All, rank.to_vec())]);
+        for &i in rank {
+            let (t, entry) = (&tgts[i], &tgts[i].entry);
+            let of = [
+                zones.then_some(Part::Zone(entry.zone)),
+                cells.then_some(Part::Cell(entry.cell)),
+                kinds.then_some(Part::Kind(entry.kind)),
+            ];
+            of.into_iter().flatten().for_each(|part| parts.entry(part).or_default().push(i));
+            if t.warmth(now, &set.cold) < 1.0 {
+                index.cold.insert(i);
+            }
+            index.freed(t);
+            index.opened += t.open;
+        }
+        let sampler = |(part, members)| (part, Sampler::new(members, |i| tgts[i].share));
+        index.parts = parts.into_iter().map(sampler).collect();
+        index
+    }
+
+    /// Something has ended there: it began at once, or has a connection that is not in use.
+    pub fn freed(&mut self, t: &Executor) {
+        if t.kept {
+            self.kept.insert(t.entry.tgt);
+        }
+        if t.has_idle() {
+            self.idle.insert(t.entry.tgt);
+        }
+    }
+
+    /// Some that may be cold, or have begun at once, where the fleet is `blind`; with an idle connection if `idle`.
+    pub fn of_use(&self, chance: &mut Chance, blind: bool, idle: bool) -> Vec<Tgt> {
+        let mut some = Vec::new();
+        let lists = [(blind, &self.cold), (blind, &self.kept), (idle, &self.idle)];
+        lists.iter().filter(|list| list.0).for_each(|list| list.1.some(chance, &mut some));
+        some.sort_unstable();
+        some.dedup();
+        some
+    }
+}
+
+impl Node {
+    /// So few that a start looks at all of them.
+    pub(crate) fn few(&self) -> bool {
+        self.rank.len() <= LOOKED
+    }
+
+    /// Ready executors that an invocation is bound to by what may have run, by kind, or to the own zone if `near`.
+    pub(crate) fn part(&self, inv: &Inv, near: bool) -> Option<&Sampler> {
+        let op = &self.set.operations[inv.op];
+        let group = match (inv.anchor(), op.effect) {
+            (Some(first), Effect::Deduplicated { group, .. }) => {
+                let entry = &self.tgts[first.tgt].entry;
+                match group {
+                    Group::All => None,
+                    Group::Zone => Some(Part::Zone(entry.zone)),
+                    Group::Cell => Some(Part::Cell(entry.cell)),
+                }
+            }
+            _ => None,
+        };
+        let own = near.then_some(Part::Zone(self.set.zone));
+        self.index.parts.get(&group.or(op.kind.map(Part::Kind)).or(own).unwrap_or(Part::All))
+    }
+
+    /// Executors that it can go to at all, and others: a part that it is bound to, or all.
+    pub(crate) fn bound_to<'a>(&'a self, inv: &Inv) -> impl Iterator<Item = &'a Executor> {
+        let part = self.part(inv, false);
+        let all = if part.is_none() { &self.tgts[..] } else { &[] };
+        part.into_iter().flat_map(|part| &part.members).map(|&i| &self.tgts[i]).chain(all)
+    }
+
+    /// Connections to all executors; of a large fleet, when last solved.
+    pub(crate) fn opened(&self) -> usize {
+        if self.few() {
+            self.tgts.iter().map(|t| t.open).sum()
+        } else {
+            self.index.opened
+        }
+    }
+
+    /// A key's order of executors, the same at every node (weighted rendezvous hashing): the whole, or its beginning.
+    pub(crate) fn lots(&mut self, key: u64) -> Vec<Tgt> {
+        if !self.few() {
+            let (rank, tgts) = (&self.rank, &self.tgts);
+            let mark = |i: Tgt| mix(u64::from(tgts[i].entry.mark));
+            let lots = || Lots::new(rank.clone(), mark, |i| tgts[i].share);
+            return self.index.lots.get_or_insert_with(lots).order(key);
+        }
+        let lot = |i: &Tgt| -self.tgts[*i].share / unit(key ^ u64::from(self.tgts[*i].entry.mark)).ln();
+        let mut order = self.rank.clone();
+        order.sort_by_cached_key(|i| std::cmp::Reverse(lot(i).to_bits()));
+        order
+    }
+}
+
+#[cfg(test)]
+pub(crate) mod tests;
--- a/src/types.rs
+++ b/src/types.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::chance::Chance;
+use crate::sampler::Index;
 
 /// An invocation's id, as the protocol gave it.
 pub type InvId = u32;
@@ -557,6 +558,8 @@
 
     /// May be sent to: listed as ready, or missing and seen to live since.
     pub fn ready(&self) -> bool {
+        #[cfg(test)]
+        crate::sampler::tests::look();
         self.entry.standing == Standing::Ready || self.entry.standing == Standing::Missing && self.shown
     }
 
@@ -649,10 +652,13 @@
 }
 
 /// What is known of one kind of machine: the smoothed log of its latency over what the same operation takes
-/// elsewhere, the most slots seen free, and the largest size listed.
+/// elsewhere, the most slots seen free, and the largest size listed. `spread`: the variance of single answers' logs
+/// round their executor's own, of so many `answers`.
 #[derive(Clone, Debug, Default)]
 pub struct Kind {
     pub slow: f64,
+    pub spread: f64,
+    pub answers: f64,
     pub slots: f64,
     pub size: f64,
 }
@@ -724,6 +730,8 @@
     /// share, the largest first. Invocations that wait, the most pressing first.
     pub(crate) rank: Vec<Tgt>,
     pub(crate) near: usize,
+    /// What is drawn from in a large fleet.
+    pub(crate) index: Index,
     pub(crate) waiting: Vec<InvId>,
     pub(crate) invs: BTreeMap<InvId, Inv>,
     pub(crate) classes: Vec<Class>,
@@ -779,9 +787,9 @@
     /// The entries, before them as gone what a whole list leaves out.
     pub(crate) fn with_absent(&self, whole: bool, entries: Vec<Entry>) -> Vec<Entry> {
         let absent = |t: &Executor| Entry { standing: Standing::Gone, ..t.entry.clone() };
-        let named = |e: &Entry| entries.iter().any(|other| other.tgt == e.tgt);
-        let mut all: Vec<Entry> = self.tgts.iter().filter(|_| whole).map(absent).collect();
-        all.retain(|entry| !named(entry));
+        let named: BTreeSet<Tgt> = entries.iter().map(|entry| entry.tgt).collect();
+        let left_out = self.tgts.iter().filter(|t| whole && !named.contains(&t.entry.tgt));
+        let mut all: Vec<Entry> = left_out.map(absent).collect();
         all.extend(entries);
         all
     }
