--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -218,7 +218,7 @@
 }
 
 #[test]
-fn who_has_been_idle_the_longest_makes_room() {
+fn who_is_idle_makes_room_whoever_has_gone_or_moved() {
     // Guards against connections of executors that are busy again being counted as idle, and against a bound that is
     // used up by those of executors that have gone or moved.
     let mut links = Links::new(3, seconds(1.0), seconds(60.0));
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -13,9 +13,10 @@
     /// The part of an executor's measured slowness that counts. Within `NOISE` standard errors of none it is noise of
     /// the measurement, and equal executors count as equal; far beyond, all of it does (the non-negative garrote).
     /// The standard error is that of a mean in which each answer weighs `SLOW_NEW`, from the spread of single answers.
-    pub(crate) fn slowness(&self, measured: f64) -> f64 {
+    /// In a fleet of few, where each has answers all the time, what it shows of slow hours outweighs the noise.
+    pub(crate) fn slowness(&self, measured: f64, few: bool) -> f64 {
         const NOISE: f64 = 2.0; // One in twenty of equal ones lies beyond, and of these most by little.
-        let error = self.spread * SLOW_NEW / (2.0 - SLOW_NEW);
+        let error = if few { 0.0 } else { self.spread * SLOW_NEW / (2.0 - SLOW_NEW) };
         measured * (1.0 - NOISE.powi(2) * error / measured.powi(2).max(1e-12)).max(0.0)
     }
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -487,7 +487,7 @@
         open && spent + load <= 0.4 * cold.factor * share * slots * cold.fall && (t.held as f64) < part
     }
 
-    fn may_go(&self, now: f64, inv: &Inv, t: &Executor) -> bool {
+    pub(crate) fn may_go(&self, now: f64, inv: &Inv, t: &Executor) -> bool {
         const WINDOW_MARGIN: f64 = 0.1; // Off the end of the window: several times the way to an executor.
         let op = &self.set.operations[inv.op];
         t.ready()
@@ -826,6 +826,7 @@
         let dear = self.set.cross_zone_price > 0.0 && (self.asks() || self.set.tells_start); // Else blind.
         let known: Vec<f64> = self.tgts.iter().map(|t| t.slots).filter(|slots| *slots > 0.0).collect();
         let usual = known.iter().sum::<f64>().max(1.0) / known.len().max(1) as f64;
+        let few = self.few();
         for t in &mut self.tgts {
             t.slow *= if now - t.sampled > UNSAMPLED { DRIFT } else { 1.0 };
             let kind = &self.kinds[t.entry.kind];
@@ -837,7 +838,8 @@
                 Sizes::Live => kind.size,
                 Sizes::Never => slots * (-kind.slow).exp(),
             };
-            (t.mu, t.beta) = (size * t.warmth(now, &self.set.cold) * (-kind.slowness(t.slow)).exp(), 0.0);
+            (t.mu, t.beta) =
+                (size * t.warmth(now, &self.set.cold) * (-kind.slowness(t.slow, few)).exp(), 0.0);
         }
         let ready = |i: &Tgt| self.tgts[*i].ready();
         let mut rank: Vec<Tgt> = (0..self.tgts.len()).filter(ready).collect();
--- a/src/sampler/tests.rs
+++ b/src/sampler/tests.rs
@@ -43,20 +43,21 @@
 #[test_case(12, 1; "one of a dozen")]
 fn finds_who_is_open_after_a_bounded_number_of_looks(many: usize, open: usize) {
     // Guards against starts that fail while some have room, as after a zone is lost, and against draws without end.
-    let (sampler, mut chance, looked) = (sampler(many), Chance::new(3), Cell::new(0));
-    let is_open = |i: &Tgt| {
-        looked.set(looked.get() + 1);
-        i % (many / open) == many / open - 1
-    };
-    let windows = many.div_ceil(LOOKED);
-    let found: Vec<Tgt> =
-        (0..windows).flat_map(|at| sampler.draw(2, &mut chance, 7 + at * LOOKED, &is_open)).collect();
-    assert!(!found.is_empty() && found.iter().all(|&i| is_open(&i)), "{found:?}");
-    assert!(looked.get() <= windows * (2 * TRIES + LOOKED) + found.len(), "{}", looked.get());
-    assert!(
-        sampler.draw(2, &mut chance, 0, &|_| false).is_empty()
-            && Sampler::default().draw(1, &mut chance, 9, &|_| true).is_empty()
-    );
+    let (sampler, windows) = (sampler(many), many.div_ceil(LOOKED));
+    for seed in 0..8 {
+        let (mut chance, looked) = (Chance::new(seed), Cell::new(0));
+        let is_open = |i: &Tgt| {
+            looked.set(looked.get() + 1);
+            i % (many / open) == many / open - 1
+        };
+        let draw = |at: usize| sampler.draw(2, &mut chance, 7 + at * LOOKED, &is_open);
+        let found: Vec<Tgt> = (0..windows).flat_map(draw).collect();
+        assert!(looked.get() <= windows * (2 * TRIES + LOOKED), "{}", looked.get());
+        assert!(!found.is_empty() && found.iter().all(is_open), "{found:?}");
+    }
+    let (mut chance, none) = (Chance::new(3), Sampler::default());
+    assert!(sampler.draw(2, &mut chance, 0, &|_| false).is_empty(), "nobody");
+    assert!(none.draw(1, &mut chance, 9, &|_| true).is_empty(), "of nobody");
 }
 
 #[test]
@@ -260,12 +261,12 @@
     );
 }
 
-#[test_case(DEDUP_CELL, |t| t.cell == 30; "its cell")]
-#[test_case(Effect::Idempotent, |t| t.cell != 30 || t.tgt == 61; "anywhere")]
+#[test_case(DEDUP_CELL, |t| t.cell == 2000; "its cell")]
+#[test_case(Effect::Idempotent, |t| t.tgt != 4000; "anywhere")]
 fn a_repeat_finds_where_it_may_go(effect: Effect, fits: fn(&Entry) -> bool) {
     // Guards against repeats that are bound to a few of thousands, whom draws over all hardly ever meet.
     let mut play = Play::new(5_000, |set| set.operations[0].effect = effect, ready);
-    let first = Fwd { fate: Fate::MayHaveRun, ..Fwd::new(60, 1.0) };
+    let first = Fwd { fate: Fate::MayHaveRun, ..Fwd::new(4000, 1.0) };
     let inv = Inv {
         aim: 5.0,
         until: 5.0,
@@ -278,11 +279,11 @@
     play.node.invs.insert(1, inv);
     let drawn = play.node.draw(1.1, 1, 2);
     assert!(
-        !drawn.is_empty() && drawn.iter().all(|i| *i != 60 && fits(&play.node.tgts[*i].entry)),
+        !drawn.is_empty() && drawn.iter().all(|i| *i != 4000 && fits(&play.node.tgts[*i].entry)),
         "{drawn:?}"
     );
     let inv = &play.node.invs[&1];
-    assert!(play.node.bound_to(inv).count() <= 5_000 && play.node.bound_to(inv).any(|t| t.entry.tgt == 61));
+    assert!(play.node.bound_to(inv).any(|t| play.node.may_go(1.1, inv, t)));
 }
 
 #[test_case(|t| t.kept = true; "what began at once")]
@@ -319,3 +320,13 @@
         }
     }
 }
+
+#[test_case(0.05, 0.0; "within the noise of single answers")]
+#[test_case(0.7, 0.67; "half as fast, and seen so")]
+#[test_case(-0.7, -0.67; "twice as fast")]
+fn slowness_counts_beyond_the_noise(measured: f64, counted: f64) {
+    // Guards against equal executors that the split leaves out at low load, where its spare rate is near the mean rate.
+    let kind = Kind { spread: 0.09, ..Kind::default() }; // Three tenths: a standard error of 0.07.
+    assert!((kind.slowness(measured, false) - counted).abs() < 0.01, "{}", kind.slowness(measured, false));
+    assert_eq!(kind.slowness(measured, true), measured, "all of it in a fleet of few");
+}
