--- a/crates/coveroute-node/tests/crowds/restarts.rs
+++ b/crates/coveroute-node/tests/crowds/restarts.rs
@@ -22,7 +22,8 @@
     let known = known.then_some(discovery.executor);
     let seat = Seat { nodes: FLEET, known, ..Seat::of(128) };
     let (began, at) = (Instant::now(), discovery.addr);
-    let start = |_| {
+    let start = |nth| {
+        let seat = Seat { me: nth * (FLEET / STARTED), ..seat };
         thread::spawn(move || {
             let process = Process::start(free(), at, seat);
             let ready = until(3 * READY, || process.is_ready()).then(|| began.elapsed().as_secs_f64());
--- a/crates/coveroute-node/tests/crowds/stand_in.rs
+++ b/crates/coveroute-node/tests/crowds/stand_in.rs
@@ -231,15 +231,16 @@
     pub given: usize,
     /// Of these, files that are open before it begins.
     pub taken: usize,
-    /// Nodes that its configuration tells of.
+    /// Nodes that its configuration tells of, and which of them it is.
     pub nodes: usize,
+    pub me: usize,
     /// The executor that it knew of when it last ran.
     pub known: Option<SocketAddr>,
 }
 
 impl Seat {
     pub fn of(descriptors: usize) -> Self {
-        Seat { told: descriptors, given: descriptors, taken: 0, nodes: 1, known: None }
+        Seat { told: descriptors, given: descriptors, taken: 0, nodes: 1, me: 0, known: None }
     }
 }
 
@@ -269,6 +270,7 @@
         let config = config.replace("127.0.0.1:8500", &discovery.to_string());
         let config = config.replace("\"sockets\": 1024", &format!("\"sockets\": {}", seat.told));
         let config = config.replace("\"replicasOfMe\": 1", &format!("\"replicasOfMe\": {}", seat.nodes));
+        let config = config.replace("\"me\": 0", &format!("\"me\": {}", seat.me));
         let known = seat.known.map_or("[]".to_owned(), |executor| format!("[{}]", entry(executor)));
         let config = config.replace("\"servers\": []", &format!("\"servers\": {known}"));
         let config = config.replace("8c1f30d27a5be964", &format!("8c1f30d27a5b{at:04x}"));
