--- a/crates/coveroute-emu/tests/restarts.rs
+++ b/crates/coveroute-emu/tests/restarts.rs
@@ -37,6 +37,9 @@
 
 // Who knows nobody is ready once it has a list. Guards against a herd that asks at once, and against refused calls that
 // come again while the service is still at work on the first ones.
+#[test_case(40.0, false; "40 calls a second, nobody known")]
+#[test_case(60.0, false; "60 calls a second, nobody known")]
+#[test_case(90.0, false; "90 calls a second, nobody known")]
 #[test_case(60.0, true; "60 calls a second, the last list known")]
 fn nine_in_ten_restarted_nodes_have_a_list_in_time(calls: f64, known: bool) {
     for seed in 5..7 {
--- a/crates/coveroute-node/tests/crowds/restarts.rs
+++ b/crates/coveroute-node/tests/crowds/restarts.rs
@@ -48,6 +48,8 @@
 const LATE: Duration = Duration::from_millis(500);
 
 #[test_case(Bound { calls: 40.0, patience: PATIENCE, answers: true, late: LATE }, true; "the last list known")]
+#[test_case(Bound { calls: 40.0, patience: PATIENCE, answers: true, late: LATE }, false; "nobody known")]
+#[test_case(Bound { calls: 40.0, patience: PATIENCE, answers: false, late: LATE }, false; "nobody known, reset")]
 fn nine_in_ten_that_start_at_once_are_ready_in_time(bound: Bound, known: bool) {
     let took = started(bound, known);
     let at = |part: f64| took[((took.len() - 1) as f64 * part) as usize];
