--- a/crates/coveroute-node/tests/crowds/restarts.rs
+++ b/crates/coveroute-node/tests/crowds/restarts.rs
@@ -22,7 +22,8 @@
     let known = known.then_some(discovery.executor);
     let seat = Seat { nodes: FLEET, known, ..Seat::of(128) };
     let (began, at) = (Instant::now(), discovery.addr);
-    let start = |_| {
+    let start = |nth| {
+        let seat = Seat { me: nth * (FLEET / STARTED), ..seat };
         thread::spawn(move || {
             let process = Process::start(free(), at, seat);
             let ready = until(3 * READY, || process.is_ready()).then(|| began.elapsed().as_secs_f64());
@@ -47,6 +48,8 @@
 const LATE: Duration = Duration::from_millis(500);
 
 #[test_case(Bound { calls: 40.0, patience: PATIENCE, answers: true, late: LATE }, true; "the last list known")]
+#[test_case(Bound { calls: 40.0, patience: PATIENCE, answers: true, late: LATE }, false; "nobody known")]
+#[test_case(Bound { calls: 40.0, patience: PATIENCE, answers: false, late: LATE }, false; "nobody known, reset")]
 fn nine_in_ten_that_start_at_once_are_ready_in_time(bound: Bound, known: bool) {
     let took = started(bound, known);
     let at = |part: f64| took[((took.len() - 1) as f64 * part) as usize];
