--- a/src/sampler.rs
+++ b/src/sampler.rs
@@ -46,7 +46,8 @@
     ) -> Vec<Tgt> {
         let mut pick = |sampler: &Sampler| sampler.members.get(chance.pick(&sampler.sums)).copied();
         let mut one = || (0..TRIES).filter_map(|_| pick(self)).find(open);
-        let drawn: Vec<Tgt> = (0..times).filter_map(|_| one()).collect();
+        let drawn: Vec<Tgt> =
+            (0..if self.members.is_empty() { 0 } else { times }).filter_map(|_| one()).collect();
         if !drawn.is_empty() {
             return drawn;
         }
