--- a/crates/coveroute-emu/src/world/mod.rs
+++ b/crates/coveroute-emu/src/world/mod.rs
@@ -7,7 +7,7 @@
 
 use std::collections::VecDeque;
 
-use coveroute::types::{Report, Standing};
+use coveroute::types::{Loss, Report, Standing};
 use coveroute_engine::{Host, Listing};
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
@@ -82,6 +82,7 @@
     Lost {
         node: NodeId,
         watch: u64,
+        loss: Loss,
     },
     Node {
         node: NodeId,
@@ -720,7 +721,8 @@
         match self.list.watch(node, watch, version).filter(|_| !refused) {
             None => {
                 self.list.unwatch(node);
-                out.push(Out::Lost { node, watch });
+                let loss = if refused { Loss::Waited } else { Loss::Closed };
+                out.push(Out::Lost { node, watch, loss });
             }
             Some(listing) => {
                 if let Start::Asks(since) = std::mem::replace(&mut self.nodes[node].start, Start::Follows) {
@@ -843,7 +845,7 @@
                 self.list.down = true;
                 for node in 0..self.nodes.len() {
                     let lost = self.list.unwatch(node);
-                    out.extend(lost.map(|watch| Out::Lost { node, watch }));
+                    out.extend(lost.map(|watch| Out::Lost { node, watch, loss: Loss::Closed }));
                 }
             }
             What::ListEmpty => {
--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -587,7 +587,7 @@
         Discovery::new(addr, happenings).follow(1, 0);
         let lost = timeout(seconds(4.0), async {
             while let Some(what) = happens.recv().await {
-                if matches!(what, Happening::Watch(1, coveroute_engine::Watched::Lost)) {
+                if matches!(what, Happening::Watch(1, coveroute_engine::Watched::Lost(_))) {
                     return;
                 }
             }
@@ -710,8 +710,8 @@
     })
 }
 
-const PUSHED: (&str, &str) = ("\"registryMode\": \"on_request\"", "\"registryMode\": \"pushed\"");
-const BLIND: [(&str, &str); 3] = [
+pub const PUSHED: (&str, &str) = ("\"registryMode\": \"on_request\"", "\"registryMode\": \"pushed\"");
+pub const BLIND: [(&str, &str); 3] = [
     ("\"source\": \"answers\"", "\"source\": \"none\""),
     ("\"probing\": true,", "\"probing\": false,"),
     (
