--- a/crates/coveroute-node/src/at_size.rs
+++ b/crates/coveroute-node/src/at_size.rs
@@ -151,7 +151,7 @@
         let mut told = Vec::new();
         let lost = timeout(seconds(10.0), async {
             while let Some(Happening::Watch(1, watched)) = happens.recv().await {
-                let lost = watched == Watched::Lost;
+                let lost = matches!(watched, Watched::Lost(_));
                 told.push(watched);
                 if lost {
                     return;
--- a/crates/coveroute-node/src/watches.rs
+++ b/crates/coveroute-node/src/watches.rs
@@ -16,6 +16,7 @@
 use tokio::sync::oneshot;
 
 use crate::clock::seconds;
+use crate::guest::Client;
 use crate::happening::{Happening, Happenings};
 use crate::tests::{block, changed, driver_by, job, BLIND, PUSHED};
 
@@ -198,7 +199,8 @@
             let call = format!("c-{id}");
             let mut job = job(&call, "look", 1.0, clock.now());
             job.headers.insert(HeaderName::from_static("x-call-id"), call.try_into().expect("a value"));
-            tell.send(Happening::Taken(id, Box::new(job), answer)).expect("a driver");
+            let client = Client { answer, guest: None };
+            tell.send(Happening::Taken(id, Box::new(job), client)).expect("a driver");
         }
         let first = service.came.borrow()[0];
         let since = |at: &Instant| at.saturating_duration_since(first).as_secs_f64();
