Cold executors by quotas of the operators' term, and on what was told just now

Cause: where reports are prompt any node could use a cold executor's free slot for 0.1 s after its report. Where nothing prompt is told one node had the turn at a time, with 0.4 of N: 0.1 to 0.7 of what would push it over was sent, and it stood idle.

Change: `cold_room` uses a report of room for 20 ms; elsewhere as many nodes have a turn beside each other as can send one request of mean work each, in all 0.35 of N + 2 x root of N + 2 a turn (a span touches two). Light requests are spent as one of mean work.

--- a/crates/coveroute-emu/src/prove.rs
+++ b/crates/coveroute-emu/src/prove.rs
@@ -106,8 +106,13 @@
 }
 
 /// Short ones that CI plays in virtual time.
-const SCENARIOS: [&str; 4] =
-    ["silent-worker.toml", "cold-worker.toml", "mass-loss.toml", "rolling-restart.toml"];
+const SCENARIOS: [&str; 5] = [
+    "silent-worker.toml",
+    "cold-worker.toml",
+    "mass-loss.toml",
+    "rolling-restart.toml",
+    "cold-throng-300.toml",
+];
 
 /// Speed at size: so many times real time, and events a second.
 fn sizes(scenarios: &Path, proof: &mut Proof) -> Result<(), String> {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -473,8 +473,8 @@
         self.set.probing && self.set.reports != Reports::Never && self.empty < self.util.powi(2).max(EMPTY)
     }
 
-    /// Guards against a cold executor that all push over, or leave idle. Where reports are prompt, all use
-    /// its cold part of the slots; elsewhere nodes take turns, each less than half: a span may touch two.
+    /// Guards against a cold executor that all push over, or leave idle. Where reports are prompt, all use its
+    /// cold part of the slots, just told of; elsewhere some have a turn, each with a quota (by half, the last).
     fn cold_room(&self, now: f64, t: &Executor, load: f64) -> bool {
         let (cold, share) = (&self.set.cold, t.warmth(now, &self.set.cold));
         if share >= 1.0 {
@@ -482,15 +482,15 @@
         }
         // Who counts for it tells of no more slots than it has while cold, but not how long they are taken.
         let counted = self.keeper(t).is_some_and(|keeper| keeper != self.set.me || t.slots > 0.0);
-        let (turn, slots) = (t.turn(now, cold.fall), t.slots.max(1.0));
-        let spent = if t.turn == turn { t.spent } else { 0.0 };
-        let part = (share * slots).max(1.0).ceil();
-        let open = match self.told(now) && self.empty < RACES {
-            _ if counted => true,
-            true => self.room(now, t).is_none_or(|room| room >= slots - part + ONE),
-            false => (turn + t.entry.mark as usize) % self.set.nodes.max(1) == self.set.me,
+        let (turn, slots, mean) = (t.turn(now, cold.fall), t.slots.max(1.0), self.mean_load.value());
+        let (part, all) = ((share * slots).max(1.0).ceil(), cold.in_a_turn(share * slots, mean));
+        let free = |room| room >= slots - part + ONE && t.just_told(now);
+        let (open, quota) = match self.told(now) && self.empty < RACES {
+            _ if counted => (true, all),
+            true => (self.room(now, t).is_none_or(free), all),
+            false => t.quota(turn, &self.set, all, if mean > 0.0 { mean } else { load }),
         };
-        open && spent + load <= 0.4 * cold.factor * share * slots * cold.fall && (t.held as f64) < part
+        open && t.spent(turn) + mean.max(0.5 * load) <= quota && (t.held as f64) < part
     }
 
     fn may_go(&self, now: f64, inv: &Inv, t: &Executor) -> bool {
@@ -628,9 +628,8 @@
     }
 
     fn send(&mut self, now: f64, id: InvId, tgt: Tgt, out: &mut Vec<Output>) {
-        let turn = self.tgts[tgt].turn(now, self.set.cold.fall);
         let t = &self.tgts[tgt];
-        let told = self.told(now) && t.free - t.unseen >= ONE;
+        let (turn, told) = (t.turn(now, self.set.cold.fall), self.told(now) && t.free - t.unseen >= ONE);
         let sure = self.set.tells_start && (told || t.held == 0 && t.kept);
         if t.has_idle() && (!t.has_fresh(now, self.set.idle) || self.ways[KEPT].shut) {
             self.close(tgt, out);
@@ -644,7 +643,8 @@
         t.record(inv.op).blame(0.0, self.level); // A trial is one invocation.
         t.open = t.open.max(t.held + 1);
         t.memory += inv.memory;
-        t.spent = inv.load + if t.turn == turn { t.spent } else { 0.0 };
+        t.spent = t.spent(turn) + inv.load.max(self.mean_load.value());
+        self.mean_load.note(inv.load);
         t.heard = if t.held == 0 { now } else { t.heard };
         (t.turn, t.held, t.unseen, t.last_sent, t.trial) = (turn, t.held + 1, t.unseen + 1.0, now, false);
         self.waiting.retain(|&other| other != id);
