prove capacity: a load that was not carried for want of a core is not measured; busiest by chance

How long each node wanted a core and had none is read beside its processor time: where it was a tenth of the time or more, and the load was not carried, the stage is told as `not_measured` and nothing is wanted of it. Where it had the time, calls that fail are still short.

--- a/crates/coveroute-emu/src/capacity/mod.rs
+++ b/crates/coveroute-emu/src/capacity/mod.rs
@@ -27,6 +27,8 @@
 const LIST_COST_GROWTH: f64 = 2.5;
 /// Of the calls so many may fail, on a machine that does other things besides.
 const MAY_FAIL: f64 = 0.05;
+/// A node that has to wait for a core for so much of the time is not what is measured.
+const STARVED: f64 = 0.1;
 /// All nodes together have so much of what was asked of them where the machine is large enough.
 const FITS: f64 = 0.95;
 /// Jobs run so long where it is starts that count, in milliseconds.
@@ -135,13 +137,23 @@
     line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(1024)
 }
 
-fn held(proof: &mut Proof, what: &str, all: &[Loaded]) {
-    for one in all {
-        proof.want(
-            one.other <= MAY_FAIL,
-            format!("{what}: {:.3} of the calls failed at {} executors", one.other, one.executors),
-        );
+/// Whether the load was carried, as it has to be where nodes had the time for it. Where another took their cores that says
+/// nothing of them: it is told as not measured, and nothing is wanted of what follows from it.
+fn held(proof: &mut Proof, what: &str, all: &[Loaded]) -> bool {
+    let carried = |one: &Loaded| one.other <= MAY_FAIL && one.starts >= FITS * one.rate;
+    let short: Vec<&Loaded> = all.iter().filter(|one| !carried(one)).collect();
+    let starved = all.iter().map(|one| one.starved).fold(0.0, f64::max);
+    if !short.is_empty() && starved > STARVED {
+        proof.note(&format!("not_measured: {what}"), json!({ "starved": starved }));
+        return false;
+    }
+    for one in &short {
+        let (had, wanted, other) = (one.starts, one.rate, one.other);
+        let words =
+            format!("{what}: {had:.0} of {wanted:.0} starts a second, {other:.3} of the calls failed");
+        proof.want(false, format!("{words} at {} executors", one.executors));
     }
+    short.is_empty()
 }
 
 fn line<T>(all: &[T], by: impl Fn(&T) -> f64, of: impl Fn(&T) -> f64) -> Fit {
@@ -167,10 +179,10 @@
             let told = side.quiet(extent.lists).await;
             side.end().await.map(|()| (loaded, told))
         })?;
-        held(proof, "by executors", &loaded);
+        let carried = held(proof, "by executors", &loaded);
         let (dialling, _) = (loaded.pop(), told.pop());
         if let (Some(dialling), [first, .., last]) = (dialling, &loaded[..]) {
-            growth(first, last, &dialling, proof);
+            growth(first, last, &dialling, carried, proof);
         }
         all.extend(loaded);
         quiet.extend(told);
@@ -210,7 +222,7 @@
 
 /// What a start takes at the most executors over what it takes at the fewest, side by side; and the same without what new
 /// connections take, which a fleet needs that has not called each of many executors yet.
-fn growth(first: &Loaded, last: &Loaded, dialling: &Loaded, proof: &mut Proof) {
+fn growth(first: &Loaded, last: &Loaded, dialling: &Loaded, carried: bool, proof: &mut Proof) {
     let raw = times(&last.windows, &first.windows);
     let dial = (dialling.start_us - first.start_us) / (dialling.dials - first.dials).max(0.1);
     let without =
@@ -219,11 +231,11 @@
     proof.note(
         &format!("start_growth_{}", last.executors),
         json!({ "raw": raw, "dial_us": dial, "without_dials": bare,
-                "share_least": last.share_least, "share_most": last.share_most }),
+                "share_least": last.share_least, "share_most": last.share_most, "share_chance": last.share_chance }),
     );
     if last.executors == size::WORKERS {
         let words = format!("a start at {}: {raw:.2} times one at {}", last.executors, first.executors);
-        proof.want(raw <= START_COST_GROWTH, format!("{words}, {START_COST_GROWTH} wanted"));
+        proof.want(!carried || raw <= START_COST_GROWTH, format!("{words}, {START_COST_GROWTH} wanted"));
         proof.want(
             last.resident_mb <= size::MEMORY_MB,
             format!("{:.1} MB at {} executors, {} wanted", last.resident_mb, last.executors, size::MEMORY_MB),
--- a/crates/coveroute-emu/src/capacity/side.rs
+++ b/crates/coveroute-emu/src/capacity/side.rs
@@ -28,6 +28,8 @@
     pub start_us: f64,
     /// Of a node.
     pub cores: f64,
+    /// Part of the time in which a node wanted a core and had none.
+    pub starved: f64,
     /// Connections to executors that came up, a start.
     pub dials: f64,
     /// Jobs that ran at the end, a node.
@@ -231,6 +233,7 @@
         start_us: median(&windows),
         windows,
         cores: (last.cpu() - first.cpu()) / took / nodes,
+        starved: (last.waited.iter().sum::<f64>() - first.waited.iter().sum::<f64>()) / took / nodes,
         dials: (last.dialled - first.dialled) as f64 / starts.max(1.0),
         running: rig.running() as f64 / nodes,
         resident_mb: rig.resident().into_iter().fold(0.0, f64::max),
--- a/crates/coveroute-emu/src/load.rs
+++ b/crates/coveroute-emu/src/load.rs
@@ -179,6 +179,8 @@
     pub at: Instant,
     /// Processor time of each node, in seconds.
     pub cpu: Vec<f64>,
+    /// For how long each wanted a core and had none.
+    pub waited: Vec<f64>,
     pub jobs: Vec<u64>,
     pub dialled: u64,
     pub served: u64,
@@ -195,17 +197,19 @@
     }
 }
 
-/// Processor time of a process that runs, in seconds: by its threads, to the nanosecond where the kernel counts so.
-fn processor_time(pid: i32) -> f64 {
+/// Processor time of a process that runs, and for how long its threads wanted a core and had none, in seconds: to the
+/// nanosecond where the kernel counts so.
+fn processor_time(pid: i32) -> (f64, f64) {
     let threads = std::fs::read_dir(format!("/proc/{pid}/task")).into_iter().flatten().flatten();
-    let ran = |path: PathBuf| -> Option<u64> {
-        std::fs::read_to_string(path.join("schedstat")).ok()?.split_whitespace().next()?.parse().ok()
+    let counts = |path: PathBuf| -> Option<[u64; 2]> {
+        let text = std::fs::read_to_string(path.join("schedstat")).ok()?;
+        let mut figures = text.split_whitespace().map(str::parse);
+        Some([figures.next()?.ok()?, figures.next()?.ok()?])
     };
-    let nanoseconds: u64 = threads.filter_map(|thread| ran(thread.path())).sum();
-    if nanoseconds > 0 {
-        nanoseconds as f64 / 1e9
-    } else {
-        taken_by(pid).cpu_seconds
+    let counted = threads.filter_map(|thread| counts(thread.path()));
+    match counted.fold([0, 0], |sum, thread| [sum[0] + thread[0], sum[1] + thread[1]]) {
+        [0, _] => (taken_by(pid).cpu_seconds, 0.0),
+        [ran, waited] => (ran as f64 / 1e9, waited as f64 / 1e9),
     }
 }
 
@@ -351,9 +355,11 @@
 
     pub fn look(&self) -> Look {
         let field = &self.field;
+        let (cpu, waited) = self.pids().map(processor_time).unzip();
         Look {
             at: Instant::now(),
-            cpu: self.pids().map(processor_time).collect(),
+            cpu,
+            waited,
             jobs: field.jobs.iter().map(|jobs| jobs.load(Ordering::Relaxed)).collect(),
             dialled: field.dialled.load(Ordering::Relaxed),
             served: field.served.load(Ordering::Relaxed),
