A heavy job is held to the whole of a cold executor's quota

Change: one of up to twice the mean is let in as one of the mean; a heavier one needs room for all of it. Seen to fail without it: `light_jobs_count_as_jobs_at_a_cold_executor`.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -474,7 +474,7 @@
     }
 
     /// Guards against a cold executor that all push over, or leave idle. Where reports are prompt, all use its
-    /// cold part of the slots, just told of; elsewhere some have a turn, each with a quota (by half, the last).
+    /// cold part of the slots, just told of; elsewhere some have a turn at a time, each with its quota.
     fn cold_room(&self, now: f64, t: &Executor, load: f64) -> bool {
         let (cold, share) = (&self.set.cold, t.warmth(now, &self.set.cold));
         if share >= 1.0 {
@@ -484,13 +484,13 @@
         let counted = self.keeper(t).is_some_and(|keeper| keeper != self.set.me || t.slots > 0.0);
         let (turn, slots, mean) = (t.turn(now, cold.fall), t.slots.max(1.0), self.mean_load.value());
         let (part, all) = ((share * slots).max(1.0).ceil(), cold.in_a_turn(share * slots, mean));
-        let free = |room| room >= slots - part + ONE && t.just_told(now);
         let (open, quota) = match self.told(now) && self.empty < RACES {
             _ if counted => (true, all),
-            true => (self.room(now, t).is_none_or(free), all),
+            true => (self.room(now, t).is_none_or(|r| r >= slots - part + ONE && t.just_told(now)), all),
             false => t.quota(turn, &self.set, all, if mean > 0.0 { mean } else { load }),
         };
-        open && t.spent(turn) + mean.max(0.5 * load) <= quota && (t.held as f64) < part
+        let load = if load <= 2.0 * mean { mean } else { load }; // As others of its sort, but for heavy ones.
+        open && t.spent(turn) + load <= quota && (t.held as f64) < part
     }
 
     fn may_go(&self, now: f64, inv: &Inv, t: &Executor) -> bool {
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -345,6 +345,8 @@
     let mut node = node(Effect::Idempotent, 1);
     (0..50).for_each(|_| node.mean_load.note(1.0));
     (node.set.nodes, node.tgts[0].entry.started, node.tgts[0].slots) = (1, 10.0, 2.0);
+    // And against one job worth many, let in by half of itself (seed 5752 of `search`).
+    assert!(node.cold_room(11.0, &node.tgts[0], 4.0) && !node.cold_room(11.0, &node.tgts[0], 4.5));
     (node.tgts[0].turn, node.tgts[0].spent) = (0, 3.2);
     assert!(node.cold_room(11.0, &node.tgts[0], 0.01), "one more of mean work");
     node.tgts[0].spent = 3.4;
