--- a/crates/coveroute-emu/src/capacity/mod.rs
+++ b/crates/coveroute-emu/src/capacity/mod.rs
@@ -22,7 +22,7 @@
 mod tests;
 
 /// A start at 7,800 executors may take so many times the processor time of one at 200; see `docs/CAPACITY.md`, Start.
-pub const START_COST_GROWTH: f64 = 4.5;
+pub const START_COST_GROWTH: f64 = 1.25;
 /// A whole list may take so many times more by its length: whoever reads it anew with each piece takes more.
 const LIST_COST_GROWTH: f64 = 2.5;
 /// Of the calls so many may fail, on a machine that does other things besides.
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -52,7 +52,6 @@
             util: 0.5,
             spill: 1.0 - (5.0 * set.cross_zone_price).min(1.0), // As if one in five came late there.
             level: 1.0,
-            mean_load: Mean::default(),
             empty: if set.tells_start { 2.0 * RACES } else { 0.0 }, // Believed less until starts show.
             unheard: f64::INFINITY,
             blind_from: f64::INFINITY,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -467,8 +467,8 @@
         self.set.probing && self.set.reports != Reports::Never && self.empty < self.util.powi(2).max(EMPTY)
     }
 
-    /// Guards against a cold executor that all push over, or leave idle. Where reports are prompt, all use its
-    /// cold part of the slots, just told of; elsewhere some have a turn at a time, each with its quota.
+    /// Guards against a cold executor that all push over, or leave idle. Where reports are prompt, all use
+    /// its cold part of the slots; elsewhere nodes take turns, each less than half: a span may touch two.
     fn cold_room(&self, now: f64, t: &Executor, load: f64) -> bool {
         let (cold, share) = (&self.set.cold, t.warmth(now, &self.set.cold));
         if share >= 1.0 {
@@ -476,15 +476,15 @@
         }
         // Who counts for it tells of no more slots than it has while cold, but not how long they are taken.
         let counted = self.keeper(t).is_some_and(|keeper| keeper != self.set.me || t.slots > 0.0);
-        let (turn, slots, mean) = (t.turn(now, cold.fall), t.slots.max(1.0), self.mean_load.value());
-        let (part, all) = ((share * slots).max(1.0).ceil(), cold.in_a_turn(share * slots, mean));
-        let (open, quota) = match self.told(now) && self.empty < RACES {
-            _ if counted => (true, all),
-            true => (self.room(now, t).is_none_or(|r| r >= slots - part + ONE && t.just_told(now)), all),
-            false => t.quota(turn, &self.set, all, if mean > 0.0 { mean } else { load }),
+        let (turn, slots) = (t.turn(now, cold.fall), t.slots.max(1.0));
+        let spent = if t.turn == turn { t.spent } else { 0.0 };
+        let part = (share * slots).max(1.0).ceil();
+        let open = match self.told(now) && self.empty < RACES {
+            _ if counted => true,
+            true => self.room(now, t).is_none_or(|room| room >= slots - part + ONE && t.just_told(now)),
+            false => (turn + t.entry.mark as usize) % self.set.nodes.max(1) == self.set.me,
         };
-        let load = if load <= 2.0 * mean { mean } else { load }; // As others of its sort, but for heavy ones.
-        open && t.spent(turn) + load <= quota && (t.held as f64) < part
+        open && spent + load <= 0.4 * cold.factor * share * slots * cold.fall && (t.held as f64) < part
     }
 
     pub(crate) fn may_go(&self, now: f64, inv: &Inv, t: &Executor) -> bool {
@@ -634,8 +634,9 @@
     }
 
     fn send(&mut self, now: f64, id: InvId, tgt: Tgt, out: &mut Vec<Output>) {
+        let turn = self.tgts[tgt].turn(now, self.set.cold.fall);
         let t = &self.tgts[tgt];
-        let (turn, told) = (t.turn(now, self.set.cold.fall), self.told(now) && t.free - t.unseen >= ONE);
+        let told = self.told(now) && t.free - t.unseen >= ONE;
         let sure = self.set.tells_start && (told || t.held == 0 && t.kept);
         if t.has_idle() && (!t.has_fresh(now, self.set.idle) || self.ways[KEPT].shut) {
             self.close(tgt, out);
@@ -649,8 +650,7 @@
         t.record(inv.op).blame(0.0, self.level); // A trial is one invocation.
         t.open = t.open.max(t.held + 1);
         t.memory += inv.memory;
-        t.spent = t.spent(turn) + inv.load.max(self.mean_load.value());
-        self.mean_load.note(inv.load);
+        t.spent = inv.load + if t.turn == turn { t.spent } else { 0.0 };
         t.heard = if t.held == 0 { now } else { t.heard };
         (t.turn, t.held, t.unseen, t.last_sent, t.trial) = (turn, t.held + 1, t.unseen + 1.0, now, false);
         self.waiting.retain(|&other| other != id);
--- a/src/types.rs
+++ b/src/types.rs
@@ -82,37 +82,6 @@
     pub fall: f64,
 }
 
-impl Cold {
-    /// Work that all nodes together may send in one turn to an executor of so much capacity: a part of what pushes
-    /// it over, N + 2 x root of N + 2 of mean work, N being what the factor allows it. A span may touch two turns;
-    /// the rest is for what estimates miss, and for the second process of a node that is being replaced.
-    pub fn in_a_turn(&self, capacity: f64, mean: f64) -> f64 {
-        const PART: f64 = 0.35;
-        let allowed = self.factor * capacity * self.fall;
-        PART * (allowed + 2.0 * (allowed * mean).sqrt() + 2.0 * mean)
-    }
-}
-
-/// The mean of all, or of the last fifty or so.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Mean {
-    sum: f64,
-    many: f64,
-}
-
-impl Mean {
-    pub fn note(&mut self, figure: f64) {
-        const LAST: f64 = 50.0;
-        let kept = if self.many < LAST { 1.0 } else { 1.0 - 1.0 / LAST };
-        (self.sum, self.many) = (kept * self.sum + figure, kept * self.many + 1.0);
-    }
-
-    /// 0 before anything is noted.
-    pub fn value(&self) -> f64 {
-        self.sum / self.many.max(1.0)
-    }
-}
-
 #[derive(Clone, Debug, Default)]
 pub struct Settings {
     pub me: usize,
@@ -701,20 +670,6 @@
         ((now - self.entry.started).max(0.0) / span.max(1e-3)) as usize
     }
 
-    /// Whether a node has this turn, and its part of what all may send in it. As many have a turn beside each other
-    /// as can send one of mean work each.
-    pub fn quota(&self, turn: usize, set: &Settings, all: f64, mean: f64) -> (bool, f64) {
-        let nodes = set.nodes.max(1);
-        let holders = ((all / mean) as usize).clamp(1, nodes);
-        let first = (turn + self.entry.mark as usize) % nodes;
-        ((set.me + nodes - first) % nodes < holders, all / holders as f64)
-    }
-
-    /// Work that this node has sent there in this turn, a light forward counted as one of mean work.
-    pub fn spent(&self, turn: usize) -> f64 {
-        self.spent * f64::from(u8::from(self.turn == turn))
-    }
-
     /// So short ago that few others can have sent there since: all who see a free slot for longer would meet there.
     pub fn just_told(&self, now: f64) -> bool {
         const WAY: f64 = 0.02; // A few messages' ways and batches.
@@ -849,8 +804,6 @@
     pub(crate) misled: f64,
     /// How often a forward that was told of room had to wait.
     pub(crate) empty: f64,
-    /// Mean work of what it sends; 0 before it has sent anything.
-    pub(crate) mean_load: Mean,
     /// How forwards over open and over new connections fared.
     pub(crate) ways: [Record; 2],
     /// How often what should have started, and had not, never did.
