--- a/src/policy.rs
+++ b/src/policy.rs
@@ -100,13 +100,13 @@
         self.look(now, out);
     }
 
-    /// Guards against calls of all at once, and sending by a list that is too old; docs/design/told.md has the sum.
+    /// Guards against calls of all at once, and sends by a list that is too old; docs/design/told.md sums up.
     fn list(&mut self, now: f64, list: List, out: &mut Vec<Output>) {
         const CALL: f64 = 0.4; // A node's part of a round of calls: a small service takes a few a second;
         const ROUND: f64 = 4.5; // up to most of the six seconds after which all counts as told,
         const REST: f64 = 2.0; // or what is left of them when silence or a wait has taken its part.
         const TOLD: f64 = 5.5; // The six seconds, less the time in which a connection comes up.
-        const FIRST: [[f64; 2]; 2] = [[CALL, 6.0], [0.05, 8.0]]; // Of first calls: somebody is known, or nobody.
+        const FIRST: [[f64; 2]; 2] = [[CALL, 6.0], [0.05, 8.0]]; // First calls: some known, or nobody.
         let (whole, anew) = (list.is_whole(), matches!(list, List::Kept(_) | List::Lost(_)));
         let (lost, grown) = (self.list_lost + 1, f64::from(1 << self.list_lost.saturating_sub(2).min(2)));
         let (lost, since, blind, most) = match list {
@@ -900,7 +900,7 @@
 const LATE: f64 = 0.5; // Of what it can wait: without a start until then the queue is too long.
 const VAIN_NEW: f64 = 0.2; // Weight of a forward that should have started in how many never do: some five.
 const AT_ONCE: f64 = 0.05; // A forward's way, a new connection and some batches: it waited for nothing.
-pub(crate) const RACES: f64 = 0.1; // Room that is not there so often is raced for: a cold executor could be pushed over.
+pub(crate) const RACES: f64 = 0.1; // Room not there so often is raced for, at a cold executor to its fall.
 const EMPTY: f64 = 0.35; // Room that is not there so often is no guide: own forwards tell more.
 const ONE: f64 = 0.9; // One free slot, allowing for noise in reports.
 const PROMPT: f64 = 0.06; // A question's way there and back, and some batches: no answer means no room.
