Attempts: a log line and metrics of what each told its executor, decisions as before

Need: no log line tells what an attempt told its executor, how old a request was when it was read, or why an attempt was not begun; no metric counts attempts that told more than was left. Change: one record of an attempt on its way (attempt.rs) in place of a bare cell; 'attempts' in /v1/metrics; at debug a line for each attempt whose last byte is written, for each that is not begun or is taken back, and the age of each request. What is sent is as before.

--- a/crates/coveroute-engine/src/engine.rs
+++ b/crates/coveroute-engine/src/engine.rs
@@ -593,7 +593,8 @@
             self.counts.ended(&call.class, Verdict::Errored);
             return out.push(unfit(Unfit::Again));
         }
-        debug!("{id} taken: {}, {}, {:.3} s", call.call, call.class, call.budget);
+        let age = now - call.came;
+        debug!("{id} taken: {}, {}, {:.3} s, came {age:.3} s ago", call.call, call.class, call.budget);
         match admit(id, call, &self.operations, self.fleet.names(), now) {
             Ok(submission) => self.open(now, call.call.clone(), submission),
             Err(why) => {
--- a/crates/coveroute-node/src/at_size.rs
+++ b/crates/coveroute-node/src/at_size.rs
@@ -211,6 +211,6 @@
         let (tell, mut told) = tokio::sync::oneshot::channel();
         driver.happened(Happening::Asked(tell));
         let figures = told.try_recv().expect("figures");
-        assert_eq!((figures.applied, figures.rejected), (1, 1));
+        assert_eq!((figures.engine.applied, figures.engine.rejected), (1, 1));
     });
 }
--- a/crates/coveroute-node/src/driver.rs
+++ b/crates/coveroute-node/src/driver.rs
@@ -1,5 +1,4 @@
 //! The driver: owns the engine and the clock, gives it everything that happens, and carries out its actions.
-use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::{SocketAddr, UdpSocket};
 use std::os::fd::{AsRawFd, OwnedFd};
@@ -13,9 +12,10 @@
 use coveroute::types::{InvId, Outcome, Report, Reports, Tgt};
 use coveroute_engine::{Action, Engine, Event, News, Phase, Reply, Setup};
 use coveroute_fleet::Plan;
-use log::{error, info, warn};
+use log::{debug, error, info, warn};
 use tokio::sync::{mpsc, oneshot};
 
+use crate::attempt::{Attempt, AttemptCounts, Deadline, Progress};
 use crate::callbacks;
 use crate::clock::{seconds, Clock};
 use crate::config::Config;
@@ -24,14 +24,14 @@
 use crate::fleet::Carrier;
 use crate::guest::{Client, Guest, Guests, Leaves};
 use crate::handed::{Handed, HandedJob};
-use crate::happening::{Happening, Happenings};
+use crate::happening::{Happening, Happenings, NodeFigures};
 use crate::link::{Link, Said, Side};
 use crate::needed::Keys;
 use crate::peers::Peers;
 use crate::phase::Life;
 use crate::probe::{give_up, probe};
 use crate::replace::{self, Waits};
-use crate::send::{self, Written};
+use crate::send;
 use crate::server::Comes;
 use crate::take_in::Job;
 
@@ -50,7 +50,7 @@
 /// What sends a forward, and how far it is.
 struct Sending {
     task: JoinHandle<()>,
-    written: Rc<Cell<Written>>,
+    attempt: Rc<Attempt>,
 }
 
 /// What of the configuration in force a new one is held against.
@@ -119,6 +119,7 @@
     held: HashMap<InvId, Held>,
     /// What sends a forward; stopped when it is given up before an answer, which closes the connection.
     sending: HashMap<(InvId, usize), Sending>,
+    attempts: Rc<AttemptCounts>,
     reports: bool,
     running: Running,
     /// Where nodes may tell each other.
@@ -171,6 +172,7 @@
             discovery: Discovery::new(discovery, happenings.clone()),
             held: HashMap::new(),
             sending: HashMap::new(),
+            attempts: Rc::default(),
             reports,
             running,
             peers,
@@ -273,7 +275,10 @@
             Happening::Reload(Err(words), _) => self.not_reloaded(&words),
             Happening::Ended(operation, verdict) => self.tell(Event::Ended(&operation, verdict)),
             Happening::Quotas(quotas) => self.tell(Event::Quotas(quotas)),
-            Happening::Asked(tell) => drop(tell.send(self.engine.figures(self.clock.now()))),
+            Happening::Asked(tell) => {
+                let (engine, attempts) = (self.engine.figures(self.clock.now()), self.attempts.figures());
+                let _ = tell.send(NodeFigures { engine, attempts });
+            }
             Happening::Stop => {
                 // Before anything is given back or cut for the stop.
                 self.hand_over();
@@ -536,33 +541,41 @@
     }
 
     fn send(&mut self, id: InvId, forward: usize, tgt: Tgt, left: f64) -> Option<Event<'static>> {
-        let held = self.held.get(&id).map(|held| (held.job.clone(), held.client.guest.clone()));
-        let Some(((job, guest), lease)) = held.zip(self.links.lease(tgt)) else {
-            // Never sent, and no fault of the executor's: it must not be doubted for want of descriptors
-            // here, nor for a client that has left.
-            return Some(Event::Replied(id, forward, Reply::Ended(Outcome::Moot, Report::default())));
+        let Some((job, client)) =
+            self.held.get(&id).map(|held| (held.job.clone(), held.client.guest.clone()))
+        else {
+            debug!("forward {forward} of {id} is not begun: its client has left");
+            self.attempts.client_left();
+            return Some(not_begun(id, forward));
+        };
+        let Some(lease) = self.links.lease(tgt) else {
+            debug!("forward {forward} of {id} is not begun: no connection is free");
+            self.attempts.no_connection();
+            return Some(not_begun(id, forward));
         };
         let (happenings, within) = (self.happenings.clone(), self.links.taken_within());
-        let written: Rc<Cell<Written>> = Rc::default();
-        let mine = written.clone();
+        let attempt = Attempt::new((id, forward), Deadline::within(left), client, self.attempts.clone());
+        let attempt = Rc::new(attempt);
+        let mine = attempt.clone();
         let task = actix_rt::spawn(async move {
             let tell = |reply| drop(happenings.send(Happening::Replied(id, forward, reply)));
-            let has_left = || mine.get() == Written::Waits && guest.iter().any(|guest| guest.has_left());
-            let forward = send::forward(lease, &job, left, within, mine.clone(), tell);
+            let has_left = || mine.progress() == Progress::Waiting && mine.client_has_left();
+            let forward = send::forward(lease, &job, mine.clone(), within, tell);
             if send::unless(has_left, forward).await.is_none() {
-                // What serves it ends, and tells that it has left.
-                guest.iter().for_each(|guest| guest.close.notify_one());
+                debug!("{mine} is not begun: its client has left");
+                mine.client().iter().for_each(|client| client.close.notify_one());
             }
         });
-        self.sending.insert((id, forward), Sending { task, written });
+        self.sending.insert((id, forward), Sending { task, attempt });
         None
     }
 
     /// Takes a forward back whose executor was told to be draining while its connection was still coming up.
     fn recall(&mut self, id: InvId, forward: usize) -> Option<Event<'static>> {
-        self.sending.get(&(id, forward)).filter(|sending| sending.written.get() == Written::Waits)?;
+        self.sending.get(&(id, forward)).filter(|sending| sending.attempt.progress() == Progress::Waiting)?;
         self.sending.remove(&(id, forward))?.task.abort();
-        Some(Event::Replied(id, forward, Reply::Ended(Outcome::Moot, Report::default())))
+        debug!("forward {forward} of {id} is taken back: its executor drains");
+        Some(not_begun(id, forward))
     }
 
     fn probe(&mut self, tgt: Tgt) -> Option<Event<'static>> {
@@ -579,5 +592,11 @@
     }
 }
 
+/// What was never sent is no fault of the executor's: it must not be doubted for want of descriptors here, nor for a
+/// client that has left.
+fn not_begun(id: InvId, forward: usize) -> Event<'static> {
+    Event::Replied(id, forward, Reply::Ended(Outcome::Moot, Report::default()))
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/coveroute-node/src/driver/tests.rs
+++ b/crates/coveroute-node/src/driver/tests.rs
@@ -7,7 +7,7 @@
 
 use super::*;
 use crate::relay::Answer;
-use crate::tests::{block, config, driver, executor, job};
+use crate::tests::{attempt, block, config, driver, executor, job};
 
 const ID: InvId = 7;
 const CALL: &str = "c";
@@ -81,7 +81,7 @@
         let (mut driver, _happens, _) = driver(&[CLOSED.into()]);
         let task = actix_rt::spawn(std::future::pending());
         let watch = task.abort_handle();
-        driver.sending.insert((ID, 0), Sending { task, written: Rc::default() });
+        driver.sending.insert((ID, 0), Sending { task, attempt: attempt() });
         driver.act(Action::Abort { id: ID, forward: 0 });
         actix_rt::task::yield_now().await;
         assert!(watch.is_finished() && driver.sending.is_empty());
@@ -160,7 +160,7 @@
         driver.happened(Happening::Taken(ID, Box::new(job(CALL, "look", 9.0, now)), client(answer)));
         assert!(driver.sending.contains_key(&(ID, 0)), "it is on its way");
         if !late {
-            while driver.sending[&(ID, 0)].written.get() == Written::Waits {
+            while driver.sending[&(ID, 0)].attempt.progress() == Progress::Waiting {
                 actix_rt::task::yield_now().await;
             }
         }
--- a/crates/coveroute-node/src/happening.rs
+++ b/crates/coveroute-node/src/happening.rs
@@ -7,6 +7,7 @@
 use coveroute_fleet::Plan;
 use tokio::sync::{mpsc, oneshot};
 
+use crate::attempt::AttemptFigures;
 use crate::config::Config;
 use crate::guest::Client;
 use crate::handed::Handed;
@@ -15,6 +16,13 @@
 
 pub type Happenings = mpsc::UnboundedSender<Happening>;
 
+/// What operators are shown: the engine's figures, and the sockets'.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct NodeFigures {
+    pub engine: Figures,
+    pub attempts: AttemptFigures,
+}
+
 /// What the units on sockets tell the driver.
 pub enum Happening {
     Taken(InvId, Box<Job>, Client),
@@ -46,7 +54,7 @@
     /// The door has ended a job of this operation by itself.
     Ended(String, Verdict),
     /// Operators ask for the figures.
-    Asked(oneshot::Sender<Figures>),
+    Asked(oneshot::Sender<NodeFigures>),
     /// Of tenants' shares, what is this node's now.
     Quotas(Vec<(String, f64)>),
     /// The platform asks the node to stop.
--- a/crates/coveroute-node/src/main.rs
+++ b/crates/coveroute-node/src/main.rs
@@ -2,6 +2,7 @@
 //! stand in the library `coveroute`; this program carries them out.
 #[cfg(test)]
 mod at_size;
+mod attempt;
 mod callbacks;
 mod clock;
 mod config;
--- a/crates/coveroute-node/src/operators.rs
+++ b/crates/coveroute-node/src/operators.rs
@@ -11,13 +11,14 @@
 use actix_rt::task::JoinHandle;
 use actix_rt::time::{sleep, timeout};
 use actix_service::{Service, ServiceFactory};
-use coveroute_engine::{Figures, ListFigures};
+use coveroute_engine::ListFigures;
 use log::{debug, warn};
 use serde::Serialize;
 use tokio::sync::oneshot;
 
+use crate::attempt::AttemptFigures;
 use crate::fleet::{self, Carrier};
-use crate::happening::{Happening, Happenings};
+use crate::happening::{Happening, Happenings, NodeFigures};
 use crate::phase::Life;
 
 const READY: &str = "/v1/readyz";
@@ -38,6 +39,7 @@
     discovered: usize,
     ejected: usize,
     list: ListShown,
+    attempts: AttemptsShown,
     sighup_applied: u64,
     sighup_rejected: u64,
     /// What it knows of the other nodes, where nodes know each other.
@@ -67,6 +69,28 @@
     }
 }
 
+/// What attempts told their executors of the clients' time, and why some were not begun.
+#[derive(Serialize)]
+struct AttemptsShown {
+    written: u64,
+    overstated: u64,
+    longest_excess_s: f64,
+    client_left: u64,
+    no_connection: u64,
+}
+
+impl From<AttemptFigures> for AttemptsShown {
+    fn from(figures: AttemptFigures) -> AttemptsShown {
+        AttemptsShown {
+            written: figures.written,
+            overstated: figures.overstated,
+            longest_excess_s: figures.longest_excess,
+            client_left: figures.client_left,
+            no_connection: figures.no_connection,
+        }
+    }
+}
+
 #[derive(Serialize)]
 struct Results {
     succeeded: u64,
@@ -74,8 +98,8 @@
     aborted: u64,
 }
 
-impl From<Figures> for Shown {
-    fn from(figures: Figures) -> Shown {
+impl From<NodeFigures> for Shown {
+    fn from(NodeFigures { engine: figures, attempts }: NodeFigures) -> Shown {
         let results = figures.operations.into_iter().map(|(name, tally)| {
             let (succeeded, declined, aborted) = (tally.succeeded, tally.throttled, tally.errored);
             (name.to_string(), Results { succeeded, declined, aborted })
@@ -87,6 +111,7 @@
             discovered: figures.listed,
             ejected: figures.avoided,
             list: figures.list.into(),
+            attempts: attempts.into(),
             sighup_applied: figures.applied,
             sighup_rejected: figures.rejected,
             fleet: None,
--- a/crates/coveroute-node/src/send.rs
+++ b/crates/coveroute-node/src/send.rs
@@ -1,5 +1,4 @@
 //! Send: one forward of an invocation to an executor, and what its connection tells of it.
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::{poll_fn, Future};
 use std::pin::{pin, Pin};
@@ -18,6 +17,7 @@
 use coveroute_shared::Gauge;
 use log::{debug, warn};
 
+use crate::attempt::{Attempt, Progress};
 use crate::executors::{Lease, Patience};
 use crate::take_in::Job;
 use crate::wire;
@@ -25,16 +25,14 @@
 /// The rest of an answer whose head has told all; a connection that takes longer is not worth keeping.
 const REST_WITHIN: Duration = Duration::from_secs(1);
 
-/// Sends the job as it came; `left` is how long the node will wait. Tells the reply as soon as it is known.
+/// Sends the job as it came. Tells the reply as soon as it is known.
 /// An executor that does not say in time that it has the job is told of first, then given up, by closing the
 /// connection. Guards against machines that vanish and jobs that get lost: neither says anything.
-/// `written` tells how far it is: while it waits it can be taken back.
 pub async fn forward(
     lease: Lease,
     job: &Job,
-    left: f64,
+    attempt: Rc<Attempt>,
     patience: Patience,
-    written: Rc<Cell<Written>>,
     tell: impl Fn(Reply),
 ) {
     let uri = Uri::builder().scheme("http").authority(lease.addr().to_string());
@@ -43,9 +41,9 @@
         return tell(Reply::Ended(Outcome::Unreachable, Report::default()));
     };
     let mut request = lease.client().request(job.method.clone(), uri);
-    *request.headers_mut() = headers(&job.headers, left);
-    let body = Body { bytes: job.body.clone(), written: written.clone() };
-    let mut sent = pin!(watched(request.send_body(body), &written, || tell(Reply::Written)));
+    *request.headers_mut() = headers(&job.headers, attempt.tells());
+    let body = Body { bytes: job.body.clone(), attempt: attempt.clone() };
+    let mut sent = pin!(watched(request.send_body(body), &attempt, || tell(Reply::Written)));
     let mut answer = timeout(patience.heard, &mut sent).await;
     if answer.is_err() {
         tell(Reply::Unheard);
@@ -75,21 +73,10 @@
     .await
 }
 
-/// How far a job's bytes are.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub enum Written {
-    /// For a connection: no byte has been asked for.
-    #[default]
-    Waits,
-    Begun,
-    /// The end was asked for: what came before is then written.
-    Ended,
-}
-
 /// A job's body, which notes what of it was asked for.
 struct Body {
     bytes: Bytes,
-    written: Rc<Cell<Written>>,
+    attempt: Rc<Attempt>,
 }
 
 impl MessageBody for Body {
@@ -106,7 +93,7 @@
 
     fn poll_next(mut self: Pin<&mut Self>, _: &mut Context) -> Poll<Option<Result<Bytes, Infallible>>> {
         let bytes = std::mem::take(&mut self.bytes);
-        self.written.set(if bytes.is_empty() { Written::Ended } else { Written::Begun });
+        self.attempt.moves_on(if bytes.is_empty() { Progress::Ended } else { Progress::Begun });
         Poll::Ready((!bytes.is_empty()).then_some(Ok(bytes)))
     }
 }
@@ -115,14 +102,15 @@
 /// in hand went out with no error. A socket that takes no more than a part of the last 64 KiB counts as if it had.
 async fn watched<T>(
     exchange: impl Future<Output = Result<T, SendRequestError>>,
-    written: &Cell<Written>,
+    attempt: &Attempt,
     tell: impl Fn(),
 ) -> Result<T, SendRequestError> {
     let (mut exchange, mut told) = (pin!(exchange), false);
     poll_fn(|context| {
         let polled = exchange.as_mut().poll(context);
         let failed = matches!(&polled, Poll::Ready(Err(SendRequestError::Send(_))));
-        if written.get() == Written::Ended && !failed && !std::mem::replace(&mut told, true) {
+        if attempt.progress() == Progress::Ended && !failed && !std::mem::replace(&mut told, true) {
+            attempt.is_written();
             tell();
         }
         polled
@@ -131,7 +119,7 @@
 }
 
 /// All that the client sent, but for what holds for its own connection only and for the time left.
-pub fn headers(came: &HeaderMap, left: f64) -> HeaderMap {
+pub fn headers(came: &HeaderMap, left: Duration) -> HeaderMap {
     const OWN: [HeaderName; 9] = [
         header::CONNECTION,
         header::CONTENT_LENGTH,
@@ -146,7 +134,7 @@
     let mut headers = HeaderMap::with_capacity(came.len());
     let kept = came.iter().filter(|(name, _)| !OWN.contains(name) && name.as_str() != "keep-alive");
     kept.for_each(|(name, value)| headers.append(name.clone(), value.clone()));
-    let left = HeaderValue::from((left.max(0.0) * 1e3) as u64);
+    let left = HeaderValue::from(u64::try_from(left.as_millis()).unwrap_or(u64::MAX));
     headers.insert(HeaderName::from_static(wire::BUDGET_MS), left);
     headers
 }
--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -16,6 +16,7 @@
 use test_case::test_case;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
 
+use crate::attempt::{Attempt, AttemptFigures, Deadline};
 use crate::callbacks;
 use crate::clock::{seconds, Clock};
 use crate::config::{self, Config};
@@ -24,7 +25,7 @@
 use crate::executors::{Links, Patience};
 use crate::fleet::{Carrier, Place};
 use crate::guest::{Claim, Client, Doing, Guest};
-use crate::happening::{Happening, Happenings};
+use crate::happening::{Happening, Happenings, NodeFigures};
 use crate::hosts::Hosts;
 use crate::logger::{Pace, Turn};
 use crate::needed::Keys;
@@ -134,11 +135,16 @@
     forwarded(links, Patience { heard: taken, taken }).await.into_iter().rfind(|told| *told != Reply::Unheard)
 }
 
+/// One that nobody is connected for, with a second to go.
+pub fn attempt() -> Rc<Attempt> {
+    Rc::new(Attempt::new((0, 0), Deadline::within(1.0), None, Rc::default()))
+}
+
 async fn forwarded(links: &mut Links, patience: Patience) -> Vec<Reply> {
     let told = RefCell::new(Vec::new());
     let lease = links.lease(0).expect("a connection");
     let tell = |reply| told.borrow_mut().push(reply);
-    send::forward(lease, &job("c", "look", 1.0, 0.0), 1.0, patience, Rc::default(), tell).await;
+    send::forward(lease, &job("c", "look", 1.0, 0.0), attempt(), patience, tell).await;
     told.into_inner()
 }
 
@@ -300,7 +306,7 @@
 #[test]
 fn what_the_client_sent_goes_on_but_for_its_own_connection() {
     let request = request(&[ID, BUDGET, ("host", "b.local"), ("connection", "close")], b"");
-    let headers = send::headers(&request.head().headers, 0.25);
+    let headers = send::headers(&request.head().headers, Duration::from_millis(250));
     let text = |name| headers.get(name).map(|value: &HeaderValue| value.as_bytes());
     assert_eq!(text("x-budget-ms"), Some(&b"250"[..]));
     assert_eq!(
@@ -1028,8 +1034,11 @@
                 refused: 7,
                 ..ListFigures::default()
             };
-            let figures =
+            let engine =
                 Figures { operations, forwards: 4, outstanding: 5, listed: 6, list, ..Figures::default() };
+            let attempts =
+                AttemptFigures { written: 4, overstated: 1, longest_excess: 0.25, ..Default::default() };
+            let figures = NodeFigures { engine, attempts };
             while let Some(happening) = happens.recv().await {
                 if let Happening::Asked(tell) = happening {
                     let _ = tell.send(figures.clone());
@@ -1044,6 +1053,7 @@
         "results": {"look": {"succeeded": 3, "declined": 2, "aborted": 1}},
         "forwards": 4, "outstanding": 5, "discovered": 6, "ejected": 0, "sighup_applied": 0, "sighup_rejected": 0,
         "list": {"version": 8, "state": "unheard", "first_heard_s": null, "last_heard_s": 2.5, "refused_without": 7},
+        "attempts": {"written": 4, "overstated": 1, "longest_excess_s": 0.25, "client_left": 0, "no_connection": 0},
     });
     assert_eq!(told, expected);
 }
@@ -1121,7 +1131,7 @@
         let (tell, mut told) = tokio::sync::oneshot::channel();
         driver.happened(Happening::Asked(tell));
         let figures = told.try_recv().expect("figures");
-        assert_eq!((figures.applied, figures.rejected), (1, rejected));
+        assert_eq!((figures.engine.applied, figures.engine.rejected), (1, rejected));
         assert_eq!((life.max_pause(), driver.settings().max_pause), (1.5, 1.5));
     });
 }
