--- /dev/null
+++ b/crates/coveroute-node/examples/system_call_faults.rs
@@ -0,0 +1,263 @@
+//! A library that is loaded into a node's process by `LD_PRELOAD` and makes its system calls fail as Linux documents, by a table that the
+//! test shares with it. Built with the tests; it is no part of the node.
+use std::collections::HashMap;
+use std::ffi::c_void;
+use std::sync::atomic::Ordering::Relaxed;
+use std::sync::{Mutex, Once, OnceLock};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use libc::{c_int, clockid_t, epoll_event, iovec, size_t, sockaddr, socklen_t, ssize_t, timespec};
+
+#[path = "../tests/crowds/fault_table.rs"]
+mod fault_table;
+use fault_table::{Call, Rule, Table, ALWAYS, TABLE_FILE};
+
+/// How often what the kernel is to tell again is looked through.
+const REARM_EVERY: Duration = Duration::from_millis(2);
+
+fn table() -> Option<&'static Table> {
+    static TABLE: OnceLock<Option<&'static Table>> = OnceLock::new();
+    let map = || {
+        let path = std::env::var_os(TABLE_FILE)?;
+        Table::map(path.as_ref()).ok()
+    };
+    *TABLE.get_or_init(map)
+}
+
+/// The next function of this name, which is the C library's.
+fn next(name: &'static std::ffi::CStr) -> *mut c_void {
+    // SAFETY: a name that ends with a nought; the answer is only called as what it is.
+    unsafe { libc::dlsym(libc::RTLD_NEXT, name.as_ptr()) }
+}
+
+macro_rules! real {
+    ($name:literal, $type:ty) => {{
+        static REAL: OnceLock<usize> = OnceLock::new();
+        let at = *REAL.get_or_init(|| next($name) as usize);
+        // SAFETY: the C library's function of this name has this type.
+        unsafe { std::mem::transmute::<usize, $type>(at) }
+    }};
+}
+
+/// Whether a rule strikes now, by a generator that all threads share.
+fn strikes(rule: &Rule) -> bool {
+    static STATE: Mutex<u64> = Mutex::new(0x9e37_79b9_7f4a_7c15);
+    let chance = rule.chance.load(Relaxed);
+    if chance == 0 {
+        return false;
+    }
+    let Ok(mut state) = STATE.lock() else { return false };
+    *state ^= *state << 13;
+    *state ^= *state >> 7;
+    *state ^= *state << 17;
+    let struck = (*state % u64::from(ALWAYS)) < u64::from(chance);
+    rule.struck.fetch_add(u64::from(struck), Relaxed);
+    struck
+}
+
+fn rule(call: Call) -> Option<&'static Rule> {
+    table().map(|table| table.rule(call)).filter(|rule| strikes(rule))
+}
+
+fn fail(errno: u32) -> c_int {
+    // SAFETY: the calling thread's own error number.
+    unsafe { *libc::__errno_location() = errno as c_int };
+    -1
+}
+
+/// Sleeps if the rule says so; what the call fails with, if it does.
+fn failure(rule: &Rule) -> Option<u32> {
+    let delay = rule.delay_ms.load(Relaxed);
+    if delay > 0 {
+        thread::sleep(Duration::from_millis(u64::from(delay)));
+    }
+    Some(rule.errno.load(Relaxed)).filter(|errno| *errno != 0)
+}
+
+/// Whether a connection is a client's, by the port on this side; none where it is no connection over IPv4.
+fn is_clients(fd: c_int) -> Option<bool> {
+    let mut name: libc::sockaddr_in = unsafe { std::mem::zeroed() };
+    let mut size = std::mem::size_of_val(&name) as socklen_t;
+    // SAFETY: writes at most `size` bytes of the record.
+    let told = unsafe { libc::getsockname(fd, (&raw mut name).cast(), &mut size) };
+    if told != 0 || c_int::from(name.sin_family) != libc::AF_INET {
+        return None;
+    }
+    Some(u32::from(u16::from_be(name.sin_port)) == table()?.clients_port.load(Relaxed))
+}
+
+fn moving(fd: c_int, from_clients: Call, from_servers: Call) -> Option<&'static Rule> {
+    let either = [from_clients, from_servers];
+    let any =
+        either.iter().any(|call| table().is_some_and(|table| table.rule(*call).chance.load(Relaxed) > 0));
+    if !any {
+        return None;
+    }
+    rule(if is_clients(fd)? { from_clients } else { from_servers })
+}
+
+/// What is watched on a descriptor: by which set, and for what.
+type Watched = HashMap<c_int, (c_int, epoll_event)>;
+
+fn watched() -> &'static Mutex<Watched> {
+    static WATCHED: OnceLock<Mutex<Watched>> = OnceLock::new();
+    WATCHED.get_or_init(Mutex::default)
+}
+
+fn pending() -> &'static Mutex<Vec<(c_int, Instant)>> {
+    static PENDING: OnceLock<Mutex<Vec<(c_int, Instant)>>> = OnceLock::new();
+    PENDING.get_or_init(Mutex::default)
+}
+
+/// Lets the kernel tell later that the descriptor is ready: as it does where its room was used up for a moment.
+fn tell_again(fd: c_int, rule: &Rule) {
+    static STARTED: Once = Once::new();
+    STARTED.call_once(|| drop(thread::spawn(tell_what_is_due)));
+    let due = Instant::now() + Duration::from_millis(u64::from(rule.rearm_ms.load(Relaxed)));
+    if let Ok(mut pending) = pending().lock() {
+        // Once each: a set that is told twice would read twice, and so ask for four.
+        if pending.iter().all(|one| one.0 != fd) {
+            pending.push((fd, due));
+        }
+    }
+}
+
+fn tell_what_is_due() {
+    loop {
+        thread::sleep(REARM_EVERY);
+        let now = Instant::now();
+        let due: Vec<c_int> = match pending().lock() {
+            Ok(mut pending) => {
+                let due = pending.iter().filter(|one| one.1 <= now).map(|one| one.0).collect();
+                pending.retain(|one| one.1 > now);
+                due
+            }
+            Err(_) => return,
+        };
+        for fd in due {
+            let Ok(watched) = watched().lock() else { return };
+            if let Some((set, event)) = watched.get(&fd) {
+                let mut event = *event;
+                // SAFETY: a set and a descriptor of this process; one that was closed meanwhile is told as an error.
+                unsafe { real_epoll_ctl(*set, libc::EPOLL_CTL_MOD, fd, &mut event) };
+            }
+        }
+    }
+}
+
+unsafe fn real_epoll_ctl(set: c_int, change: c_int, fd: c_int, event: *mut epoll_event) -> c_int {
+    let real = real!(c"epoll_ctl", unsafe extern "C" fn(c_int, c_int, c_int, *mut epoll_event) -> c_int);
+    unsafe { real(set, change, fd, event) }
+}
+
+#[no_mangle]
+unsafe extern "C" fn epoll_ctl(set: c_int, change: c_int, fd: c_int, event: *mut epoll_event) -> c_int {
+    if let Ok(mut watched) = watched().lock() {
+        match change {
+            libc::EPOLL_CTL_DEL => drop(watched.remove(&fd)),
+            _ if event.is_null() => {}
+            _ => drop(watched.insert(fd, (set, unsafe { *event }))),
+        }
+    }
+    unsafe { real_epoll_ctl(set, change, fd, event) }
+}
+
+#[no_mangle]
+unsafe extern "C" fn accept4(fd: c_int, addr: *mut sockaddr, size: *mut socklen_t, flags: c_int) -> c_int {
+    if let Some(errno) = rule(Call::Accept).and_then(failure) {
+        return fail(errno);
+    }
+    let real = real!(c"accept4", unsafe extern "C" fn(c_int, *mut sockaddr, *mut socklen_t, c_int) -> c_int);
+    unsafe { real(fd, addr, size, flags) }
+}
+
+#[no_mangle]
+unsafe extern "C" fn socket(domain: c_int, kind: c_int, protocol: c_int) -> c_int {
+    if domain == libc::AF_INET {
+        if let Some(errno) = rule(Call::Socket).and_then(failure) {
+            return fail(errno);
+        }
+    }
+    let real = real!(c"socket", unsafe extern "C" fn(c_int, c_int, c_int) -> c_int);
+    unsafe { real(domain, kind, protocol) }
+}
+
+#[no_mangle]
+unsafe extern "C" fn connect(fd: c_int, addr: *const sockaddr, size: socklen_t) -> c_int {
+    if is_clients(fd).is_some() {
+        if let Some(errno) = rule(Call::Connect).and_then(failure) {
+            return fail(errno);
+        }
+    }
+    let real = real!(c"connect", unsafe extern "C" fn(c_int, *const sockaddr, socklen_t) -> c_int);
+    unsafe { real(fd, addr, size) }
+}
+
+/// Goes by the rule: fails, or moves as many bytes as it allows; the rest is told of later.
+fn moved(fd: c_int, rule: Option<&Rule>, len: size_t, real: impl FnOnce(size_t) -> ssize_t) -> ssize_t {
+    let Some(rule) = rule else { return real(len) };
+    if let Some(errno) = failure(rule) {
+        if errno == libc::EAGAIN as u32 {
+            tell_again(fd, rule);
+        }
+        return fail(errno) as ssize_t;
+    }
+    let most = rule.most_bytes.load(Relaxed) as size_t;
+    if most == 0 || most >= len {
+        return real(len);
+    }
+    tell_again(fd, rule);
+    real(most)
+}
+
+#[no_mangle]
+unsafe extern "C" fn recv(fd: c_int, buffer: *mut c_void, len: size_t, flags: c_int) -> ssize_t {
+    let real = real!(c"recv", unsafe extern "C" fn(c_int, *mut c_void, size_t, c_int) -> ssize_t);
+    let rule = moving(fd, Call::ReceiveFromClient, Call::ReceiveFromServer);
+    moved(fd, rule, len, |len| unsafe { real(fd, buffer, len, flags) })
+}
+
+#[no_mangle]
+unsafe extern "C" fn send(fd: c_int, buffer: *const c_void, len: size_t, flags: c_int) -> ssize_t {
+    let real = real!(c"send", unsafe extern "C" fn(c_int, *const c_void, size_t, c_int) -> ssize_t);
+    let rule = moving(fd, Call::SendToClient, Call::SendToServer);
+    moved(fd, rule, len, |len| unsafe { real(fd, buffer, len, flags) })
+}
+
+#[no_mangle]
+unsafe extern "C" fn writev(fd: c_int, parts: *const iovec, many: c_int) -> ssize_t {
+    let real = real!(c"writev", unsafe extern "C" fn(c_int, *const iovec, c_int) -> ssize_t);
+    let rule = moving(fd, Call::SendToClient, Call::SendToServer);
+    match rule.and_then(failure) {
+        Some(errno) => fail(errno) as ssize_t,
+        None => unsafe { real(fd, parts, many) },
+    }
+}
+
+#[no_mangle]
+unsafe extern "C" fn write(fd: c_int, buffer: *const c_void, len: size_t) -> ssize_t {
+    let real = real!(c"write", unsafe extern "C" fn(c_int, *const c_void, size_t) -> ssize_t);
+    let rule = match fd {
+        libc::STDERR_FILENO => rule(Call::WriteLog),
+        _ => None,
+    };
+    let Some(rule) = rule else { return unsafe { real(fd, buffer, len) } };
+    if let Some(errno) = failure(rule) {
+        return fail(errno) as ssize_t;
+    }
+    let most = rule.most_bytes.load(Relaxed) as size_t;
+    unsafe { real(fd, buffer, if most == 0 { len } else { len.min(most) }) }
+}
+
+#[no_mangle]
+unsafe extern "C" fn clock_gettime(clock: clockid_t, time: *mut timespec) -> c_int {
+    let real = real!(c"clock_gettime", unsafe extern "C" fn(clockid_t, *mut timespec) -> c_int);
+    let told = unsafe { real(clock, time) };
+    if clock == libc::CLOCK_REALTIME && told == 0 {
+        // Not before the table can be mapped: that itself reads no clock.
+        let step = table().map_or(0, |table| table.clock_step.load(Relaxed));
+        unsafe { (*time).tv_sec += step };
+    }
+    told
+}
--- a/crates/coveroute-node/tests/crowds/stand_in.rs
+++ b/crates/coveroute-node/tests/crowds/stand_in.rs
@@ -156,22 +156,26 @@
             "{{\"id\":\"{job}\",\"from\":\"{}\",\"state\":\"done\",\"result\":\"r-{job}\"}}",
             self.id
         );
-        let length = news.len();
-        let text = format!("POST /_jobs/news HTTP/1.1\r\nHost: n\r\nContent-Length: {length}\r\n\r\n{news}");
-        thread::spawn(move || {
-            thread::sleep(Duration::from_millis(millis));
-            // As executors do: again until it is acknowledged.
-            for _ in 0..20 {
-                let stream = TcpStream::connect_timeout(&node, CALL_WITHIN);
-                if stream.is_ok_and(|mut stream| ask(&mut stream, &text).is_some_and(|told| told.0 == 200)) {
-                    return;
-                }
-                thread::sleep(Duration::from_millis(100));
-            }
-        });
+        tell_later(node, Duration::from_millis(millis), news);
     }
 }
 
+/// Tells a node of a job after so long, in another thread: as executors do, again until it is acknowledged.
+pub fn tell_later(node: SocketAddr, after: Duration, news: String) {
+    let length = news.len();
+    let text = format!("POST /_jobs/news HTTP/1.1\r\nHost: n\r\nContent-Length: {length}\r\n\r\n{news}");
+    thread::spawn(move || {
+        thread::sleep(after);
+        for _ in 0..20 {
+            let stream = TcpStream::connect_timeout(&node, CALL_WITHIN);
+            if stream.is_ok_and(|mut stream| ask(&mut stream, &text).is_some_and(|told| told.0 == 200)) {
+                return;
+            }
+            thread::sleep(Duration::from_millis(100));
+        }
+    });
+}
+
 /// How much a discovery does.
 #[derive(Clone, Copy, Debug)]
 pub struct Bound {
@@ -279,6 +283,22 @@
     }
 }
 
+/// In what a process differs from others beside its seat.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// Texts of the configuration, and what stands in their place.
+    pub settings: Vec<(&'static str, &'static str)>,
+    pub environment: Vec<(String, String)>,
+    /// The least level of its log.
+    pub log: &'static str,
+}
+
+impl Default for Setup {
+    fn default() -> Self {
+        Setup { settings: Vec::new(), environment: Vec::new(), log: "info" }
+    }
+}
+
 /// A process of the node.
 pub struct Process {
     pub node: SocketAddr,
@@ -302,6 +322,17 @@
 
     /// One whose configuration holds this list, from when it last ran.
     pub fn start_knowing(node: SocketAddr, discovery: SocketAddr, seat: Seat, known: &[String]) -> Self {
+        Process::start_with(node, discovery, seat, known, &Setup::default())
+    }
+
+    /// One with other settings, or in another environment.
+    pub fn start_with(
+        node: SocketAddr,
+        discovery: SocketAddr,
+        seat: Seat,
+        known: &[String],
+        setup: &Setup,
+    ) -> Self {
         static NEXT: AtomicUsize = AtomicUsize::new(0);
         let at = NEXT.fetch_add(1, Ordering::Relaxed);
         let folder = std::env::temp_dir().join(format!("coveroute-doors-{}-{at}", std::process::id()));
@@ -315,15 +346,20 @@
         let known = format!("[{}]", known.join(","));
         let config = config.replace("\"servers\": []", &format!("\"servers\": {known}"));
         let config = config.replace("8c1f30d27a5be964", &format!("8c1f30d27a5b{at:04x}"));
+        let config = setup.settings.iter().fold(config, |config, (was, is)| {
+            assert!(config.contains(was), "{was}");
+            config.replace(was, is)
+        });
         std::fs::write(folder.join("config.json"), config).expect("a file");
         let log = std::fs::File::create(folder.join("log")).expect("a log");
         // The limit holds from the start on; what is open before stays open in the program.
         let mut command = Command::new("bash");
         command.arg("-c").arg(
-            "for ((i = 0; i < $2; i++)); do exec {file}</dev/null; done; ulimit -n $1; exec \"$0\" serve --config $3",
+            "for ((i = 0; i < $2; i++)); do exec {file}</dev/null; done; ulimit -n $1; exec \"$0\" serve --config $3 --log $4",
         );
         command.arg(env!("CARGO_BIN_EXE_coveroute")).arg(seat.given.to_string()).arg(seat.taken.to_string());
-        command.arg(folder.join("config.json")).env_remove("TMPDIR");
+        command.arg(folder.join("config.json")).arg(setup.log).env_remove("TMPDIR");
+        command.envs(setup.environment.iter().cloned());
         let child = command.stdin(Stdio::null()).stderr(log).spawn().expect("a process");
         Process { node, folder, child }
     }
--- /dev/null
+++ b/crates/coveroute-node/tests/crowds/told_deadlines.rs
@@ -0,0 +1,287 @@
+//! What attempts tell executors of their clients' time, on a handful of real processes, while one thing fails for a moment: the
+//! kernel is slow to take or give bytes, connections come up or are accepted late, the log stalls, the wall clock steps.
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use test_case::test_case;
+
+use crate::fault_table::Call;
+use crate::judged::{answer, Does, ListKeeper, Server};
+use crate::referee::Referee;
+use crate::stand_in::{free, until, Process, Seat, Setup};
+use crate::system_calls::{Fault, Faults};
+
+const NODES: usize = 3;
+const READY: Duration = Duration::from_secs(20);
+const BUDGET: Duration = Duration::from_millis(1500);
+/// Between two requests to one node.
+const PACE: Duration = Duration::from_millis(25);
+/// A fault lasts for so long, and comes again each round.
+const MOMENT: Duration = Duration::from_millis(500);
+const ROUND: Duration = Duration::from_millis(1200);
+const ROUNDS: usize = 4;
+
+/// The node that a call's id names by its first part, a port of its own being needed by none: nodes differ by host.
+fn node_of(call: &str) -> SocketAddr {
+    let host = call.split('-').next().unwrap_or_default();
+    SocketAddr::new(host.parse().expect("a host"), 9000)
+}
+
+fn request(call: &str, budget: Duration) -> String {
+    let millis = budget.as_millis();
+    format!("POST /look HTTP/1.1\r\nHost: b\r\nX-Call-Id: {call}\r\nX-Budget-Ms: {millis}\r\nContent-Length: 2\r\n\r\n{{}}")
+}
+
+struct World {
+    referee: Arc<Referee>,
+    faults: Faults,
+    nodes: Vec<Process>,
+    /// Kept for as long as the nodes run.
+    _keeper: ListKeeper,
+}
+
+impl World {
+    /// Nodes that know these servers, and are ready.
+    fn start(
+        referee: Arc<Referee>,
+        servers: &[Server],
+        settings: &[(&'static str, &'static str)],
+        log: &'static str,
+    ) -> Self {
+        let keeper = ListKeeper::start(servers.iter().map(|server| server.entry("up")).collect());
+        let faults = Faults::new(9000);
+        let setup = Setup { settings: settings.to_vec(), environment: faults.environment(), log };
+        let start = |_| Process::start_with(free(), keeper.addr, Seat::of(256), &[], &setup);
+        let nodes: Vec<Process> = (0..NODES).map(start).collect();
+        let ready = nodes.iter().all(|node| until(READY, || node.is_ready()));
+        assert!(ready, "{}", nodes[0].log());
+        World { referee, faults, nodes, _keeper: keeper }
+    }
+
+    /// One request on a connection of its own, in another thread.
+    fn asks_anew(&self, node: SocketAddr, call: String) -> thread::JoinHandle<Option<u16>> {
+        let referee = self.referee.clone();
+        thread::spawn(move || {
+            let mut stream = TcpStream::connect_timeout(&node, BUDGET).ok()?;
+            stream.set_read_timeout(Some(2 * BUDGET)).ok()?;
+            stream.write_all(request(&call, BUDGET).as_bytes()).ok()?;
+            referee.sent(&call, BUDGET);
+            answer(&mut BufReader::new(stream))
+        })
+    }
+
+    /// Requests one after the other on a kept connection, until that time; a new connection after each that is closed.
+    fn asks_on(&self, node: SocketAddr, name: String, end: Instant) -> thread::JoinHandle<()> {
+        let referee = self.referee.clone();
+        thread::spawn(move || {
+            let mut kept: Option<TcpStream> = None;
+            for nth in 0.. {
+                if Instant::now() > end {
+                    return;
+                }
+                thread::sleep(PACE);
+                let Some(mut stream) = kept.take().or_else(|| TcpStream::connect_timeout(&node, BUDGET).ok())
+                else {
+                    continue;
+                };
+                let call = format!("{name}-{nth}");
+                let _ = stream.set_read_timeout(Some(2 * BUDGET));
+                if stream.write_all(request(&call, BUDGET).as_bytes()).is_err() {
+                    continue;
+                }
+                referee.sent(&call, BUDGET);
+                let Ok(reading) = stream.try_clone() else { continue };
+                kept = answer(&mut BufReader::new(reading)).map(|_| stream);
+            }
+        })
+    }
+
+    /// Load on all nodes while the fault comes and goes.
+    fn plays(&self, faults: &[(Call, Fault)]) {
+        let (begun, end) = (Instant::now(), Instant::now() + ROUND * ROUNDS as u32);
+        let mut kept = Vec::new();
+        for (at, node) in self.nodes.iter().enumerate() {
+            let name = |which: usize| format!("{}-k{at}{which}", node.node.ip());
+            kept.extend((0..3).map(|which| self.asks_on(node.node, name(which), end)));
+        }
+        let mut fresh = Vec::new();
+        let mut nth = 0;
+        while Instant::now() < end {
+            let at = begun.elapsed().as_millis() % ROUND.as_millis();
+            let strikes = at < MOMENT.as_millis();
+            for (call, fault) in faults {
+                match strikes {
+                    true => self.faults.begin(*call, *fault),
+                    false => self.faults.end(*call),
+                }
+            }
+            for node in &self.nodes {
+                fresh.push(self.asks_anew(node.node, format!("{}-f{nth}", node.node.ip())));
+                nth += 1;
+            }
+            thread::sleep(PACE);
+        }
+        faults.iter().for_each(|(call, _)| self.faults.end(*call));
+        kept.into_iter().for_each(|client| client.join().expect("a client"));
+        let statuses: Vec<Option<u16>> =
+            fresh.into_iter().map(|client| client.join().expect("a client")).collect();
+        let of = |status| statuses.iter().filter(|told| **told == status).count();
+        let struck: u64 = faults.iter().map(|(call, _)| self.faults.struck(*call)).sum();
+        println!(
+            "{} attempts, {struck} calls failed; of {} on new connections {} served, {} refused, {} failed, {} had no answer",
+            self.referee.attempts(), statuses.len(), of(Some(200)), of(Some(503)), of(Some(500)), of(None)
+        );
+        assert!(struck > 0 || faults.is_empty(), "the fault was injected");
+        assert_eq!(of(None), 0, "requests that had no answer");
+    }
+
+    fn holds(&self) {
+        let overstated = self.referee.overstated();
+        let shown: Vec<_> = overstated.iter().take(5).collect();
+        assert!(overstated.is_empty(), "{} attempts told too much: {shown:?}", overstated.len());
+    }
+}
+
+/// Of ten first attempts three are turned away, and one each is given back later, fails, is reset or not answered: what follows is
+/// a retry.
+fn mostly_takes(call: &str, number: usize) -> Does {
+    let lot = call.bytes().fold(7_u32, |sum, byte| sum.wrapping_mul(31).wrapping_add(u32::from(byte))) % 10;
+    match (number, lot) {
+        (1, 0..=2) => Does::Rejects,
+        (1, 3) => Does::Returns(200),
+        (1, 4) => Does::Fails,
+        (1, 5) => Does::Resets,
+        (1, 6) => Does::Silent,
+        _ => Does::Takes(20),
+    }
+}
+
+const EAGAIN: Fault = Fault { rearm_ms: 30, ..Fault::errno(libc::EAGAIN) };
+
+#[test_case(&[]; "nothing fails")]
+#[test_case(&[(Call::Accept, Fault::errno(libc::EMFILE))]; "accept has no descriptor for a moment")]
+#[test_case(&[(Call::Accept, Fault::errno(libc::ENOBUFS).of(900))]; "accept mostly has no memory")]
+#[test_case(&[(Call::ReceiveFromClient, EAGAIN)]; "what clients sent can not be read for a moment")]
+#[test_case(&[(Call::ReceiveFromClient, Fault::short(40, 100))]; "what clients sent is read in short pieces")]
+#[test_case(&[(Call::ReceiveFromClient, Fault::errno(libc::EINTR).of(300))]; "reads are interrupted")]
+#[test_case(&[(Call::SendToServer, EAGAIN)]; "the kernel takes nothing for executors for a moment")]
+#[test_case(&[(Call::SendToServer, Fault::short(60, 200))]; "the kernel takes short pieces for executors")]
+#[test_case(&[(Call::SendToServer, Fault::errno(libc::EINTR).of(300))]; "writes are interrupted")]
+#[test_case(&[(Call::SendToClient, Fault::errno(libc::EINTR).of(300))]; "answers are interrupted")]
+#[test_case(&[(Call::SendToClient, Fault::short(9, 20))]; "the kernel takes short pieces of answers")]
+#[test_case(&[(Call::ReceiveFromServer, Fault::errno(libc::EINTR).of(300))]; "reads from executors are interrupted")]
+#[test_case(&[(Call::Socket, Fault::errno(libc::EMFILE).of(700)), (Call::Connect, Fault::errno(libc::EINTR).of(300))]; "connections can not be opened")]
+#[test_case(&[(Call::WriteLog, Fault::late(250).of(20))]; "the log stalls")]
+#[test_case(&[(Call::WriteLog, Fault::errno(libc::ENOSPC)), (Call::Accept, Fault::errno(libc::ENFILE))]; "no disk and no descriptors")]
+fn attempts_tell_no_more_than_the_client_has_left_while(faults: &[(Call, Fault)]) {
+    let referee: Arc<Referee> = Arc::default();
+    let servers = ["s-0", "s-1", "s-2"].map(|id| Server::new(id, &referee, node_of, Arc::new(mostly_takes)));
+    servers.iter().for_each(Server::listen);
+    // Executors hold no connection for long, so that some attempts have to open one.
+    let settings = [("\"connIdle\": 60000.0", "\"connIdle\": 150.0")];
+    let world = World::start(referee, &servers, &settings, "debug");
+    world.plays(faults);
+    world.holds();
+}
+
+/// A listener whose queue is full: a further connection comes up about a second after the queue was emptied, or sooner.
+fn full(addr: SocketAddr) -> (TcpListener, Vec<TcpStream>) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.set_reuse_address(true).expect("an option");
+    socket.bind(&addr.into()).expect("its address");
+    socket.listen(1).expect("a short queue");
+    let connect = |_| TcpStream::connect_timeout(&addr, Duration::from_millis(50)).ok();
+    let filling = (0..8).map_while(connect).collect();
+    (TcpListener::from(socket), filling)
+}
+
+// The first attempt is turned away at once; the retry's connection comes up a second later.
+#[test]
+fn a_retry_whose_connection_comes_up_late_tells_no_more_than_the_client_has_left() {
+    let referee: Arc<Referee> = Arc::default();
+    let quick = Server::new("s-0", &referee, node_of, Arc::new(|_, _| Does::Rejects));
+    let late = Server::new("s-1", &referee, node_of, Arc::new(|_, _| Does::Takes(20)));
+    quick.listen();
+    let (listener, filling) = full(late.addr);
+    let settings =
+        [("\"dialTimeout\": 250.0", "\"dialTimeout\": 3000.0"), ("\"probing\": true", "\"probing\": false")];
+    let world = World::start(referee, &[quick, late.clone()], &settings, "debug");
+    let asks = |nth: usize| {
+        let node = &world.nodes[nth % NODES];
+        world.asks_anew(node.node, format!("{}-r{nth}", node.node.ip()))
+    };
+    let clients: Vec<_> = (0..12).map(asks).collect();
+    thread::sleep(Duration::from_millis(300));
+    drop(filling);
+    late.serve_all(listener);
+    let answers: Vec<_> = clients.into_iter().map(|client| client.join().expect("a client")).collect();
+    println!("{answers:?}, {} attempts", world.referee.attempts());
+    assert!(world.referee.attempts() > 0, "some come up");
+    world.holds();
+}
+
+// Two requests are written at once on one connection; the first one's executor takes its time.
+#[test]
+fn a_request_behind_another_one_tells_no_more_than_its_client_has_left() {
+    let referee: Arc<Referee> = Arc::default();
+    let script = |call: &str, _| Does::Takes(if call.ends_with("first") { 900 } else { 10 });
+    let server = Server::new("s-0", &referee, node_of, Arc::new(script));
+    server.listen();
+    let world = World::start(referee, &[server], &[], "debug");
+    for node in &world.nodes {
+        let calls = ["first", "second"].map(|which| format!("{}-{which}", node.node.ip()));
+        let both = calls.clone().map(|call| request(&call, BUDGET)).concat();
+        let mut stream = TcpStream::connect_timeout(&node.node, BUDGET).expect("a node");
+        stream.set_read_timeout(Some(2 * BUDGET)).expect("a limit");
+        stream.write_all(both.as_bytes()).expect("written");
+        calls.iter().for_each(|call| world.referee.sent(call, BUDGET));
+        let mut answers = BufReader::new(stream);
+        println!("{:?}", [answer(&mut answers), answer(&mut answers)]);
+    }
+    world.holds();
+}
+
+// The process that took the request hands it to one that was started after the wall clock had stepped; there a retry follows.
+#[test_case(-3600; "back")]
+#[test_case(3600; "on")]
+fn a_request_of_a_replaced_process_tells_no_more_than_its_client_has_left_though_the_clock_stepped(
+    step: i64,
+) {
+    const SLOW: Duration = Duration::from_millis(4000);
+    let referee: Arc<Referee> = Arc::default();
+    let script = |_: &str, number| if number == 1 { Does::Returns(1200) } else { Does::Takes(20) };
+    let servers = ["s-0", "s-1"].map(|id| Server::new(id, &referee, node_of, Arc::new(script)));
+    servers.iter().for_each(Server::listen);
+    let keeper = ListKeeper::start(servers.iter().map(|server| server.entry("up")).collect());
+    let faults = Faults::new(9000);
+    let folder = std::env::temp_dir().join(format!("coveroute-step-{}-{step}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let mut environment = faults.environment();
+    environment.push(("TMPDIR".to_owned(), folder.display().to_string()));
+    let setup = Setup { environment, ..Setup::default() };
+    let addr = free();
+    let before = Process::start_with(addr, keeper.addr, Seat::of(256), &[], &setup);
+    assert!(until(READY, || before.is_ready()), "{}", before.log());
+    let (call, mine) = (format!("{}-handed", addr.ip()), referee.clone());
+    let asking = call.clone();
+    let client = thread::spawn(move || {
+        let mut stream = TcpStream::connect_timeout(&addr, SLOW).ok()?;
+        stream.set_read_timeout(Some(SLOW)).ok()?;
+        stream.write_all(request(&asking, SLOW).as_bytes()).ok()?;
+        mine.sent(&asking, SLOW);
+        answer(&mut BufReader::new(stream))
+    });
+    assert!(until(READY, || referee.attempts_of(&call) == 1), "{}", before.log());
+    faults.step_clock(step);
+    let after = Process::start_with(addr, keeper.addr, Seat::of(256), &[], &setup);
+    let told = client.join().expect("a client");
+    let _ = std::fs::remove_dir_all(&folder);
+    println!("{told:?}, {} attempts; {}", referee.attempts_of(&call), after.log());
+    assert!(after.log().contains("takes over"), "{}", after.log());
+    assert_eq!(referee.overstated(), []);
+    assert_eq!(told, Some(200));
+    assert!(referee.attempts_of(&call) > 1, "a retry followed");
+}
