What an attempt tells its executor is read from the clock when its bytes can be written

Callers saw: retries told executors up to a connection's time more than their client had left. Cause: Action::Send carried a span, counted from when the event began to be handled, and send.rs made X-Budget-Ms of it before the connection was up; the kernel's room for the bytes came later still, and tokio's stream takes a part that was written for a full buffer.

Change: Action::Send carries the end; attempt.rs alone decides whether bytes may go: when an attempt begins, when its connection has come up (one that came up late is kept, and the attempt worded anew), and at each write, which is refused once what was told is more than the client has left; who waits for room is woken for that. connection.rs is what awc writes to, socket.rs repeats interrupted and partial calls. What was told is checked once more when the last byte is written, counted and logged. The wrapper that looked for clients that leave is a part of the same decision now.

--- a/crates/coveroute-engine/src/admit.rs
+++ b/crates/coveroute-engine/src/admit.rs
@@ -25,8 +25,8 @@
     pub came: f64,
 }
 
-/// Kept back from what the client waits: the way of the answer's last byte, with a busy core.
-const ANSWER_TAKES: f64 = 0.05;
+/// Kept back from what the client waits, in seconds: the way of the answer's last byte, with a busy core.
+pub const ANSWER_TAKES: f64 = 0.05;
 
 /// The least work that a hint may speak of: under the way to an executor it makes no difference.
 const HINT_LEAST: f64 = 1e-4;
--- a/crates/coveroute-engine/src/engine.rs
+++ b/crates/coveroute-engine/src/engine.rs
@@ -132,12 +132,13 @@
 /// What the host has to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Hand the job to the executor; `left` is how long the node will wait.
+    /// Hand the job to the executor; the node answers by `end`. How long that is from now has to be read from the clock when the
+    /// executor is told.
     Send {
         id: InvId,
         forward: usize,
         tgt: Tgt,
-        left: f64,
+        end: f64,
     },
     /// Stop sending, by closing the connection: the executor has not said that it has the job.
     Abort {
@@ -676,7 +677,7 @@
             self.route.decide().list_state().name()
         );
         record.forwards.push(Forward { tgt, sent: now, stage: Stage::Sending });
-        out.push(Action::Send { id, forward, tgt, left: record.end - now });
+        out.push(Action::Send { id, forward, tgt, end: record.end });
     }
 
     fn replied(&mut self, now: f64, id: InvId, forward: usize, reply: Reply, out: &mut Vec<Action>) {
--- a/crates/coveroute-engine/src/lib.rs
+++ b/crates/coveroute-engine/src/lib.rs
@@ -16,7 +16,7 @@
 mod route;
 mod timers;
 
-pub use admit::Call;
+pub use admit::{Call, ANSWER_TAKES};
 pub use answer::{Answer, Unfit};
 pub use book::Stage;
 pub use counts::{Figures, ListFigures, Tally, Verdict};
--- a/crates/coveroute-engine/src/tests.rs
+++ b/crates/coveroute-engine/src/tests.rs
@@ -243,14 +243,14 @@
     let mut engine = engine().0;
     let sent = told(&mut engine, NOW, Event::Taken(ID, &call(CALL, class, 2.0)));
     let send = sent.iter().find(|action| matches!(action, Action::Send { .. }));
-    let Some(&Action::Send { forward, left, .. }) = send else { panic!("sent nowhere: {sent:?}") };
+    let Some(&Action::Send { forward, end, .. }) = send else { panic!("sent nowhere: {sent:?}") };
     told(&mut engine, NOW, Event::Replied(ID, forward, Reply::Taken));
     let (mut out, mut now) = (Vec::new(), NOW);
     while answers(&out).is_empty() {
         now = engine.next_due().expect("something is due");
         engine.advance(now, &mut out);
     }
-    assert!(now <= NOW + left + 1e-6 && left < 2.0, "{}", now - NOW);
+    assert!(now <= end + 1e-6 && end < NOW + 2.0, "{}", now - NOW);
     assert_eq!(matches!(answers(&out)[0], Answer::Throttled { .. }), refused);
 }
 
--- a/crates/coveroute-node/src/attempt.rs
+++ b/crates/coveroute-node/src/attempt.rs
@@ -1,40 +1,82 @@
-//! Attempt: one try of a request at an executor, from the decision to its last byte, and what it told the executor of
-//! the time that the client has left.
+//! Attempt: one try of a request at an executor, and the one place that decides whether its bytes may go: when it is begun, and again
+//! at each write. What was read from the clock before a connection came up, or before the kernel had room, counts no more by then.
 use std::cell::Cell;
 use std::fmt;
+use std::future::Future;
+use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use coveroute::types::InvId;
-use log::debug;
+use coveroute_engine::ANSWER_TAKES;
+use log::{debug, warn};
 
 use crate::clock::seconds;
 use crate::guest::Guest;
+use crate::socket::Socket;
+
+tokio::task_local! {
+    /// The attempt whose exchange is being driven.
+    static CURRENT: Rc<Attempt>;
+}
 
 /// By when the node answers a request: a little before its client stops waiting.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Deadline(Instant);
 
 impl Deadline {
-    /// One that is so many seconds away.
-    pub fn within(left: f64) -> Self {
-        Deadline(Instant::now() + seconds(left))
+    pub fn at(answer_by: Instant) -> Self {
+        Deadline(answer_by)
     }
 
-    pub fn left(self, now: Instant) -> Duration {
+    /// What the node has left.
+    fn left(self, now: Instant) -> Duration {
         self.0.saturating_duration_since(now)
     }
+
+    /// What the client has left.
+    fn client_left(self, now: Instant) -> Duration {
+        (self.0 + seconds(ANSWER_TAKES)).saturating_duration_since(now)
+    }
+}
+
+/// Why an attempt is not begun, or does not go on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Refusal {
+    ClientLeft,
+    /// The client's time is over.
+    TimeOver,
+    /// The executor would be told more than the client has left.
+    ToldTooMuch,
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(match self {
+            Refusal::ClientLeft => "its client has left",
+            Refusal::TimeOver => "its client's time is over",
+            Refusal::ToldTooMuch => "it would tell more time than its client has left",
+        })
+    }
+}
+
+impl std::error::Error for Refusal {}
+
+impl From<Refusal> for io::Error {
+    fn from(refusal: Refusal) -> io::Error {
+        io::Error::other(refusal)
+    }
 }
 
 /// How far the bytes of an attempt are.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Progress {
-    /// It waits for its connection: no byte has been asked for.
+    /// None is written.
     #[default]
     Waiting,
     Begun,
-    /// Its end was asked for: what came before is then written.
-    Ended,
+    /// All are written.
+    Written,
 }
 
 /// Counts of attempts since the process began.
@@ -43,7 +85,10 @@
     written: Cell<u64>,
     overstated: Cell<u64>,
     longest_excess: Cell<Duration>,
+    told_anew: Cell<u64>,
+    broken_off: Cell<u64>,
     client_left: Cell<u64>,
+    time_over: Cell<u64>,
     no_connection: Cell<u64>,
 }
 
@@ -52,11 +97,16 @@
 pub struct AttemptFigures {
     /// Attempts whose last byte was written.
     pub written: u64,
-    /// Of these, such that told their executor more than was left by then, and by how many seconds at most.
+    /// Of these, such that told their executor more than the client had left by then, and by how many seconds at most.
     pub overstated: u64,
     pub longest_excess: f64,
-    /// Attempts that were decided on and not begun, as the client had left, or for want of a connection.
+    /// Times that an attempt was worded anew, as what it would have told no longer held when it could be written.
+    pub told_anew: u64,
+    /// Attempts that were broken off before their last byte, as what they told no longer held.
+    pub broken_off: u64,
+    /// Attempts that were decided on and not begun: the client had left, its time was over, or no connection was free.
     pub client_left: u64,
+    pub time_over: u64,
     pub no_connection: u64,
 }
 
@@ -73,20 +123,15 @@
         add_one(&self.no_connection);
     }
 
-    fn wrote(&self, excess: Duration) {
-        add_one(&self.written);
-        if !excess.is_zero() {
-            add_one(&self.overstated);
-        }
-        self.longest_excess.set(self.longest_excess.get().max(excess));
-    }
-
     pub fn figures(&self) -> AttemptFigures {
         AttemptFigures {
             written: self.written.get(),
             overstated: self.overstated.get(),
             longest_excess: self.longest_excess.get().as_secs_f64(),
+            told_anew: self.told_anew.get(),
+            broken_off: self.broken_off.get(),
             client_left: self.client_left.get(),
+            time_over: self.time_over.get(),
             no_connection: self.no_connection.get(),
         }
     }
@@ -97,10 +142,17 @@
     number: usize,
     decided: Instant,
     deadline: Deadline,
-    told: Cell<Duration>,
-    progress: Cell<Progress>,
     client: Option<Rc<Guest>>,
     counts: Rc<AttemptCounts>,
+    told: Cell<Duration>,
+    progress: Cell<Progress>,
+    /// Its end has been asked for: there is nothing to write beyond what is in hand.
+    is_whole: Cell<bool>,
+    /// All that was in hand at the last write went out.
+    is_drained: Cell<bool>,
+    refusal: Cell<Option<Refusal>>,
+    /// A connection that came up for it too late for what it would have told.
+    connected: Cell<Option<Socket>>,
 }
 
 impl fmt::Display for Attempt {
@@ -116,40 +168,133 @@
         client: Option<Rc<Guest>>,
         counts: Rc<AttemptCounts>,
     ) -> Self {
-        let (decided, told, progress) = (Instant::now(), Cell::default(), Cell::default());
-        Attempt { id, number, decided, deadline, told, progress, client, counts }
+        Attempt {
+            id,
+            number,
+            decided: Instant::now(),
+            deadline,
+            client,
+            counts,
+            told: Cell::default(),
+            progress: Cell::default(),
+            is_whole: Cell::default(),
+            is_drained: Cell::default(),
+            refusal: Cell::default(),
+            connected: Cell::default(),
+        }
     }
 
-    pub fn client(&self) -> Option<&Rc<Guest>> {
-        self.client.as_ref()
+    /// The one whose exchange is being driven, if one is.
+    pub fn current() -> Option<Rc<Attempt>> {
+        CURRENT.try_with(Rc::clone).ok()
+    }
+
+    /// Drives an exchange as this attempt's.
+    pub async fn drives<T>(self: &Rc<Self>, exchange: impl Future<Output = T>) -> T {
+        CURRENT.scope(self.clone(), exchange).await
     }
 
-    /// Whether its client is known to have closed its connection.
-    pub fn client_has_left(&self) -> bool {
-        self.client.iter().any(|client| client.has_left())
+    pub fn client(&self) -> Option<&Rc<Guest>> {
+        self.client.as_ref()
     }
 
     pub fn progress(&self) -> Progress {
         self.progress.get()
     }
 
-    pub fn moves_on(&self, progress: Progress) {
-        self.progress.set(progress);
+    /// Begins it, or begins it anew: the time that the executor is told, as it is now.
+    pub fn begins(&self) -> Result<Duration, Refusal> {
+        let left = self.deadline.left(Instant::now());
+        self.told.set(left);
+        self.is_whole.set(false);
+        self.refusal.set(None);
+        if left.is_zero() {
+            return Err(self.refuses(Refusal::TimeOver));
+        }
+        Ok(left)
+    }
+
+    /// Whether a byte may be written now. The kernel is asked whether the client has left, until the first byte is.
+    pub fn permits(&self) -> Result<(), Refusal> {
+        if self.progress.get() == Progress::Waiting && self.client.iter().any(|client| client.has_left()) {
+            return Err(self.refuses(Refusal::ClientLeft));
+        }
+        self.told_holds()
+    }
+
+    /// Whether what the executor is told is still no more than what the client has left.
+    pub fn told_holds(&self) -> Result<(), Refusal> {
+        match self.told.get() > self.deadline.client_left(Instant::now()) {
+            true => Err(self.refuses(Refusal::ToldTooMuch)),
+            false => Ok(()),
+        }
+    }
+
+    /// Until when it does.
+    pub fn told_holds_until(&self) -> Instant {
+        let client_left = self.deadline.client_left(self.decided);
+        self.decided + client_left.saturating_sub(self.told.get())
+    }
+
+    fn refuses(&self, refusal: Refusal) -> Refusal {
+        debug!("{self} is refused, {:?}: {refusal}", self.progress.get());
+        let count = match (refusal, self.progress.get()) {
+            (Refusal::ClientLeft, _) => &self.counts.client_left,
+            (Refusal::TimeOver, _) => &self.counts.time_over,
+            (Refusal::ToldTooMuch, Progress::Waiting) => &self.counts.told_anew,
+            (Refusal::ToldTooMuch, _) => &self.counts.broken_off,
+        };
+        add_one(count);
+        self.refusal.set(Some(refusal));
+        refusal
     }
 
-    /// The time that the executor is told.
-    pub fn tells(&self) -> Duration {
-        let told = self.deadline.left(self.decided);
-        self.told.set(told);
-        told
+    /// Why it was refused, since it last began.
+    pub fn refusal(&self) -> Option<Refusal> {
+        self.refusal.get()
     }
 
-    /// Its last byte is written.
-    pub fn is_written(&self) {
+    /// Keeps a connection until it is begun anew.
+    pub fn keeps(&self, connected: Socket) {
+        self.connected.set(Some(connected));
+    }
+
+    pub fn kept(&self) -> Option<Socket> {
+        self.connected.take()
+    }
+
+    /// There is nothing to write beyond what is in hand.
+    pub fn body_ended(&self) {
+        self.is_whole.set(true);
+        if self.progress.get() == Progress::Begun && self.is_drained.get() {
+            self.completed();
+        }
+    }
+
+    /// So many of the bytes in hand are written.
+    pub fn wrote(&self, many: usize, in_hand: usize) {
+        self.is_drained.set(many == in_hand);
+        if many > 0 && self.progress.get() == Progress::Waiting {
+            self.progress.set(Progress::Begun);
+        }
+        if self.is_whole.get() && self.is_drained.get() {
+            self.completed();
+        }
+    }
+
+    /// Its last byte is written: checks what it told once more. The node may have been held up in between.
+    fn completed(&self) {
+        self.progress.set(Progress::Written);
         let now = Instant::now();
-        let (told, left) = (self.told.get(), self.deadline.left(now));
+        let (told, client_left) = (self.told.get(), self.deadline.client_left(now));
         let took = now.saturating_duration_since(self.decided);
-        debug!("{self} told {told:.3?}, {left:.3?} were left when its last byte was written, {took:.3?} after the decision");
-        self.counts.wrote(told.saturating_sub(left));
+        debug!("{self} told {told:.3?}, its client had {client_left:.3?} when its last byte was written, {took:.3?} after the decision");
+        add_one(&self.counts.written);
+        let excess = told.saturating_sub(client_left);
+        if !excess.is_zero() {
+            warn!("{self} told {excess:.3?} more than its client had left: the node was held up");
+            add_one(&self.counts.overstated);
+            self.counts.longest_excess.set(self.counts.longest_excess.get().max(excess));
+        }
     }
 }
--- a/crates/coveroute-node/src/driver.rs
+++ b/crates/coveroute-node/src/driver.rs
@@ -514,7 +514,7 @@
 
     fn act(&mut self, action: Action) -> Option<Event<'static>> {
         match action {
-            Action::Send { id, forward, tgt, left } => return self.send(id, forward, tgt, left),
+            Action::Send { id, forward, tgt, end } => return self.send(id, forward, tgt, end),
             Action::Abort { id, forward } => {
                 self.sending.remove(&(id, forward)).into_iter().for_each(|sending| sending.task.abort());
             }
@@ -540,7 +540,7 @@
         None
     }
 
-    fn send(&mut self, id: InvId, forward: usize, tgt: Tgt, left: f64) -> Option<Event<'static>> {
+    fn send(&mut self, id: InvId, forward: usize, tgt: Tgt, end: f64) -> Option<Event<'static>> {
         let Some((job, client)) =
             self.held.get(&id).map(|held| (held.job.clone(), held.client.guest.clone()))
         else {
@@ -554,17 +554,12 @@
             return Some(not_begun(id, forward));
         };
         let (happenings, within) = (self.happenings.clone(), self.links.taken_within());
-        let attempt = Attempt::new((id, forward), Deadline::within(left), client, self.attempts.clone());
-        let attempt = Rc::new(attempt);
+        let deadline = Deadline::at(self.clock.instant(end));
+        let attempt = Rc::new(Attempt::new((id, forward), deadline, client, self.attempts.clone()));
         let mine = attempt.clone();
         let task = actix_rt::spawn(async move {
             let tell = |reply| drop(happenings.send(Happening::Replied(id, forward, reply)));
-            let has_left = || mine.progress() == Progress::Waiting && mine.client_has_left();
-            let forward = send::forward(lease, &job, mine.clone(), within, tell);
-            if send::unless(has_left, forward).await.is_none() {
-                debug!("{mine} is not begun: its client has left");
-                mine.client().iter().for_each(|client| client.close.notify_one());
-            }
+            send::forward(lease, &job, mine, within, tell).await;
         });
         self.sending.insert((id, forward), Sending { task, attempt });
         None
--- a/crates/coveroute-node/src/executors.rs
+++ b/crates/coveroute-node/src/executors.rs
@@ -10,6 +10,8 @@
 use coveroute::types::Tgt;
 use log::debug;
 
+use crate::connection::Dialer;
+
 /// The longest that a connection is kept: executors may live for months.
 const LIFETIME: Duration = Duration::from_secs(100_000_000);
 /// Of the idle time after which executors close: the rest covers the way there, so that nothing is written to
@@ -100,7 +102,7 @@
     }
 
     fn client(&self) -> Client {
-        let connector = Connector::new().limit(0).timeout(self.dial);
+        let connector = Connector::new().connector(Dialer::new()).limit(0).timeout(self.dial);
         let connector = connector.conn_keep_alive(self.idle).conn_lifetime(LIFETIME);
         let builder = Client::builder().connector(connector).disable_redirects().disable_timeout();
         builder.no_default_headers().finish()
--- a/crates/coveroute-node/src/main.rs
+++ b/crates/coveroute-node/src/main.rs
@@ -6,6 +6,7 @@
 mod callbacks;
 mod clock;
 mod config;
+mod connection;
 #[cfg(test)]
 mod crossings;
 #[cfg(test)]
@@ -29,6 +30,7 @@
 mod replace;
 mod send;
 mod server;
+mod socket;
 mod take_in;
 #[cfg(test)]
 mod tests;
--- a/crates/coveroute-node/src/operators.rs
+++ b/crates/coveroute-node/src/operators.rs
@@ -75,7 +75,10 @@
     written: u64,
     overstated: u64,
     longest_excess_s: f64,
+    told_anew: u64,
+    broken_off: u64,
     client_left: u64,
+    time_over: u64,
     no_connection: u64,
 }
 
@@ -85,7 +88,10 @@
             written: figures.written,
             overstated: figures.overstated,
             longest_excess_s: figures.longest_excess,
+            told_anew: figures.told_anew,
+            broken_off: figures.broken_off,
             client_left: figures.client_left,
+            time_over: figures.time_over,
             no_connection: figures.no_connection,
         }
     }
--- a/crates/coveroute-node/src/send.rs
+++ b/crates/coveroute-node/src/send.rs
@@ -11,13 +11,14 @@
 use actix_http::{header, StatusCode, Uri};
 use actix_rt::time::timeout;
 use awc::error::{ConnectError, SendRequestError};
+use awc::ClientResponse;
 use bytes::Bytes;
 use coveroute::types::{Outcome, Report};
 use coveroute_engine::Reply;
 use coveroute_shared::Gauge;
 use log::{debug, warn};
 
-use crate::attempt::{Attempt, Progress};
+use crate::attempt::{Attempt, Progress, Refusal};
 use crate::executors::{Lease, Patience};
 use crate::take_in::Job;
 use crate::wire;
@@ -25,6 +26,10 @@
 /// The rest of an answer whose head has told all; a connection that takes longer is not worth keeping.
 const REST_WITHIN: Duration = Duration::from_secs(1);
 
+/// How often an attempt is begun while its connection comes up or the kernel has no room: once more after a connection that came up
+/// late, and once after a node that was held up just then.
+const BEGUN_MOST: usize = 3;
+
 /// Sends the job as it came. Tells the reply as soon as it is known.
 /// An executor that does not say in time that it has the job is told of first, then given up, by closing the
 /// connection. Guards against machines that vanish and jobs that get lost: neither says anything.
@@ -35,15 +40,7 @@
     patience: Patience,
     tell: impl Fn(Reply),
 ) {
-    let uri = Uri::builder().scheme("http").authority(lease.addr().to_string());
-    let Ok(uri) = uri.path_and_query(job.target.clone()).build() else {
-        // Can't be: both parts were read as such before.
-        return tell(Reply::Ended(Outcome::Unreachable, Report::default()));
-    };
-    let mut request = lease.client().request(job.method.clone(), uri);
-    *request.headers_mut() = headers(&job.headers, attempt.tells());
-    let body = Body { bytes: job.body.clone(), attempt: attempt.clone() };
-    let mut sent = pin!(watched(request.send_body(body), &attempt, || tell(Reply::Written)));
+    let mut sent = pin!(exchange(&lease, job, &attempt, || tell(Reply::Written)));
     let mut answer = timeout(patience.heard, &mut sent).await;
     if answer.is_err() {
         tell(Reply::Unheard);
@@ -51,7 +48,12 @@
     }
     match answer {
         Err(_) => tell(Reply::Ended(Outcome::TimedOut, Report::default())),
-        Ok(Err(e)) => {
+        Ok(Err(NotSent::Refused(Refusal::ClientLeft))) => {
+            // What serves the client ends, and tells that it has left.
+            attempt.client().iter().for_each(|client| client.close.notify_one());
+        }
+        Ok(Err(NotSent::Refused(_))) => tell(Reply::Ended(Outcome::Moot, Report::default())),
+        Ok(Err(NotSent::Broken(e))) => {
             debug!("{}: {e}", lease.addr());
             tell(Reply::Ended(broken(&e), Report::default()));
         }
@@ -62,18 +64,40 @@
     }
 }
 
-/// Does the work, and looks before each step of it whether that is still wanted; none if it is not. Guards against a
-/// client that leaves while the node is busy, or a connection comes up: nothing is begun for it any more.
-pub async fn unless<T>(unwanted: impl Fn() -> bool, work: impl Future<Output = T>) -> Option<T> {
-    let mut work = pin!(work);
-    poll_fn(|context| match unwanted() {
-        true => Poll::Ready(None),
-        false => work.as_mut().poll(context).map(Some),
-    })
-    .await
+/// Why an exchange came to no answer.
+enum NotSent {
+    /// No byte was written.
+    Refused(Refusal),
+    Broken(SendRequestError),
 }
 
-/// A job's body, which notes what of it was asked for.
+/// Words the request and writes it, anew where what it told no longer holds when it could be written.
+async fn exchange(
+    lease: &Lease,
+    job: &Job,
+    attempt: &Rc<Attempt>,
+    tell_written: impl Fn(),
+) -> Result<ClientResponse, NotSent> {
+    let uri = Uri::builder().scheme("http").authority(lease.addr().to_string());
+    // Can't fail: both parts were read as such before.
+    let uri = uri.path_and_query(job.target.clone()).build().unwrap_or_default();
+    for _ in 0..BEGUN_MOST {
+        let left = attempt.begins().map_err(NotSent::Refused)?;
+        let mut request = lease.client().request(job.method.clone(), uri.clone());
+        *request.headers_mut() = headers(&job.headers, left);
+        let body = Body { bytes: job.body.clone(), attempt: attempt.clone() };
+        let sent = attempt.drives(watched(request.send_body(body), attempt, &tell_written)).await;
+        match (sent, attempt.progress(), attempt.refusal()) {
+            (Ok(answer), ..) => return Ok(answer),
+            (Err(_), Progress::Waiting, Some(Refusal::ToldTooMuch)) => {}
+            (Err(_), Progress::Waiting, Some(refusal)) => return Err(NotSent::Refused(refusal)),
+            (Err(e), ..) => return Err(NotSent::Broken(e)),
+        }
+    }
+    Err(NotSent::Refused(Refusal::ToldTooMuch))
+}
+
+/// A job's body, which tells the attempt when all of it was asked for.
 struct Body {
     bytes: Bytes,
     attempt: Rc<Attempt>,
@@ -93,25 +117,20 @@
 
     fn poll_next(mut self: Pin<&mut Self>, _: &mut Context) -> Poll<Option<Result<Bytes, Infallible>>> {
         let bytes = std::mem::take(&mut self.bytes);
-        self.attempt.moves_on(if bytes.is_empty() { Progress::Ended } else { Progress::Begun });
+        if bytes.is_empty() {
+            self.attempt.body_ended();
+        }
         Poll::Ready((!bytes.is_empty()).then_some(Ok(bytes)))
     }
 }
 
-/// Drives the exchange, and tells once that the request has been written whole: its end was asked for, and what was
-/// in hand went out with no error. A socket that takes no more than a part of the last 64 KiB counts as if it had.
-async fn watched<T>(
-    exchange: impl Future<Output = Result<T, SendRequestError>>,
-    attempt: &Attempt,
-    tell: impl Fn(),
-) -> Result<T, SendRequestError> {
+/// Drives the exchange, and tells once that the request has been written whole.
+async fn watched<T>(exchange: impl Future<Output = T>, attempt: &Attempt, tell_written: impl Fn()) -> T {
     let (mut exchange, mut told) = (pin!(exchange), false);
     poll_fn(|context| {
         let polled = exchange.as_mut().poll(context);
-        let failed = matches!(&polled, Poll::Ready(Err(SendRequestError::Send(_))));
-        if attempt.progress() == Progress::Ended && !failed && !std::mem::replace(&mut told, true) {
-            attempt.is_written();
-            tell();
+        if attempt.progress() == Progress::Written && !std::mem::replace(&mut told, true) {
+            tell_written();
         }
         polled
     })
--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -137,7 +137,7 @@
 
 /// One that nobody is connected for, with a second to go.
 pub fn attempt() -> Rc<Attempt> {
-    Rc::new(Attempt::new((0, 0), Deadline::within(1.0), None, Rc::default()))
+    Rc::new(Attempt::new((0, 0), Deadline::at(Instant::now() + seconds(1.0)), None, Rc::default()))
 }
 
 async fn forwarded(links: &mut Links, patience: Patience) -> Vec<Reply> {
@@ -1053,7 +1053,8 @@
         "results": {"look": {"succeeded": 3, "declined": 2, "aborted": 1}},
         "forwards": 4, "outstanding": 5, "discovered": 6, "ejected": 0, "sighup_applied": 0, "sighup_rejected": 0,
         "list": {"version": 8, "state": "unheard", "first_heard_s": null, "last_heard_s": 2.5, "refused_without": 7},
-        "attempts": {"written": 4, "overstated": 1, "longest_excess_s": 0.25, "client_left": 0, "no_connection": 0},
+        "attempts": {"written": 4, "overstated": 1, "longest_excess_s": 0.25, "told_anew": 0, "broken_off": 0,
+            "client_left": 0, "time_over": 0, "no_connection": 0},
     });
     assert_eq!(told, expected);
 }
