A request's time counts from when its bytes came, not from when the node read them

Callers saw: while accept4 or recv failed for a moment, or a log write stalled, attempts and retries told executors up to half a second more than the client had left, and requests sent behind another one up to its whole service. Cause: server.rs dated a request by the clock when its head was handed on.

Change: at each read the kernel is asked how old the connection's newest byte is (arrival.rs, TCP_INFO), and the request is dated by that. Where the kernel does not say, what can be read at once from a connection that was accepted after accept failed, or after the node had no place, counts from when that began. A client that writes requests ahead at different moments is dated by the newest of them.

--- a/crates/coveroute-node/examples/system_call_faults.rs
+++ b/crates/coveroute-node/examples/system_call_faults.rs
@@ -250,6 +250,24 @@
     unsafe { real(fd, buffer, if most == 0 { len } else { len.min(most) }) }
 }
 
+#[no_mangle]
+unsafe extern "C" fn getsockopt(
+    fd: c_int,
+    level: c_int,
+    name: c_int,
+    value: *mut c_void,
+    size: *mut socklen_t,
+) -> c_int {
+    if (level, name) == (libc::IPPROTO_TCP, libc::TCP_INFO) {
+        if let Some(errno) = rule(Call::ConnectionInfo).and_then(failure) {
+            return fail(errno);
+        }
+    }
+    type Getsockopt = unsafe extern "C" fn(c_int, c_int, c_int, *mut c_void, *mut socklen_t) -> c_int;
+    let real = real!(c"getsockopt", Getsockopt);
+    unsafe { real(fd, level, name, value, size) }
+}
+
 #[no_mangle]
 unsafe extern "C" fn clock_gettime(clock: clockid_t, time: *mut timespec) -> c_int {
     let real = real!(c"clock_gettime", unsafe extern "C" fn(clockid_t, *mut timespec) -> c_int);
--- a/crates/coveroute-node/src/clock.rs
+++ b/crates/coveroute-node/src/clock.rs
@@ -19,6 +19,13 @@
         self.at_start + self.start.elapsed().as_secs_f64()
     }
 
+    /// What it showed at a moment of the system's steady clock.
+    pub fn at(&self, moment: Instant) -> f64 {
+        let since = moment.saturating_duration_since(self.start).as_secs_f64();
+        let before = self.start.saturating_duration_since(moment).as_secs_f64();
+        self.at_start + since - before
+    }
+
     /// The moment on the system's steady clock.
     pub fn instant(&self, at: f64) -> Instant {
         self.start + seconds(at - self.at_start)
--- a/crates/coveroute-node/src/guest.rs
+++ b/crates/coveroute-node/src/guest.rs
@@ -16,6 +16,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::{oneshot, Notify};
 
+use crate::arrival::newest_byte_age;
 use crate::relay::Answer;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -70,6 +71,10 @@
 pub struct Guest {
     doing: Cell<Doing>,
     since: Cell<Instant>,
+    /// When the newest byte that it has said came.
+    arrived: Cell<Instant>,
+    /// Since when it may have waited to be accepted, until its first read.
+    waited_since: Cell<Option<Instant>>,
     /// Its socket, until that is closed.
     socket: Cell<Option<RawFd>>,
     /// The job that it waits for.
@@ -106,10 +111,31 @@
 
 impl Guest {
     pub fn new(socket: RawFd) -> Self {
-        let (doing, since, job) = (Cell::new(Doing::Silent), Cell::new(Instant::now()), Cell::new(None));
+        let now = Instant::now();
+        let (doing, since, job) = (Cell::new(Doing::Silent), Cell::new(now), Cell::new(None));
+        let (arrived, waited_since) = (Cell::new(now), Cell::new(None));
         let (ahead, stuck, gone) = (Cell::new(false), Cell::new(false), Cell::new(false));
         let (said, overran, socket) = (Cell::new((0, 0)), Cell::new(false), Cell::new(Some(socket)));
-        Guest { doing, since, socket, job, ahead, said, overran, stuck, gone, close: Notify::new() }
+        Guest {
+            doing,
+            since,
+            arrived,
+            waited_since,
+            socket,
+            job,
+            ahead,
+            said,
+            overran,
+            stuck,
+            gone,
+            close: Notify::new(),
+        }
+    }
+
+    /// One that may have waited since then to be accepted.
+    pub fn waited_since(self, since: Option<Instant>) -> Self {
+        self.waited_since.set(since);
+        self
     }
 
     #[cfg(test)]
@@ -171,8 +197,21 @@
         !self.overran.get()
     }
 
-    /// Bytes have come. One that has connected has its time from then on: saying a little does not renew it.
-    fn heard(&self, many: usize) {
+    /// When the newest byte that it has said came. A request's time counts from its last byte.
+    pub fn arrived(&self) -> Instant {
+        self.arrived.get()
+    }
+
+    /// When the newest byte came that a read could bring now: by the kernel, else since it may have waited.
+    fn newest_byte(&self) -> Instant {
+        let (now, waited_since) = (Instant::now(), self.waited_since.take());
+        let age = self.socket.get().and_then(newest_byte_age);
+        age.and_then(|age| now.checked_sub(age)).or(waited_since).unwrap_or(now)
+    }
+
+    /// Bytes have come, the newest at that moment. One that has connected has its time from then on: saying a little does not renew it.
+    fn heard(&self, many: usize, arrived: Instant) {
+        self.arrived.set(arrived);
         let (said, looked) = self.said.get();
         self.said.set((said + many, looked));
         match self.doing() {
@@ -286,10 +325,11 @@
         let mut part = [MaybeUninit::uninit(); READ_MOST];
         let room = buf.remaining().min(READ_MOST);
         let mut part = ReadBuf::uninit(&mut part[..room]);
+        let arrived = self.guest.newest_byte();
         let read = Pin::new(&mut self.socket).poll_read(cx, &mut part);
         if !part.filled().is_empty() {
             buf.put_slice(part.filled());
-            self.guest.heard(part.filled().len());
+            self.guest.heard(part.filled().len(), arrived);
         }
         read
     }
--- a/crates/coveroute-node/src/main.rs
+++ b/crates/coveroute-node/src/main.rs
@@ -1,5 +1,6 @@
 //! coveroute, the node on sockets: takes invocations from clients and pushes them to executors. The decisions
 //! stand in the library `coveroute`; this program carries them out.
+mod arrival;
 #[cfg(test)]
 mod at_size;
 mod attempt;
--- a/crates/coveroute-node/src/server.rs
+++ b/crates/coveroute-node/src/server.rs
@@ -1,9 +1,11 @@
 //! The door: accepts clients' and executors' connections, within a bound, and serves each by actix-http.
 use std::cell::Cell;
+use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::os::fd::AsRawFd;
 use std::rc::Rc;
-use std::time::Duration;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
 
 use actix_http::body::BoxBody;
 use actix_http::{HttpService, KeepAlive, Method, Request, Response, StatusCode};
@@ -52,6 +54,8 @@
     /// Connections that wait for an answer, and connections beyond those, idle or only answered.
     most: usize,
     beyond: usize,
+    /// Since when connections may wait to be accepted, where some may.
+    waiting_since: Cell<Option<Instant>>,
     /// Connections that there are descriptors for, as far as has been seen.
     fit: Cell<f64>,
     /// Told when a connection has ended.
@@ -61,7 +65,8 @@
 impl Door {
     pub fn new(clock: Clock, life: Rc<Life>, happenings: Happenings, (most, beyond): (usize, usize)) -> Self {
         let (guests, fit, left) = (Guests::default(), Cell::new(f64::INFINITY), Notify::new());
-        Door { clock, life, happenings, guests, most, beyond, fit, left }
+        let waiting_since = Cell::new(None);
+        Door { clock, life, happenings, guests, most, beyond, waiting_since, fit, left }
     }
 
     pub fn guests(&self) -> Guests {
@@ -93,6 +98,7 @@
             self.make_room(AT_ONCE);
         }
         while open() >= all {
+            self.lets_wait();
             self.make_room(AT_ONCE);
             let _ = timeout(Duration::from_millis(10), self.left.notified()).await;
         }
@@ -115,6 +121,24 @@
         self.fit.set(self.fit.get() + more);
     }
 
+    /// From now on connections may wait to be accepted, if none did before.
+    fn lets_wait(&self) {
+        self.waiting_since.set(self.waiting_since.get().or_else(|| Some(Instant::now())));
+    }
+
+    /// Looks for the next connection. Where there is none, none waits.
+    fn poll_accept(
+        &self,
+        listener: &TcpListener,
+        cx: &mut Context,
+    ) -> Poll<std::io::Result<(TcpStream, SocketAddr)>> {
+        let accepted = listener.poll_accept(cx);
+        if accepted.is_pending() {
+            self.waiting_since.set(None);
+        }
+        accepted
+    }
+
     /// The next connection, while they are taken here.
     async fn accepts(&self, listener: &TcpListener) -> std::io::Result<(TcpStream, SocketAddr)> {
         loop {
@@ -123,7 +147,7 @@
             tokio::select! {
                 biased;
                 () = self.life.until_takes(false) => {}
-                accepted = listener.accept() => return accepted,
+                accepted = poll_fn(|cx| self.poll_accept(listener, cx)) => return accepted,
             }
         }
     }
@@ -153,7 +177,7 @@
     }
 
     async fn answer(&self, mut request: Request, guest: Option<&Rc<Guest>>) -> (Answer, Next) {
-        let came = self.clock.now();
+        let came = guest.map_or_else(|| self.clock.now(), |guest| self.clock.at(guest.arrived()));
         let answer = match (request.path(), request.method()) {
             (wire::UP, &Method::GET | &Method::HEAD) if self.life.is_up() => Answer::Succeeded("up\n".into()),
             (wire::UP, _) => Answer::Throttled { pause: 0.0 },
@@ -302,10 +326,12 @@
         match accepted {
             Ok((socket, peer)) => {
                 let _ = socket.set_nodelay(true);
-                welcome(&door, &service, socket, peer);
+                let waited_since = door.waiting_since.get();
+                welcome(&door, &service, socket, peer, waited_since);
             }
             Err(e) => {
                 warn!("accept: {e}");
+                door.lets_wait();
                 if e.raw_os_error().is_some_and(|code| OUT.contains(&Errno::from_raw(code))) {
                     door.runs_out();
                 }
@@ -333,12 +359,12 @@
             Comes::Waiting(socket, guest, id, answered) => (socket, Some((guest, id, answered))),
         };
         match (socket.peer_addr(), job) {
-            (Ok(peer), None) => welcome(door, service, socket, peer),
+            (Ok(peer), None) => welcome(door, service, socket, peer, None),
             (Ok(peer), Some((guest, id, answered))) => {
                 let (door, service) = (door.clone(), service.clone());
                 actix_rt::spawn(async move {
                     if let Some(socket) = door.attend(socket, (peer, guest), id, answered).await {
-                        welcome(&door, &service, socket, peer);
+                        welcome(&door, &service, socket, peer, None);
                     }
                 });
             }
@@ -406,12 +432,17 @@
     }
 }
 
-fn welcome<S>(door: &Rc<Door>, service: &Rc<S>, socket: TcpStream, peer: SocketAddr)
-where
+fn welcome<S>(
+    door: &Rc<Door>,
+    service: &Rc<S>,
+    socket: TcpStream,
+    peer: SocketAddr,
+    waited_since: Option<Instant>,
+) where
     S: Service<(Stream, Option<SocketAddr>), Response = ()> + 'static,
     S::Error: std::fmt::Debug,
 {
-    let guest = Rc::new(Guest::new(socket.as_raw_fd()));
+    let guest = Rc::new(Guest::new(socket.as_raw_fd()).waited_since(waited_since));
     door.guests.borrow_mut().insert(peer, guest.clone());
     let stream = Stream { socket, guest: guest.clone() };
     let (door, serving) = (door.clone(), service.call((stream, Some(peer))));
--- a/crates/coveroute-node/tests/crowds/fault_table.rs
+++ b/crates/coveroute-node/tests/crowds/fault_table.rs
@@ -7,7 +7,7 @@
 
 /// The environment variable that names the table's file.
 pub const TABLE_FILE: &str = "COVEROUTE_FAULT_TABLE";
-pub const CALLS: usize = 8;
+pub const CALLS: usize = 9;
 /// A chance of one.
 pub const ALWAYS: u32 = 1000;
 
@@ -23,6 +23,8 @@
     ReceiveFromServer,
     SendToServer,
     WriteLog,
+    /// What the kernel tells of a connection.
+    ConnectionInfo,
 }
 
 /// How a call fails.
--- a/crates/coveroute-node/tests/crowds/told_deadlines.rs
+++ b/crates/coveroute-node/tests/crowds/told_deadlines.rs
@@ -61,6 +61,16 @@
         World { referee, faults, nodes, _keeper: keeper }
     }
 
+    /// Nodes with executors that hold no connection for long, so that some attempts have to open one.
+    fn of_three_servers() -> Self {
+        let referee: Arc<Referee> = Arc::default();
+        let servers =
+            ["s-0", "s-1", "s-2"].map(|id| Server::new(id, &referee, node_of, Arc::new(mostly_takes)));
+        servers.iter().for_each(Server::listen);
+        let settings = [("\"connIdle\": 60000.0", "\"connIdle\": 150.0")];
+        World::start(referee, &servers, &settings, "debug")
+    }
+
     /// One request on a connection of its own, in another thread.
     fn asks_anew(&self, node: SocketAddr, call: String) -> thread::JoinHandle<Option<u16>> {
         let referee = self.referee.clone();
@@ -177,16 +187,20 @@
 #[test_case(&[(Call::WriteLog, Fault::late(250).of(20))]; "the log stalls")]
 #[test_case(&[(Call::WriteLog, Fault::errno(libc::ENOSPC)), (Call::Accept, Fault::errno(libc::ENFILE))]; "no disk and no descriptors")]
 fn attempts_tell_no_more_than_the_client_has_left_while(faults: &[(Call, Fault)]) {
-    let referee: Arc<Referee> = Arc::default();
-    let servers = ["s-0", "s-1", "s-2"].map(|id| Server::new(id, &referee, node_of, Arc::new(mostly_takes)));
-    servers.iter().for_each(Server::listen);
-    // Executors hold no connection for long, so that some attempts have to open one.
-    let settings = [("\"connIdle\": 60000.0", "\"connIdle\": 150.0")];
-    let world = World::start(referee, &servers, &settings, "debug");
+    let world = World::of_three_servers();
     world.plays(faults);
     world.holds();
 }
 
+// Where the kernel does not say when bytes came, they may have waited for as long as nothing was accepted.
+#[test]
+fn attempts_tell_no_more_than_the_client_has_left_where_the_kernel_tells_no_times() {
+    let world = World::of_three_servers();
+    world.faults.begin(Call::ConnectionInfo, Fault::errno(libc::ENOPROTOOPT));
+    world.plays(&[(Call::Accept, Fault::errno(libc::ENOBUFS))]);
+    world.holds();
+}
+
 /// A listener whose queue is full: a further connection comes up about a second after the queue was emptied, or sooner.
 fn full(addr: SocketAddr) -> (TcpListener, Vec<TcpStream>) {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
