Interrupted system calls are made again: no request or answer is lost to EINTR

Callers saw: requests that had been read, or whose answers were being written, ended with a closed connection and no answer. Cause: tokio's stream passes EINTR on, and the server's library closes the connection.

Change: clients' connections, the operators' door, handed-over connections and discovery's go through Socket, which repeats such calls, and goes on after partial ones without waiting to be told of room; the link between two processes of a node repeats recvmsg, sendmsg and writes; an accept that was interrupted or aborted is made again at once; an error in hearing datagrams waits a millisecond.

--- a/crates/coveroute-node/src/crossings.rs
+++ b/crates/coveroute-node/src/crossings.rs
@@ -185,7 +185,7 @@
         let client = actix_rt::net::TcpStream::connect(addr).await.expect("a connection");
         let socket = listener.accept().await.expect("a connection").0;
         let guest = Rc::new(Guest::new(-1));
-        let mut stream = Stream { socket, guest: guest.clone() };
+        let mut stream = Stream::new(socket, guest.clone());
         guest.rests();
         assert!(!guest.is_busy(), "nothing is on its way");
         // More than the kernel takes for a client that reads nothing.
--- a/crates/coveroute-node/src/discovery.rs
+++ b/crates/coveroute-node/src/discovery.rs
@@ -12,6 +12,7 @@
 use log::info;
 use tokio::time::timeout_at;
 
+use crate::connection::Dialer;
 use crate::happening::{Happening, Happenings};
 use crate::hosts::Hosts;
 use crate::wire;
@@ -48,7 +49,8 @@
     pub fn new(addr: SocketAddr, happenings: Happenings) -> Self {
         // Each call has a connection of its own: one that was kept and is closed by then would read as a call that was
         // turned away as it came, and so as a service that is down.
-        let connector = Connector::new().timeout(DIAL_WITHIN).conn_keep_alive(Duration::ZERO);
+        let connector = Connector::new().connector(Dialer::new());
+        let connector = connector.timeout(DIAL_WITHIN).conn_keep_alive(Duration::ZERO);
         let builder = Client::builder().connector(connector).disable_redirects().disable_timeout();
         Discovery { client: builder.no_default_headers().finish(), addr, happenings, watch: None }
     }
--- a/crates/coveroute-node/src/guest.rs
+++ b/crates/coveroute-node/src/guest.rs
@@ -18,6 +18,7 @@
 
 use crate::arrival::newest_byte_age;
 use crate::relay::Answer;
+use crate::socket::Socket;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Doing {
@@ -301,8 +302,14 @@
 /// A guest's stream. Guards against clients that never finish what they say, on whichever request: a library's
 /// time limit sees to the first head only.
 pub struct Stream {
-    pub socket: TcpStream,
-    pub guest: Rc<Guest>,
+    socket: Socket,
+    guest: Rc<Guest>,
+}
+
+impl Stream {
+    pub fn new(socket: TcpStream, guest: Rc<Guest>) -> Self {
+        Stream { socket: Socket::new(socket), guest }
+    }
 }
 
 impl Drop for Stream {
--- a/crates/coveroute-node/src/operators.rs
+++ b/crates/coveroute-node/src/operators.rs
@@ -20,6 +20,7 @@
 use crate::fleet::{self, Carrier};
 use crate::happening::{Happening, Happenings, NodeFigures};
 use crate::phase::Life;
+use crate::socket::Socket;
 
 const READY: &str = "/v1/readyz";
 const METRICS: &str = "/v1/metrics";
@@ -193,7 +194,7 @@
                 if calls.len() >= MOST {
                     calls.pop_front().into_iter().for_each(|first| first.abort());
                 }
-                let serving = service.call((socket, Some(peer)));
+                let serving = service.call((Socket::new(socket), Some(peer)));
                 calls.push_back(actix_rt::spawn(async move {
                     if let Ok(Err(e)) = timeout(WITHIN, serving).await {
                         debug!("operators' door: {peer}: {e:?}");
--- a/crates/coveroute-node/src/peers.rs
+++ b/crates/coveroute-node/src/peers.rs
@@ -3,8 +3,10 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use actix_rt::task::JoinHandle;
+use actix_rt::time::sleep;
 use coveroute::types::Told;
 use coveroute_fleet::message::MARK;
 use coveroute_shared::{message, words};
@@ -14,6 +16,9 @@
 use crate::fleet::Carrier;
 use crate::happening::{Happening, Happenings};
 
+/// Between two tries to hear where one fails.
+const AFTER_ERROR: Duration = Duration::from_millis(1);
+
 pub struct Peers {
     /// For what is told; it never blocks. What is heard comes by a task.
     socket: std::net::UdpSocket,
@@ -72,8 +77,11 @@
     const MOST: usize = 256; // The longest hint that deployments allow.
     let mut buffer = [0; 2048];
     loop {
-        // An error here is of an earlier message that did not arrive: it may be lost.
-        let Ok((many, whose)) = socket.recv_from(&mut buffer).await else { continue };
+        let Ok((many, whose)) = socket.recv_from(&mut buffer).await else {
+            // Of an earlier message that did not arrive, which may be lost; or the next call fails as well.
+            sleep(AFTER_ERROR).await;
+            continue;
+        };
         let (bytes, Whom { addrs, happenings, carrier }) = (&buffer[..many], &whom);
         if let Some(carrier) = carrier.as_ref().filter(|_| bytes.first() == Some(&MARK) || addrs.is_empty()) {
             carrier.heard(whose, bytes);
--- a/crates/coveroute-node/src/replace.rs
+++ b/crates/coveroute-node/src/replace.rs
@@ -2,7 +2,7 @@
 //! socket in `$TMPDIR`: over it the listening sockets go to the new process with what the old one knows, and for as
 //! long as both live each passes on what executors tell of the other's jobs. docs/design/replacement.md weighs the ways.
 use std::collections::VecDeque;
-use std::io::{self, IoSlice, IoSliceMut};
+use std::io::{self, ErrorKind, IoSlice, IoSliceMut};
 use std::net::SocketAddr;
 use std::os::fd::{AsRawFd, FromRawFd, OwnedFd, RawFd};
 use std::os::unix::fs::MetadataExt;
@@ -13,8 +13,9 @@
 use actix_rt::time::timeout;
 use bytes::BytesMut;
 use log::{info, warn};
+use nix::errno::Errno;
 use nix::sys::socket::{recvmsg, sendmsg, ControlMessage, ControlMessageOwned, MsgFlags};
-use tokio::io::{AsyncWriteExt, Interest};
+use tokio::io::Interest;
 use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::{mpsc, oneshot};
@@ -74,7 +75,25 @@
             socket.async_io(Interest::WRITABLE, || send(socket.as_raw_fd(), &line, sockets)).await?;
         rest = &line[written..];
     }
-    half.write_all(rest).await
+    while !rest.is_empty() {
+        half.writable().await?;
+        match half.try_write(rest) {
+            Ok(written) => rest = &rest[written..],
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
+
+/// Makes the call again for as long as a signal interrupts it.
+fn uninterrupted<T>(mut call: impl FnMut() -> nix::Result<T>) -> nix::Result<T> {
+    loop {
+        match call() {
+            Err(Errno::EINTR) => {}
+            done => return done,
+        }
+    }
 }
 
 /// The most sockets that one message brings.
@@ -82,15 +101,17 @@
 
 fn receive(from: RawFd, buffer: &mut BytesMut, sockets: &mut VecDeque<OwnedFd>) -> io::Result<usize> {
     let (mut chunk, mut space) = ([0; 16 * 1024], nix::cmsg_space!([RawFd; SOCKETS_MOST]));
-    let mut parts = [IoSliceMut::new(&mut chunk)];
-    let message = recvmsg::<()>(from, &mut parts, Some(&mut space), MsgFlags::MSG_CMSG_CLOEXEC)?;
-    for control in message.cmsgs()? {
-        if let ControlMessageOwned::ScmRights(raw) = control {
-            // SAFETY: the kernel has just made these for us, and nobody else knows of them.
-            sockets.extend(raw.into_iter().map(|fd| unsafe { OwnedFd::from_raw_fd(fd) }));
+    let many = uninterrupted(|| {
+        let mut parts = [IoSliceMut::new(&mut chunk)];
+        let message = recvmsg::<()>(from, &mut parts, Some(&mut space), MsgFlags::MSG_CMSG_CLOEXEC)?;
+        for control in message.cmsgs()? {
+            if let ControlMessageOwned::ScmRights(raw) = control {
+                // SAFETY: the kernel has just made these for us, and nobody else knows of them.
+                sockets.extend(raw.into_iter().map(|fd| unsafe { OwnedFd::from_raw_fd(fd) }));
+            }
         }
-    }
-    let many = message.bytes;
+        Ok(message.bytes)
+    })?;
     buffer.extend_from_slice(&chunk[..many]);
     Ok(many)
 }
@@ -98,7 +119,8 @@
 fn send(to: RawFd, line: &[u8], sockets: &[OwnedFd]) -> io::Result<usize> {
     let raw: Vec<RawFd> = sockets.iter().map(AsRawFd::as_raw_fd).collect();
     let rights = [ControlMessage::ScmRights(&raw)];
-    Ok(sendmsg::<()>(to, &[IoSlice::new(line)], &rights, MsgFlags::empty(), None)?)
+    let sent = uninterrupted(|| sendmsg::<()>(to, &[IoSlice::new(line)], &rights, MsgFlags::empty(), None))?;
+    Ok(sent)
 }
 
 /// Where the process that serves at this address waits for its successor; none without `$TMPDIR`.
--- a/crates/coveroute-node/src/server.rs
+++ b/crates/coveroute-node/src/server.rs
@@ -1,6 +1,7 @@
 //! The door: accepts clients' and executors' connections, within a bound, and serves each by actix-http.
 use std::cell::Cell;
 use std::future::poll_fn;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::os::fd::AsRawFd;
 use std::rc::Rc;
@@ -26,6 +27,7 @@
 use crate::hosts::Hosts;
 use crate::phase::Life;
 use crate::relay::Answer;
+use crate::socket::Socket;
 use crate::{callbacks, discovery, take_in, wire};
 
 /// A connection that stands idle is closed then, whether or not others want its place.
@@ -329,6 +331,8 @@
                 let waited_since = door.waiting_since.get();
                 welcome(&door, &service, socket, peer, waited_since);
             }
+            // Another try may succeed at once.
+            Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
             Err(e) => {
                 warn!("accept: {e}");
                 door.lets_wait();
@@ -382,12 +386,13 @@
     /// Waits for a job's answer and writes it; the connection, if it may be used again.
     async fn attend(
         &self,
-        mut socket: TcpStream,
+        stream: TcpStream,
         (peer, guest): (SocketAddr, Rc<Guest>),
         id: InvId,
         answered: oneshot::Receiver<Answer>,
     ) -> Option<TcpStream> {
         let _held = self.life.hold();
+        let mut socket = Socket::new(stream);
         guest.waits();
         guest.waits_for(id);
         let mine = guest.clone();
@@ -398,7 +403,7 @@
             biased;
             () = mine.close.notified() => None,
             answer = answered => Some(answer.unwrap_or(Answer::Errored)),
-            () = gone(&socket, &mine) => None,
+            () = gone(socket.stream(), &mine) => None,
         };
         let kept = match answer {
             Some(answer) => {
@@ -411,7 +416,7 @@
         mine.closed();
         self.guests.borrow_mut().remove(&peer);
         self.left.notify_one();
-        kept.then_some(socket)
+        kept.then(|| socket.into_stream())
     }
 }
 
@@ -444,7 +449,7 @@
 {
     let guest = Rc::new(Guest::new(socket.as_raw_fd()).waited_since(waited_since));
     door.guests.borrow_mut().insert(peer, guest.clone());
-    let stream = Stream { socket, guest: guest.clone() };
+    let stream = Stream::new(socket, guest.clone());
     let (door, serving) = (door.clone(), service.call((stream, Some(peer))));
     actix_rt::spawn(async move {
         tokio::select! {
--- a/crates/coveroute-node/src/socket.rs
+++ b/crates/coveroute-node/src/socket.rs
@@ -15,6 +15,14 @@
     pub fn new(stream: TcpStream) -> Self {
         Socket(stream)
     }
+
+    pub fn stream(&self) -> &TcpStream {
+        &self.0
+    }
+
+    pub fn into_stream(self) -> TcpStream {
+        self.0
+    }
 }
 
 /// Whether a call is made once more: at once, or when the kernel tells of room.
