A shortage of descriptors that passes does not leave a node that accepts next to nothing

Callers saw: after accept4 had said EMFILE for half a second the node held one connection, and one more each second: of 561 requests 558 had no answer, of 570 566 where the disk was full as well. Cause: each failed accept, one in 10 ms, set the bound to three quarters of what was open, which its own closing had made fewer, down to one; it grew back by one a second. Both tests failed before.

Change: descriptors.rs holds the bound. A shortage that goes on shrinks it once, not below a quarter of the node's own; idle connections are still closed at each failed accept, a quarter at a time; after an accept that succeeds the bound grows by one in the first second, two in the next, and so on.

--- a/crates/coveroute-node/src/main.rs
+++ b/crates/coveroute-node/src/main.rs
@@ -12,6 +12,7 @@
 mod crossings;
 #[cfg(test)]
 mod departures;
+mod descriptors;
 mod discovery;
 mod driver;
 mod executors;
--- a/crates/coveroute-node/src/server.rs
+++ b/crates/coveroute-node/src/server.rs
@@ -22,6 +22,7 @@
 use tokio::sync::{mpsc, oneshot, Notify};
 
 use crate::clock::Clock;
+use crate::descriptors::Descriptors;
 use crate::guest::{Claim, Client, Doing, Guest, Guests, Stream};
 use crate::happening::{Happening, Happenings};
 use crate::hosts::Hosts;
@@ -58,17 +59,16 @@
     beyond: usize,
     /// Since when connections may wait to be accepted, where some may.
     waiting_since: Cell<Option<Instant>>,
-    /// Connections that there are descriptors for, as far as has been seen.
-    fit: Cell<f64>,
+    descriptors: Cell<Descriptors>,
     /// Told when a connection has ended.
     left: Notify,
 }
 
 impl Door {
     pub fn new(clock: Clock, life: Rc<Life>, happenings: Happenings, (most, beyond): (usize, usize)) -> Self {
-        let (guests, fit, left) = (Guests::default(), Cell::new(f64::INFINITY), Notify::new());
+        let (guests, descriptors, left) = (Guests::default(), Cell::default(), Notify::new());
         let waiting_since = Cell::new(None);
-        Door { clock, life, happenings, guests, most, beyond, waiting_since, fit, left }
+        Door { clock, life, happenings, guests, most, beyond, waiting_since, descriptors, left }
     }
 
     pub fn guests(&self) -> Guests {
@@ -95,7 +95,7 @@
         const AT_ONCE: usize = 16; // Idle ones closed for each that comes: clients that only connect lose.
         let open = || self.guests.borrow().len();
         let (most, beyond) = (self.life.part(self.most), self.life.part(self.beyond));
-        let all = (most + beyond).min(self.fit.get() as usize);
+        let all = (most + beyond).min(self.descriptors.get().connections());
         if open() >= all.saturating_sub(beyond.div_ceil(2)) {
             self.make_room(AT_ONCE);
         }
@@ -106,21 +106,21 @@
         }
     }
 
+    fn note_descriptors(&self, note: impl FnOnce(&mut Descriptors)) {
+        let mut descriptors = self.descriptors.get();
+        note(&mut descriptors);
+        self.descriptors.set(descriptors);
+    }
+
     /// No descriptor was left for a connection. Guards against idle clients that hold them for as long as they stay,
-    /// where the bound is no bound: the machine gives fewer than the configuration says, or other files hold some. A
-    /// part is left free from then on: the list and executors need some too.
+    /// where the bound is no bound: the machine gives fewer than the configuration says, or other files hold some.
     fn runs_out(&self) {
-        const KEPT: f64 = 0.75; // Of the connections that there were.
+        const CLOSED: usize = 4; // One in so many is closed at a time, if it is idle.
+        const LEAST: usize = 4; // One in so many of the bound is held at least.
         let open = self.guests.borrow().len();
-        let fit = (KEPT * open as f64).floor().max(1.0);
-        self.fit.set(fit);
-        self.make_room(open.saturating_sub(fit as usize));
-    }
-
-    /// One more connection may fit each second: what took the descriptors may have gone.
-    fn tries_more(&self) {
-        let more = SWEEP_EVERY.as_secs_f64();
-        self.fit.set(self.fit.get() + more);
+        let least = (self.life.part(self.most) + self.life.part(self.beyond)) / LEAST;
+        self.note_descriptors(|descriptors| descriptors.run_out(open, least));
+        self.make_room(open.div_ceil(CLOSED));
     }
 
     /// From now on connections may wait to be accepted, if none did before.
@@ -327,6 +327,7 @@
         };
         match accepted {
             Ok((socket, peer)) => {
+                door.note_descriptors(Descriptors::found);
                 let _ = socket.set_nodelay(true);
                 let waited_since = door.waiting_since.get();
                 welcome(&door, &service, socket, peer, waited_since);
@@ -467,7 +468,7 @@
 pub async fn sweep(door: Rc<Door>) {
     loop {
         sleep(SWEEP_EVERY).await;
-        door.tries_more();
+        door.note_descriptors(|descriptors| descriptors.grow(SWEEP_EVERY));
         let closing = door.life.phase() == Phase::Closing;
         let idle = if closing { Duration::from_millis(100) } else { IDLE_MOST };
         door.close(|guest| guest.claim() == Claim::Overdue || guest.idle_for(idle));
