A connection that this machine can not open says nothing of discovery or executors

Callers saw: with sockets failing (EMFILE) on a node whose watch was closed, requests went on, over kept connections, to an executor that had left the list more than 6 s before (71 of 570 attempts on three nodes; the new test failed before). Cause: discovery.rs took any error in connecting for a discovery that is down, by which nobody is told of changes; send.rs blamed executors for the node's own want of descriptors, and each retry met the same at once.

Change: connection.rs tells failures of this machine (EMFILE, ENFILE, ENOBUFS, ENOMEM, EINTR, EAGAIN, no free port, no permission) from others', and tries again every 10 ms for 0.6 of the time that a connection may take. After that a call for the list counts as silence from the call on, and an attempt as never begun, with nobody blamed.

--- a/crates/coveroute-node/src/attempt.rs
+++ b/crates/coveroute-node/src/attempt.rs
@@ -249,6 +249,12 @@
         refusal
     }
 
+    /// This machine could open no connection for it.
+    pub fn has_no_connection(&self, why: &dyn fmt::Display) {
+        debug!("{self} is not begun: {why}");
+        self.counts.no_connection();
+    }
+
     /// Why it was refused, since it last began.
     pub fn refusal(&self) -> Option<Refusal> {
         self.refusal.get()
--- a/crates/coveroute-node/src/connection.rs
+++ b/crates/coveroute-node/src/connection.rs
@@ -3,13 +3,16 @@
 use std::io;
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
+use std::time::{Duration, Instant};
 
 use actix_rt::net::{ActixStream, Ready};
-use actix_rt::time::{sleep_until, Sleep};
+use actix_rt::time::{sleep, sleep_until, Sleep};
 use actix_service::Service;
 use actix_tls::connect::{ConnectError, ConnectInfo, Connection as Connected, Connector, ConnectorService};
+use awc::error::SendRequestError;
 use awc::http::Uri;
 use futures_util::future::LocalBoxFuture;
+use nix::errno::Errno;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use crate::attempt::Attempt;
@@ -84,14 +87,66 @@
     }
 }
 
+/// Between two tries to open a connection that fail on this machine.
+const AGAIN_AFTER: Duration = Duration::from_millis(10);
+
+/// What a connection fails with where this machine has no room for it, or was interrupted: that says nothing of who listens.
+const OWN_FAILURES: [Errno; 10] = [
+    Errno::EACCES,
+    Errno::EADDRINUSE,
+    Errno::EADDRNOTAVAIL,
+    Errno::EAGAIN,
+    Errno::EINTR,
+    Errno::EMFILE,
+    Errno::ENFILE,
+    Errno::ENOBUFS,
+    Errno::ENOMEM,
+    Errno::EPERM,
+];
+
+fn is_own_failure(error: &io::Error) -> bool {
+    error.raw_os_error().is_some_and(|code| OWN_FAILURES.contains(&Errno::from_raw(code)))
+}
+
+/// Whether a request came to nothing since this machine could open no connection.
+pub fn could_not_connect(error: &SendRequestError) -> bool {
+    matches!(error, SendRequestError::Connect(awc::error::ConnectError::Io(e)) if is_own_failure(e))
+}
+
 /// Opens connections. One that comes up for an attempt whose words are too old by then is kept for it, and the attempt told so: it
 /// begins anew, with a fresh figure, on the same connection.
 #[derive(Clone)]
-pub struct Dialer(ConnectorService);
+pub struct Dialer {
+    connector: ConnectorService,
+    /// For how long it tries again where this machine fails.
+    tries_for: Duration,
+}
 
 impl Dialer {
-    pub fn new() -> Self {
-        Dialer(Connector::default().service())
+    /// Of the time that a connection may take, tries again for this part: the rest is for one that then comes up.
+    const TRIES_SHARE: f64 = 0.6;
+
+    /// One for connections that may take so long.
+    pub fn new(within: Duration) -> Self {
+        Dialer { connector: Connector::default().service(), tries_for: within.mul_f64(Self::TRIES_SHARE) }
+    }
+
+    async fn connect(self, uri: Uri) -> Result<Socket, ConnectError> {
+        let begun = Instant::now();
+        loop {
+            match self.connector.call(ConnectInfo::new(uri.clone())).await {
+                Ok(connected) => {
+                    let (stream, _) = connected.into_parts();
+                    // A request's last bytes must not wait for the first ones' acknowledgement.
+                    let _ = stream.set_nodelay(true);
+                    return Ok(Socket::new(stream));
+                }
+                Err(ConnectError::Io(e)) if is_own_failure(&e) && begun.elapsed() < self.tries_for => {
+                    sleep(AGAIN_AFTER).await;
+                }
+                Err(e) => return Err(e),
+            }
+        }
     }
 }
 
@@ -103,16 +158,12 @@
     actix_service::always_ready!();
 
     fn call(&self, info: ConnectInfo<Uri>) -> Self::Future {
+        let (uri, dialer) = (info.request().clone(), self.clone());
         if let Some(socket) = Attempt::current().and_then(|attempt| attempt.kept()) {
-            let uri = info.request().clone();
             return Box::pin(async move { Ok(Connected::new(uri, Connection::new(socket))) });
         }
-        let connecting = self.0.call(info);
         Box::pin(async move {
-            let (stream, uri) = connecting.await?.into_parts();
-            // A request's last bytes must not wait for the first ones' acknowledgement.
-            let _ = stream.set_nodelay(true);
-            let socket = Socket::new(stream);
+            let socket = dialer.connect(uri.clone()).await?;
             match Attempt::current().map(|attempt| (attempt.told_holds(), attempt)) {
                 Some((Err(refusal), attempt)) => {
                     attempt.keeps(socket);
--- a/crates/coveroute-node/src/discovery.rs
+++ b/crates/coveroute-node/src/discovery.rs
@@ -12,7 +12,7 @@
 use log::info;
 use tokio::time::timeout_at;
 
-use crate::connection::Dialer;
+use crate::connection::{could_not_connect, Dialer};
 use crate::happening::{Happening, Happenings};
 use crate::hosts::Hosts;
 use crate::wire;
@@ -49,7 +49,7 @@
     pub fn new(addr: SocketAddr, happenings: Happenings) -> Self {
         // Each call has a connection of its own: one that was kept and is closed by then would read as a call that was
         // turned away as it came, and so as a service that is down.
-        let connector = Connector::new().connector(Dialer::new());
+        let connector = Connector::new().connector(Dialer::new(DIAL_WITHIN));
         let connector = connector.timeout(DIAL_WITHIN).conn_keep_alive(Duration::ZERO);
         let builder = Client::builder().connector(connector).disable_redirects().disable_timeout();
         Discovery { client: builder.no_default_headers().finish(), addr, happenings, watch: None }
@@ -83,6 +83,8 @@
     let waited = || called.elapsed() >= AT_ONCE;
     let mut answer = match timeout(ANSWER_WITHIN, client.get(uri).send()).await {
         Err(_) => return ("no answer in time".into(), missed(called)),
+        // Whether it is there is unknown.
+        Ok(Err(e)) if could_not_connect(&e) => return (e.to_string(), missed(called)),
         Ok(Err(e)) => return (e.to_string(), if waited() { Loss::Waited } else { Loss::Closed }),
         Ok(Ok(answer)) if answer.status() != 200 => {
             let loss = if waited() { Loss::Waited } else { Loss::Refused };
--- a/crates/coveroute-node/src/executors.rs
+++ b/crates/coveroute-node/src/executors.rs
@@ -102,7 +102,7 @@
     }
 
     fn client(&self) -> Client {
-        let connector = Connector::new().connector(Dialer::new()).limit(0).timeout(self.dial);
+        let connector = Connector::new().connector(Dialer::new(self.dial)).limit(0).timeout(self.dial);
         let connector = connector.conn_keep_alive(self.idle).conn_lifetime(LIFETIME);
         let builder = Client::builder().connector(connector).disable_redirects().disable_timeout();
         builder.no_default_headers().finish()
--- a/crates/coveroute-node/src/send.rs
+++ b/crates/coveroute-node/src/send.rs
@@ -19,6 +19,7 @@
 use log::{debug, warn};
 
 use crate::attempt::{Attempt, Progress, Refusal};
+use crate::connection::could_not_connect;
 use crate::executors::{Lease, Patience};
 use crate::take_in::Job;
 use crate::wire;
@@ -53,6 +54,10 @@
             attempt.client().iter().for_each(|client| client.close.notify_one());
         }
         Ok(Err(NotSent::Refused(_))) => tell(Reply::Ended(Outcome::Moot, Report::default())),
+        Ok(Err(NotSent::NoConnection(e))) => {
+            attempt.has_no_connection(&e);
+            tell(Reply::Ended(Outcome::Moot, Report::default()));
+        }
         Ok(Err(NotSent::Broken(e))) => {
             debug!("{}: {e}", lease.addr());
             tell(Reply::Ended(broken(&e), Report::default()));
@@ -68,6 +73,8 @@
 enum NotSent {
     /// No byte was written.
     Refused(Refusal),
+    /// This machine could open no connection.
+    NoConnection(SendRequestError),
     Broken(SendRequestError),
 }
 
@@ -91,6 +98,7 @@
             (Ok(answer), ..) => return Ok(answer),
             (Err(_), Progress::Waiting, Some(Refusal::ToldTooMuch)) => {}
             (Err(_), Progress::Waiting, Some(refusal)) => return Err(NotSent::Refused(refusal)),
+            (Err(e), ..) if could_not_connect(&e) => return Err(NotSent::NoConnection(e)),
             (Err(e), ..) => return Err(NotSent::Broken(e)),
         }
     }
--- a/crates/coveroute-node/tests/crowds/judged.rs
+++ b/crates/coveroute-node/tests/crowds/judged.rs
@@ -124,6 +124,8 @@
     pub addr: SocketAddr,
     entries: Arc<Mutex<Vec<String>>>,
     version: Arc<AtomicUsize>,
+    /// How often all watches have been closed.
+    closed: Arc<AtomicUsize>,
 }
 
 impl ListKeeper {
@@ -132,21 +134,30 @@
             addr: free(),
             entries: Arc::new(Mutex::new(entries)),
             version: Arc::new(AtomicUsize::new(7)),
+            closed: Arc::default(),
         };
         let listener = TcpListener::bind(keeper.addr).expect("its address");
-        let (entries, version) = (keeper.entries.clone(), keeper.version.clone());
+        let (entries, version, closed) =
+            (keeper.entries.clone(), keeper.version.clone(), keeper.closed.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (entries, version) = (entries.clone(), version.clone());
-                thread::spawn(move || keep(stream, &entries, &version));
+                let (entries, version, closed) = (entries.clone(), version.clone(), closed.clone());
+                thread::spawn(move || keep(stream, &entries, &version, &closed));
             }
         });
         keeper
     }
+
+    /// The list is another one from now on, and all watches are closed: who calls again is told.
+    pub fn change_unheard(&self, entries: Vec<String>) {
+        *self.entries.lock().expect("a lock") = entries;
+        self.version.fetch_add(1, Ordering::SeqCst);
+        self.closed.fetch_add(1, Ordering::SeqCst);
+    }
 }
 
 /// A watch: looks for a change often, and says at least each second that there is none.
-fn keep(mut stream: TcpStream, entries: &Mutex<Vec<String>>, version: &AtomicUsize) {
+fn keep(mut stream: TcpStream, entries: &Mutex<Vec<String>>, version: &AtomicUsize, closed: &AtomicUsize) {
     const LOOKS: u32 = 20;
     const LOOK_EVERY: Duration = Duration::from_millis(50);
     let Ok(request) = stream.try_clone() else { return };
@@ -154,8 +165,8 @@
         return;
     }
     let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-    let (mut told, mut looks) = (0, 0);
-    loop {
+    let (mut told, mut looks, before) = (0, 0, closed.load(Ordering::SeqCst));
+    while closed.load(Ordering::SeqCst) == before {
         let present = version.load(Ordering::SeqCst);
         looks += 1;
         let text = match present == told {
--- a/crates/coveroute-node/tests/crowds/referee.rs
+++ b/crates/coveroute-node/tests/crowds/referee.rs
@@ -62,6 +62,12 @@
         self.seen.lock().expect("a lock").len()
     }
 
+    /// How many attempts came to a server from that moment on.
+    pub fn attempts_at(&self, server: &str, from: Instant) -> usize {
+        let seen = self.seen.lock().expect("a lock");
+        seen.iter().filter(|seen| seen.server == server && seen.at >= from).count()
+    }
+
     /// Attempts that told their executor too much, the worst first.
     pub fn overstated(&self) -> Vec<Overstated> {
         let (sent, seen) = (self.sent.lock().expect("a lock"), self.seen.lock().expect("a lock"));
--- a/crates/coveroute-node/tests/crowds/told_deadlines.rs
+++ b/crates/coveroute-node/tests/crowds/told_deadlines.rs
@@ -72,8 +72,7 @@
     referee: Arc<Referee>,
     faults: Faults,
     nodes: Vec<Process>,
-    /// Kept for as long as the nodes run.
-    _keeper: ListKeeper,
+    keeper: ListKeeper,
 }
 
 impl World {
@@ -91,7 +90,7 @@
         let nodes: Vec<Process> = (0..NODES).map(start).collect();
         let ready = nodes.iter().all(|node| until(READY, || node.is_ready()));
         assert!(ready, "{}", nodes[0].log());
-        World { referee, faults, nodes, _keeper: keeper }
+        World { referee, faults, nodes, keeper }
     }
 
     /// Nodes with executors that hold no connection for long, so that some attempts have to open one.
@@ -316,3 +315,30 @@
     assert_eq!(told.iter().flatten().find(is_early), None, "{}", after.log());
     assert!(told.iter().flatten().any(|answered| answered.after >= RETURNED), "some are handed over");
 }
+
+// A node that can not open a connection to discovery does not know whether it is there: kept connections to executors still work.
+#[test]
+fn a_list_that_can_not_be_asked_for_is_not_gone_by_for_long() {
+    const TOLD: Duration = Duration::from_secs(6);
+    const PLAYED: Duration = Duration::from_secs(9);
+    let referee: Arc<Referee> = Arc::default();
+    let servers =
+        ["s-0", "s-1"].map(|id| Server::new(id, &referee, node_of, Arc::new(|_, _| Does::Takes(20))));
+    servers.iter().for_each(Server::listen);
+    let world = World::start(referee, &servers, &[], "info");
+    let end = Instant::now() + PLAYED;
+    let clients: Vec<_> = world
+        .nodes
+        .iter()
+        .map(|node| world.asks_on(node.node, format!("{}-c", node.node.ip()), end))
+        .collect();
+    thread::sleep(Duration::from_secs(1));
+    assert!(world.referee.attempts_at("s-0", Instant::now() - MOMENT) > 0, "it is in use");
+    world.faults.begin(Call::Socket, Fault::errno(libc::EMFILE));
+    world.keeper.change_unheard(vec![servers[1].entry("up")]);
+    let told = Instant::now() + TOLD;
+    clients.into_iter().for_each(|client| client.join().expect("a client"));
+    let (late, log) = (world.referee.attempts_at("s-0", told), world.nodes[0].log());
+    println!("{} attempts, {late} at who is gone; {log}", world.referee.attempts());
+    assert_eq!(late, 0, "attempts at an executor that is gone: {log}");
+}
