Soak: two dozen processes under seeded, overlapping faults, judged by what must hold

Change: soak.rs plays 24 nodes, six executors and 72 clients for 10 s a seed: up to eight windows a node in which a system call fails, clock steps of an hour, SIGTERM with the kill as early as the platform's, SIGKILL, SIGHUP in series, an executor that drains and goes (in half of the runs while all watches are closed), clients that leave, and in each fourth seed idle ones that fill descriptors. Judged: what attempts tell, one answer in time for each request, no effect twice, nothing for who has left, nothing at executors that have gone, restarts ready in 10 s, no crash. With it one tightening: the kernel is asked whether the client has left at each write of an attempt, as an executor begins with the last byte.

--- a/crates/coveroute-node/src/attempt.rs
+++ b/crates/coveroute-node/src/attempt.rs
@@ -214,9 +214,9 @@
         Ok(left)
     }
 
-    /// Whether a byte may be written now. The kernel is asked whether the client has left, until the first byte is.
+    /// Whether a byte may be written now. The kernel is asked whether the client has left: an executor begins with the last byte.
     pub fn permits(&self) -> Result<(), Refusal> {
-        if self.progress.get() == Progress::Waiting && self.client.iter().any(|client| client.has_left()) {
+        if self.client.iter().any(|client| client.has_left()) {
             return Err(self.refuses(Refusal::ClientLeft));
         }
         self.told_holds()
--- a/crates/coveroute-node/src/send.rs
+++ b/crates/coveroute-node/src/send.rs
@@ -71,7 +71,7 @@
 
 /// Why an exchange came to no answer.
 enum NotSent {
-    /// No byte was written.
+    /// Not all bytes were written.
     Refused(Refusal),
     /// This machine could open no connection.
     NoConnection(SendRequestError),
@@ -98,6 +98,9 @@
             (Ok(answer), ..) => return Ok(answer),
             (Err(_), Progress::Waiting, Some(Refusal::ToldTooMuch)) => {}
             (Err(_), Progress::Waiting, Some(refusal)) => return Err(NotSent::Refused(refusal)),
+            (Err(_), Progress::Begun, Some(Refusal::ClientLeft)) => {
+                return Err(NotSent::Refused(Refusal::ClientLeft));
+            }
             (Err(e), ..) if could_not_connect(&e) => return Err(NotSent::NoConnection(e)),
             (Err(e), ..) => return Err(NotSent::Broken(e)),
         }
--- a/crates/coveroute-node/tests/crowds/judged.rs
+++ b/crates/coveroute-node/tests/crowds/judged.rs
@@ -91,7 +91,11 @@
             };
             let told = Duration::from_millis(told.parse().expect("a figure"));
             self.referee.seen(&call, self.id, at, told);
-            let answer = match (self.script)(&call, self.referee.attempts_of(&call)) {
+            let does = (self.script)(&call, self.referee.attempts_of(&call));
+            if !matches!(does, Does::Rejects | Does::Returns(_)) {
+                self.referee.may_have_run(&call, self.id);
+            }
+            let answer = match does {
                 Does::Takes(millis) => {
                     self.tells(&call, millis, "\"state\":\"done\",\"result\":\"r\"");
                     "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
@@ -148,10 +152,15 @@
         keeper
     }
 
-    /// The list is another one from now on, and all watches are closed: who calls again is told.
-    pub fn change_unheard(&self, entries: Vec<String>) {
+    /// The list is another one from now on, and each watch is told.
+    pub fn change(&self, entries: Vec<String>) {
         *self.entries.lock().expect("a lock") = entries;
         self.version.fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// The same, and all watches are closed: who calls again is told.
+    pub fn change_unheard(&self, entries: Vec<String>) {
+        self.change(entries);
         self.closed.fetch_add(1, Ordering::SeqCst);
     }
 }
--- a/crates/coveroute-node/tests/crowds/main.rs
+++ b/crates/coveroute-node/tests/crowds/main.rs
@@ -5,6 +5,7 @@
 mod old_list;
 mod referee;
 mod restarts;
+mod soak;
 mod stand_in;
 mod system_calls;
 mod told_deadlines;
--- a/crates/coveroute-node/tests/crowds/referee.rs
+++ b/crates/coveroute-node/tests/crowds/referee.rs
@@ -8,11 +8,16 @@
 /// What an executor may be told beyond what its client has left.
 pub const DEADLINE_SLACK: Duration = Duration::from_millis(150);
 
+/// How long after its client's close an attempt may begin.
+pub const CLOSE_SLACK: Duration = Duration::from_millis(100);
+
 /// A request, once its client has written its last byte.
 #[derive(Clone, Copy, Debug)]
 struct Sent {
     at: Instant,
     budget: Duration,
+    /// When its client closed the connection, if it did before the answer.
+    left: Option<Instant>,
 }
 
 /// An attempt, once its last byte has come.
@@ -22,6 +27,7 @@
     server: &'static str,
     at: Instant,
     told: Duration,
+    may_have_run: bool,
 }
 
 #[derive(Default)]
@@ -43,16 +49,49 @@
 impl Referee {
     /// The client has written the last byte just now: the latest moment that its time can count from.
     pub fn sent(&self, call: &str, budget: Duration) {
-        let sent = Sent { at: Instant::now(), budget };
+        let sent = Sent { at: Instant::now(), budget, left: None };
         self.sent.lock().expect("a lock").insert(call.to_owned(), sent);
     }
 
+    /// The client has closed its connection just now, without waiting for the answer.
+    pub fn left(&self, call: &str) {
+        if let Some(sent) = self.sent.lock().expect("a lock").get_mut(call) {
+            sent.left = Some(Instant::now());
+        }
+    }
+
     /// The last byte of an attempt came at that moment.
     pub fn seen(&self, call: &str, server: &'static str, at: Instant, told: Duration) {
-        let seen = Seen { call: call.to_owned(), server, at, told };
+        let seen = Seen { call: call.to_owned(), server, at, told, may_have_run: false };
         self.seen.lock().expect("a lock").push(seen);
     }
 
+    /// The newest attempt of a request at a server may have an effect.
+    pub fn may_have_run(&self, call: &str, server: &str) {
+        let mut seen = self.seen.lock().expect("a lock");
+        let newest = seen.iter_mut().rev().find(|seen| seen.call == call && seen.server == server);
+        newest.into_iter().for_each(|seen| seen.may_have_run = true);
+    }
+
+    /// Requests of which more than one attempt may have had an effect, of those that `counts` names.
+    pub fn doubled(&self, counts: impl Fn(&str) -> bool) -> Vec<String> {
+        let seen = self.seen.lock().expect("a lock");
+        let mut ran: HashMap<&str, usize> = HashMap::new();
+        let may_have_run = seen.iter().filter(|seen| seen.may_have_run && counts(&seen.call));
+        may_have_run.for_each(|seen| *ran.entry(&seen.call).or_default() += 1);
+        ran.into_iter().filter(|ran| ran.1 > 1).map(|ran| ran.0.to_owned()).collect()
+    }
+
+    /// Attempts that began too long after their client had closed its connection, and how long after.
+    pub fn begun_for_nobody(&self) -> Vec<(String, Duration)> {
+        let (sent, seen) = (self.sent.lock().expect("a lock"), self.seen.lock().expect("a lock"));
+        let late = |seen: &Seen| {
+            let left = sent.get(&seen.call)?.left?;
+            Some((seen.call.clone(), seen.at.saturating_duration_since(left)))
+        };
+        seen.iter().filter_map(late).filter(|late| late.1 > CLOSE_SLACK).collect()
+    }
+
     /// How many attempts of a request have come.
     pub fn attempts_of(&self, call: &str) -> usize {
         self.seen.lock().expect("a lock").iter().filter(|seen| seen.call == call).count()
--- a/crates/coveroute-node/tests/crowds/stand_in.rs
+++ b/crates/coveroute-node/tests/crowds/stand_in.rs
@@ -380,8 +380,18 @@
     }
 
     pub fn stop(&self) {
-        let told = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
-        assert!(told.is_ok_and(|told| told.success()));
+        self.signal(libc::SIGTERM);
+    }
+
+    pub fn signal(&self, signal: libc::c_int) {
+        // SAFETY: a child of this process, which has not been waited for as long as this lives.
+        let told = unsafe { libc::kill(self.id(), signal) };
+        assert_eq!(told, 0, "{}", std::io::Error::last_os_error());
+    }
+
+    /// Whether it has ended.
+    pub fn has_ended(&mut self) -> bool {
+        !matches!(self.child.try_wait(), Ok(None))
     }
 
     /// How long it takes to end by itself, if it does within that time.
--- a/crates/coveroute-node/tests/crowds/system_calls.rs
+++ b/crates/coveroute-node/tests/crowds/system_calls.rs
@@ -92,6 +92,11 @@
         self.table.rule(call).struck.load(Relaxed)
     }
 
+    /// How often any has.
+    pub fn all_struck(&self) -> u64 {
+        self.table.rules.iter().map(|rule| rule.struck.load(Relaxed)).sum()
+    }
+
     /// The wall clock steps by so many seconds.
     pub fn step_clock(&self, seconds: i64) {
         self.table.clock_step.fetch_add(seconds, Relaxed);
