An attempt is written only while what it was decided by holds

A repeat of a guarded request is decided within the window in which executors drop repeats, and could be written after it, when its connection came up late or the kernel had no room: an effect twice. The same for what goes by a list that has not been heard of: it expires after 5.5 s, and a connection may take longer than the half second that is left. Change: the decisions say until when a forward may be written (write_limit.rs: the window less 0.1 s, or 5.85 s after the list was last heard of), and attempt.rs refuses it after that, as never sent. Measured: unit tests on both sides, of which the one at the connection fails without the check.

--- a/crates/coveroute-engine/src/decide.rs
+++ b/crates/coveroute-engine/src/decide.rs
@@ -27,6 +27,11 @@
         0
     }
 
+    /// Until when the newest forward of an invocation may be written.
+    fn write_until(&self, _: InvId) -> f64 {
+        f64::INFINITY
+    }
+
     /// What was learnt; nothing, where nothing is.
     fn learnt(&self) -> Learnt {
         Learnt::default()
@@ -76,6 +81,10 @@
         Node::refused_without_list(self)
     }
 
+    fn write_until(&self, id: InvId) -> f64 {
+        Node::write_until(self, id)
+    }
+
     fn learnt(&self) -> Learnt {
         Node::learnt(self)
     }
--- a/crates/coveroute-engine/src/engine.rs
+++ b/crates/coveroute-engine/src/engine.rs
@@ -132,13 +132,14 @@
 /// What the host has to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Hand the job to the executor; the node answers by `end`. How long that is from now has to be read from the clock when the
-    /// executor is told.
+    /// Hand the job to the executor, with its last byte written by `write_until` or not at all. The node answers by `end`: how
+    /// long that is has to be read from the clock when the executor is told.
     Send {
         id: InvId,
         forward: usize,
         tgt: Tgt,
         end: f64,
+        write_until: f64,
     },
     /// Stop sending, by closing the connection: the executor has not said that it has the job.
     Abort {
@@ -677,7 +678,8 @@
             self.route.decide().list_state().name()
         );
         record.forwards.push(Forward { tgt, sent: now, stage: Stage::Sending });
-        out.push(Action::Send { id, forward, tgt, end: record.end });
+        let write_until = self.route.decide().write_until(id);
+        out.push(Action::Send { id, forward, tgt, end: record.end, write_until });
     }
 
     fn replied(&mut self, now: f64, id: InvId, forward: usize, reply: Reply, out: &mut Vec<Action>) {
--- a/crates/coveroute-node/src/attempt.rs
+++ b/crates/coveroute-node/src/attempt.rs
@@ -20,23 +20,28 @@
     static CURRENT: Rc<Attempt>;
 }
 
-/// By when the node answers a request: a little before its client stops waiting.
+/// The times that bind an attempt.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Deadline(Instant);
+pub struct Deadline {
+    /// The node answers by then: a little before the client stops waiting.
+    answer_by: Instant,
+    /// What the attempt was decided by holds until then.
+    write_until: Instant,
+}
 
 impl Deadline {
-    pub fn at(answer_by: Instant) -> Self {
-        Deadline(answer_by)
+    pub fn at(answer_by: Instant, write_until: Instant) -> Self {
+        Deadline { answer_by, write_until }
     }
 
     /// What the node has left.
     fn left(self, now: Instant) -> Duration {
-        self.0.saturating_duration_since(now)
+        self.answer_by.saturating_duration_since(now)
     }
 
     /// What the client has left.
     fn client_left(self, now: Instant) -> Duration {
-        (self.0 + seconds(ANSWER_TAKES)).saturating_duration_since(now)
+        (self.answer_by + seconds(ANSWER_TAKES)).saturating_duration_since(now)
     }
 }
 
@@ -46,6 +51,8 @@
     ClientLeft,
     /// The client's time is over.
     TimeOver,
+    /// What it was decided by does not hold any more: the window for repeats, or the list of executors.
+    TooLate,
     /// The executor would be told more than the client has left.
     ToldTooMuch,
 }
@@ -55,6 +62,7 @@
         f.write_str(match self {
             Refusal::ClientLeft => "its client has left",
             Refusal::TimeOver => "its client's time is over",
+            Refusal::TooLate => "what it was decided by holds no more",
             Refusal::ToldTooMuch => "it would tell more time than its client has left",
         })
     }
@@ -87,6 +95,7 @@
     longest_excess: Cell<Duration>,
     told_anew: Cell<u64>,
     broken_off: Cell<u64>,
+    too_late: Cell<u64>,
     client_left: Cell<u64>,
     time_over: Cell<u64>,
     no_connection: Cell<u64>,
@@ -104,6 +113,8 @@
     pub told_anew: u64,
     /// Attempts that were broken off before their last byte, as what they told no longer held.
     pub broken_off: u64,
+    /// Attempts whose connection came up, or whose bytes could be written, when what they were decided by held no more.
+    pub too_late: u64,
     /// Attempts that were decided on and not begun: the client had left, its time was over, or no connection was free.
     pub client_left: u64,
     pub time_over: u64,
@@ -130,6 +141,7 @@
             longest_excess: self.longest_excess.get().as_secs_f64(),
             told_anew: self.told_anew.get(),
             broken_off: self.broken_off.get(),
+            too_late: self.too_late.get(),
             client_left: self.client_left.get(),
             time_over: self.time_over.get(),
             no_connection: self.no_connection.get(),
@@ -208,10 +220,10 @@
         self.told.set(left);
         self.is_whole.set(false);
         self.refusal.set(None);
-        if left.is_zero() {
-            return Err(self.refuses(Refusal::TimeOver));
+        match left.is_zero() {
+            true => Err(self.refuses(Refusal::TimeOver)),
+            false => self.decision_holds().map(|()| left),
         }
-        Ok(left)
     }
 
     /// Whether a byte may be written now. The kernel is asked whether the client has left: an executor begins with the last byte.
@@ -219,9 +231,17 @@
         if self.client.iter().any(|client| client.has_left()) {
             return Err(self.refuses(Refusal::ClientLeft));
         }
+        self.decision_holds()?;
         self.told_holds()
     }
 
+    fn decision_holds(&self) -> Result<(), Refusal> {
+        match Instant::now() > self.deadline.write_until {
+            true => Err(self.refuses(Refusal::TooLate)),
+            false => Ok(()),
+        }
+    }
+
     /// Whether what the executor is told is still no more than what the client has left.
     pub fn told_holds(&self) -> Result<(), Refusal> {
         match self.told.get() > self.deadline.client_left(Instant::now()) {
@@ -230,10 +250,11 @@
         }
     }
 
-    /// Until when it does.
-    pub fn told_holds_until(&self) -> Instant {
+    /// Until when a byte may be written, as far as that is known.
+    pub fn permits_until(&self) -> Instant {
         let client_left = self.deadline.client_left(self.decided);
-        self.decided + client_left.saturating_sub(self.told.get())
+        let told_holds_until = self.decided + client_left.saturating_sub(self.told.get());
+        told_holds_until.min(self.deadline.write_until)
     }
 
     fn refuses(&self, refusal: Refusal) -> Refusal {
@@ -241,6 +262,7 @@
         let count = match (refusal, self.progress.get()) {
             (Refusal::ClientLeft, _) => &self.counts.client_left,
             (Refusal::TimeOver, _) => &self.counts.time_over,
+            (Refusal::TooLate, _) => &self.counts.too_late,
             (Refusal::ToldTooMuch, Progress::Waiting) => &self.counts.told_anew,
             (Refusal::ToldTooMuch, _) => &self.counts.broken_off,
         };
--- a/crates/coveroute-node/src/connection.rs
+++ b/crates/coveroute-node/src/connection.rs
@@ -46,7 +46,7 @@
                 }
                 return Poll::Ready(written);
             }
-            let until = || Box::pin(sleep_until(attempt.told_holds_until().into()));
+            let until = || Box::pin(sleep_until(attempt.permits_until().into()));
             ready!(self.permitted.get_or_insert_with(until).as_mut().poll(cx));
             // A timer may be early by its own measure.
             self.permitted = None;
--- a/crates/coveroute-node/src/driver.rs
+++ b/crates/coveroute-node/src/driver.rs
@@ -515,7 +515,10 @@
 
     fn act(&mut self, action: Action) -> Option<Event<'static>> {
         match action {
-            Action::Send { id, forward, tgt, end } => return self.send(id, forward, tgt, end),
+            Action::Send { id, forward, tgt, end, write_until } => {
+                let deadline = Deadline::at(self.clock.instant(end), self.clock.instant(write_until));
+                return self.send(id, forward, tgt, deadline);
+            }
             Action::Abort { id, forward } => {
                 self.sending.remove(&(id, forward)).into_iter().for_each(|sending| sending.task.abort());
             }
@@ -541,7 +544,7 @@
         None
     }
 
-    fn send(&mut self, id: InvId, forward: usize, tgt: Tgt, end: f64) -> Option<Event<'static>> {
+    fn send(&mut self, id: InvId, forward: usize, tgt: Tgt, deadline: Deadline) -> Option<Event<'static>> {
         let Some((job, client)) =
             self.held.get(&id).map(|held| (held.job.clone(), held.client.guest.clone()))
         else {
@@ -555,7 +558,6 @@
             return Some(not_begun(id, forward));
         };
         let (happenings, within) = (self.happenings.clone(), self.links.taken_within());
-        let deadline = Deadline::at(self.clock.instant(end));
         let attempt = Rc::new(Attempt::new((id, forward), deadline, client, self.attempts.clone()));
         let mine = attempt.clone();
         let task = actix_rt::spawn(async move {
--- a/crates/coveroute-node/src/driver/tests.rs
+++ b/crates/coveroute-node/src/driver/tests.rs
@@ -7,7 +7,7 @@
 
 use super::*;
 use crate::relay::Answer;
-use crate::tests::{attempt, block, config, driver, executor, job};
+use crate::tests::{attempt, block, config, driver, executor, job, soon};
 
 const ID: InvId = 7;
 const CALL: &str = "c";
@@ -69,7 +69,7 @@
         let now = driver.clock.now();
         driver.held.insert(ID, Held { job: Rc::new(job(CALL, "pay", 5.0, now)), client: client(answer) });
         let moot = Reply::Ended(Outcome::Moot, Report::default());
-        let told = driver.send(ID, 0, 0, now + 1.0);
+        let told = driver.send(ID, 0, 0, soon());
         assert!(matches!(told, Some(Event::Replied(ID, 0, reply)) if reply == moot));
         assert!(matches!(driver.probe(0), Some(Event::Probed(0, Outcome::Full, _))));
     });
@@ -85,7 +85,7 @@
         driver.act(Action::Abort { id: ID, forward: 0 });
         actix_rt::task::yield_now().await;
         assert!(watch.is_finished() && driver.sending.is_empty());
-        let told = driver.send(ID, 1, 0, driver.clock.now() + 1.0);
+        let told = driver.send(ID, 1, 0, soon());
         assert!(matches!(told, Some(Event::Replied(ID, 1, Reply::Ended(Outcome::Moot, _)))));
     });
 }
--- a/crates/coveroute-node/src/send.rs
+++ b/crates/coveroute-node/src/send.rs
@@ -98,8 +98,8 @@
             (Ok(answer), ..) => return Ok(answer),
             (Err(_), Progress::Waiting, Some(Refusal::ToldTooMuch)) => {}
             (Err(_), Progress::Waiting, Some(refusal)) => return Err(NotSent::Refused(refusal)),
-            (Err(_), Progress::Begun, Some(Refusal::ClientLeft)) => {
-                return Err(NotSent::Refused(Refusal::ClientLeft));
+            (Err(_), Progress::Begun, Some(refusal @ (Refusal::ClientLeft | Refusal::TooLate))) => {
+                return Err(NotSent::Refused(refusal));
             }
             (Err(e), ..) if could_not_connect(&e) => return Err(NotSent::NoConnection(e)),
             (Err(e), ..) => return Err(NotSent::Broken(e)),
--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -135,19 +135,44 @@
     forwarded(links, Patience { heard: taken, taken }).await.into_iter().rfind(|told| *told != Reply::Unheard)
 }
 
+/// In a second.
+pub fn soon() -> Deadline {
+    let soon = Instant::now() + seconds(1.0);
+    Deadline::at(soon, soon)
+}
+
 /// One that nobody is connected for, with a second to go.
 pub fn attempt() -> Rc<Attempt> {
-    Rc::new(Attempt::new((0, 0), Deadline::at(Instant::now() + seconds(1.0)), None, Rc::default()))
+    Rc::new(Attempt::new((0, 0), soon(), None, Rc::default()))
 }
 
 async fn forwarded(links: &mut Links, patience: Patience) -> Vec<Reply> {
+    attempted(links, patience, attempt()).await
+}
+
+async fn attempted(links: &mut Links, patience: Patience, attempt: Rc<Attempt>) -> Vec<Reply> {
     let told = RefCell::new(Vec::new());
     let lease = links.lease(0).expect("a connection");
     let tell = |reply| told.borrow_mut().push(reply);
-    send::forward(lease, &job("c", "look", 1.0, 0.0), attempt(), patience, tell).await;
+    send::forward(lease, &job("c", "look", 1.0, 0.0), attempt, patience, tell).await;
     told.into_inner()
 }
 
+// By the time that the connection is up the window for repeats is over, or the client's time, or neither.
+#[test_case(false, true, Outcome::Moot; "what it was decided by holds no more")]
+#[test_case(true, false, Outcome::Moot; "the client's time is over")]
+#[test_case(true, true, Outcome::Reset; "both hold")]
+fn what_no_longer_holds_is_not_written(decision: bool, client: bool, expected: Outcome) {
+    let (addr, _executor) = executor("body", &[""]);
+    let (passed, ahead) = (Instant::now(), Instant::now() + seconds(5.0));
+    let of = |holds| if holds { ahead } else { passed };
+    let attempt = Rc::new(Attempt::new((0, 0), Deadline::at(of(client), of(decision)), None, Rc::default()));
+    let patience = Patience { heard: 9000 * MS, taken: 9000 * MS };
+    let told = block(async { attempted(&mut links(addr), patience, attempt).await });
+    assert_eq!(told.last(), Some(&ended(expected)), "{told:?}");
+    assert_eq!(told.contains(&Reply::Written), expected == Outcome::Reset);
+}
+
 #[test]
 fn a_job_that_is_not_acknowledged_is_told_of_and_then_given_up() {
     let (addr, _executor) = executor("body", &["HTTP/1.1 20"]);
@@ -1053,7 +1078,7 @@
         "results": {"look": {"succeeded": 3, "declined": 2, "aborted": 1}},
         "forwards": 4, "outstanding": 5, "discovered": 6, "ejected": 0, "sighup_applied": 0, "sighup_rejected": 0,
         "list": {"version": 8, "state": "unheard", "first_heard_s": null, "last_heard_s": 2.5, "refused_without": 7},
-        "attempts": {"written": 4, "overstated": 1, "longest_excess_s": 0.25, "told_anew": 0, "broken_off": 0,
+        "attempts": {"written": 4, "overstated": 1, "longest_excess_s": 0.25, "told_anew": 0, "broken_off": 0, "too_late": 0,
             "client_left": 0, "time_over": 0, "no_connection": 0},
     });
     assert_eq!(told, expected);
--- a/crates/coveroute-node/tests/crowds/soak.rs
+++ b/crates/coveroute-node/tests/crowds/soak.rs
@@ -288,36 +288,57 @@
     windows
 }
 
-/// What is done to one node, in order of time.
+/// What happens to the system calls and the clock of one node.
 #[derive(Clone, Copy, Debug)]
-enum Deed {
+enum Weather {
     Begin(Call, Fault),
     End(Call),
     StepClock(i64),
-    Reread,
-    Stop,
-    Kill,
 }
 
-fn deeds(chance: &mut Chance) -> Vec<(f64, Deed)> {
-    let mut deeds = Vec::new();
+fn weather(chance: &mut Chance) -> Vec<(f64, Weather)> {
+    let mut weather = Vec::new();
     for (from, to, call, fault) in windows(chance) {
-        deeds.extend([(from, Deed::Begin(call, fault)), (to, Deed::End(call))]);
+        weather.extend([(from, Weather::Begin(call, fault)), (to, Weather::End(call))]);
     }
     if chance.draw() < 0.5 {
         let step = if chance.draw() < 0.5 { HOUR } else { -HOUR };
-        deeds.push((between(chance, 0.0, 6.0), Deed::StepClock(step)));
+        weather.push((between(chance, 0.0, 6.0), Weather::StepClock(step)));
     }
+    weather.sort_by(|a, b| a.0.total_cmp(&b.0));
+    weather
+}
+
+fn changes_weather(faults: &Faults, begun: Instant, weather: Vec<(f64, Weather)>) {
+    for (after, change) in weather {
+        let due = begun + Duration::from_secs_f64(after);
+        thread::sleep(due.saturating_duration_since(Instant::now()));
+        match change {
+            Weather::Begin(call, fault) => faults.begin(call, fault),
+            Weather::End(call) => faults.end(call),
+            Weather::StepClock(step) => faults.step_clock(step),
+        }
+    }
+}
+
+/// What is done to one node's process.
+#[derive(Clone, Copy, Debug)]
+enum Deed {
+    Reread,
+    Stop,
+    Kill,
+}
+
+/// In order of time.
+fn deeds(chance: &mut Chance) -> Vec<(f64, Deed)> {
     let at = between(chance, 1.0, 4.0);
     match chance.draw() {
-        lot if lot < 0.2 => deeds.push((at, Deed::Stop)),
-        lot if lot < 0.3 => deeds.push((at, Deed::Kill)),
+        lot if lot < 0.2 => vec![(at, Deed::Stop)],
+        lot if lot < 0.3 => vec![(at, Deed::Kill)],
         // In series, as when several things are rolled out.
-        lot if lot < 0.5 => deeds.extend((0..3).map(|nth| (at + 0.2 * f64::from(nth), Deed::Reread))),
-        _ => {}
+        lot if lot < 0.5 => (0..3).map(|nth| (at + 0.2 * f64::from(nth), Deed::Reread)).collect(),
+        _ => Vec::new(),
     }
-    deeds.sort_by(|a, b| a.0.total_cmp(&b.0));
-    deeds
 }
 
 /// One node's processes, one after the other, and what is done to them.
@@ -330,15 +351,11 @@
 }
 
 impl Keeper<'_> {
-    fn keeps(mut self, begun: Instant) {
-        let mut chance = chance(self.run.seed, self.at);
-        for (after, deed) in deeds(&mut chance) {
+    fn keeps(mut self, begun: Instant, deeds: Vec<(f64, Deed)>) {
+        for (after, deed) in deeds {
             let due = begun + Duration::from_secs_f64(after);
             thread::sleep(due.saturating_duration_since(Instant::now()));
             match deed {
-                Deed::Begin(call, fault) => self.faults.begin(call, fault),
-                Deed::End(call) => self.faults.end(call),
-                Deed::StepClock(step) => self.faults.step_clock(step),
                 Deed::Reread => self.process.signal(libc::SIGHUP),
                 Deed::Stop => self.stops(),
                 Deed::Kill => self.is_killed(),
@@ -437,7 +454,11 @@
     thread::scope(|scope| {
         for (at, process) in processes.into_iter().enumerate() {
             let keeper = Keeper { run: &run, at, faults: &faults[at], list: list.addr, process };
-            scope.spawn(move || keeper.keeps(begun));
+            let mut chance = self::chance(seed, at);
+            let (weather, deeds) = (weather(&mut chance), deeds(&mut chance));
+            scope.spawn(move || keeper.keeps(begun, deeds));
+            let faults = &faults[at];
+            scope.spawn(move || changes_weather(faults, begun, weather));
         }
         for at in 0..NODES * CLIENTS_EACH {
             let chance = self::chance(seed, NODES + 1 + at);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,5 @@
 //! coveroute: a node pushes invocations to executors by the Nash-bargaining split.
-//! `policy`, `list_state` and `list_calls` hold every decision, `notes` what is known of answers and reports, `sampler` who is drawn from, `types` what goes in and out; neither does I/O or reads a clock.
+//! `policy`, `list_state`, `list_calls` and `write_limit` hold every decision, `notes` what is known of answers and reports, `sampler` who is drawn from, `types` what goes in and out; neither does I/O or reads a clock.
 pub mod adopt;
 pub mod chance;
 pub mod learnt;
@@ -10,3 +10,4 @@
 pub mod policy;
 mod sampler;
 pub mod types;
+mod write_limit;
--- a/src/list_state.rs
+++ b/src/list_state.rs
@@ -6,6 +6,8 @@
 
 /// A change counts as told six seconds after discovery had it; of these a connection takes up to half a second.
 const EXPIRES_AFTER: f64 = 5.5;
+/// By then what was decided before has to be written: the node may be held up for a moment after it looks at the clock.
+const WRITTEN_WITHIN: f64 = 5.85;
 /// A discovery that for so long gives no sign of being there is taken to be down, and an expired list is better than none: longer
 /// than the longest round of calls and the wait for an answer, in which a service that is there gets to each node.
 const OUTAGE: f64 = 30.0;
@@ -63,6 +65,14 @@
         }
     }
 
+    /// Until when what is decided by the list now may be written.
+    pub fn written_until(self) -> f64 {
+        match self {
+            ListState::Unheard { since, unreachable_since: None } => since + WRITTEN_WITHIN,
+            _ => f64::INFINITY,
+        }
+    }
+
     /// Whether a process that goes on with the list may take it for current.
     pub fn is_current(self) -> bool {
         matches!(self, ListState::Followed | ListState::Unreachable { .. })
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -4,6 +4,7 @@
 use crate::list_state::ListState;
 use crate::sampler::{Index, Sampler, LOOKED};
 use crate::types::*;
+use crate::write_limit;
 
 const SOLVE: u64 = 0; // Timers: the solve,
 pub const LOOK: u64 = 1; // another look at what waits,
@@ -500,7 +501,6 @@
     }
 
     pub(crate) fn may_go(&self, now: f64, inv: &Inv, t: &Executor) -> bool {
-        const WINDOW_MARGIN: f64 = 0.1; // Off the end of the window: several times the way to an executor.
         let op = &self.set.operations[inv.op];
         t.ready()
             && inv.forwards.len() < self.set.max_forwards
@@ -511,7 +511,7 @@
                 Effect::NonIdempotent => false,
                 Effect::Deduplicated { group, window } => {
                     let same = self.tgts[first.tgt].entry.same(group, &t.entry);
-                    same && now < first.sent + window - WINDOW_MARGIN
+                    same && now < first.sent + window - write_limit::WINDOW_MARGIN
                 }
             })
     }
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -86,6 +86,17 @@
     assert!((least..most).contains(&first), "{first}");
 }
 
+// All were sent at 1; the last is the one that is to be written.
+#[test_case(DEDUP_ALL, &[Fate::MayHaveRun, Fate::Out], 2.9; "a repeat within the window of the first")]
+#[test_case(DEDUP_ALL, &[Fate::NotRun, Fate::Out], f64::INFINITY; "no repeat, as the first never ran")]
+#[test_case(DEDUP_ALL, &[Fate::Out], f64::INFINITY; "the first itself")]
+#[test_case(Effect::Idempotent, &[Fate::MayHaveRun, Fate::Out], f64::INFINITY; "what may be repeated at any time")]
+fn a_repeat_is_written_within_its_window_or_not_at_all(effect: Effect, fates: &[Fate], until: f64) {
+    let mut node = node(effect, 3);
+    add(&mut node, Life::Out, fates);
+    assert_eq!(node.write_until(ID), until);
+}
+
 // Rule 2, a further forward: each effect, after each outcome of the only forward so far.
 #[test_case(Effect::NonIdempotent, Outcome::Full, Some(Life::Waiting); "full proves that it never ran")]
 #[test_case(Effect::NonIdempotent, Outcome::Unreachable, Some(Life::Waiting); "so does no connection")]
--- a/src/types.rs
+++ b/src/types.rs
@@ -432,6 +432,10 @@
 }
 
 impl Fwd {
+    pub fn may_have_run(&self) -> bool {
+        self.fate != Fate::NotRun
+    }
+
     /// Out without a sign, though it had every reason to start.
     pub fn hangs(&self) -> bool {
         self.sure && self.fate == Fate::Out && self.wait.is_none()
@@ -503,7 +507,7 @@
 
     /// The first forward that may have run: its group and time bind all further ones.
     pub fn anchor(&self) -> Option<&Fwd> {
-        self.forwards.iter().find(|f| f.fate != Fate::NotRun)
+        self.forwards.iter().find(|f| f.may_have_run())
     }
 }
 
