--- a/crates/coveroute-node/tests/crowds/soak.rs
+++ b/crates/coveroute-node/tests/crowds/soak.rs
@@ -97,7 +97,6 @@
 
 /// What all threads of a run share.
 struct Run {
-    seed: u64,
     referee: Arc<Referee>,
     nodes: Vec<Node>,
     end: Instant,
@@ -435,7 +434,6 @@
     let node = |process: &Process| Node { addr: process.node, state: Mutex::new((State::Serves, 0)) };
     let begun = Instant::now();
     let run = Run {
-        seed,
         referee,
         nodes: processes.iter().map(node).collect(),
         end: begun + PLAYED,
