--- a/crates/coveroute-node/tests/crowds/stand_in.rs
+++ b/crates/coveroute-node/tests/crowds/stand_in.rs
@@ -15,8 +15,10 @@
 /// A loopback host of this test's own, so that tests don't meet.
 pub fn host() -> IpAddr {
     static NEXT: AtomicUsize = AtomicUsize::new(1);
-    let (at, own) = (NEXT.fetch_add(1, Ordering::Relaxed), std::process::id());
-    [127, 122 + (own % 120) as u8, 1 + (own / 120 % 250) as u8, 1 + (at % 250) as u8].into()
+    const EACH: usize = 250; // Of one octet.
+    let (at, own) = (NEXT.fetch_add(1, Ordering::Relaxed), std::process::id() as usize);
+    let third = (own / 120 + at / EACH) % EACH;
+    [127, 122 + (own % 120) as u8, 1 + third as u8, 1 + (at % EACH) as u8].into()
 }
 
 /// An address that nobody listens at, and no client connects from: one that is tried before a node listens there could
