A probe that this machine could not send says nothing of its executor

Need: the audit of failures of the node's own machine. A probe that met EMFILE or the like blamed its executor, as if nobody listened there. Change: it counts as where no connection is free.

--- a/crates/coveroute-node/src/probe.rs
+++ b/crates/coveroute-node/src/probe.rs
@@ -6,6 +6,7 @@
 use coveroute::types::{Outcome, Report};
 use log::debug;
 
+use crate::connection::could_not_connect;
 use crate::executors::Lease;
 use crate::send;
 use crate::wire;
@@ -35,6 +36,8 @@
     };
     match timeout(patience, asked).await {
         Err(_) => (Outcome::TimedOut, Report::default()),
+        // As where no connection is free: it says nothing of the executor.
+        Ok(Err(e)) if could_not_connect(&e) => (Outcome::Full, Report::default()),
         Ok(Err(e)) => (send::broken(&e), Report::default()),
         Ok(Ok((200, body))) => (Outcome::Succeeded, send::report(&body)),
         Ok(Ok((503, body))) => (Outcome::Full, send::report(&body)),
