Restarts: nine in ten have a list in time, not only a node that is ready without one

Need: 'the last list known' was met by a node that is ready after 5.5 s without having heard of its list.

--- a/crates/coveroute-node/tests/crowds/stand_in.rs
+++ b/crates/coveroute-node/tests/crowds/stand_in.rs
@@ -374,6 +374,11 @@
         self.child.id() as i32
     }
 
+    /// Whether a line of its log has these words.
+    pub fn has_logged(&self, words: &str) -> bool {
+        std::fs::read_to_string(self.folder.join("log")).is_ok_and(|log| log.contains(words))
+    }
+
     /// The last lines of its log.
     pub fn log(&self) -> String {
         let log = std::fs::read_to_string(self.folder.join("log")).unwrap_or_default();
