The decisions' node in a module of its own; one read_message; dead code gone

Need: types.rs, sampler.rs, list_calls.rs and list_state.rs imported one another in a circle, read_message stood in three files, List::entries and the Told::Nothing arm were dead. Change: node.rs holds Node and what sampler.rs and types.rs had of it, and imports the others; types.rs imports none of them. tests/support/message.rs is read_message for all. Lists::next says None where nothing is whole. No behaviour changed.

--- a/crates/coveroute-drill/src/main.rs
+++ b/crates/coveroute-drill/src/main.rs
@@ -7,8 +7,9 @@
 use std::io::{self, BufRead, Write as _};
 use std::panic::{self, AssertUnwindSafe};
 
+use coveroute::node::Node;
 use coveroute::types::{
-    Entry, Input, KeptAge, List, Loss, Node, Outcome, Output, Settled, Standing, Submission, Tgt, Told,
+    Entry, Input, KeptAge, List, Loss, Outcome, Output, Settled, Standing, Submission, Tgt, Told,
 };
 use coveroute_shared::{decode, mark, message, position, words, Listed, Names, Roster};
 use wire::{Event, Line, Record};
--- a/crates/coveroute-emu/src/virtual_time.rs
+++ b/crates/coveroute-emu/src/virtual_time.rs
@@ -6,7 +6,8 @@
 
 use bytes::Bytes;
 use coveroute::adopt::Moved;
-use coveroute::types::{Budget, InvId, Node, Outcome as Ended, Report, Settings, Tgt, Told};
+use coveroute::node::Node;
+use coveroute::types::{Budget, InvId, Outcome as Ended, Report, Settings, Tgt, Told};
 use coveroute_engine::{
     Action, Answer, Call, Decide, Engine, Event, Listing, News, Phase, Reply, Watched, Word as Heard,
 };
--- a/crates/coveroute-engine/src/decide.rs
+++ b/crates/coveroute-engine/src/decide.rs
@@ -2,9 +2,10 @@
 use coveroute::adopt::Moved;
 use coveroute::learnt::Learnt;
 use coveroute::list_state::ListState;
-use coveroute::types::{Budget, Input, Inv, InvId, Node, Operation, Output, Settings};
+use coveroute::node::Node;
+use coveroute::types::{Budget, Input, Inv, InvId, Operation, Output, Settings};
 
-/// What decides; `coveroute::types::Node` does in every node, others only where they are compared with it.
+/// What decides; `coveroute::node::Node` does in every node, others only where they are compared with it.
 pub trait Decide {
     fn handle(&mut self, now: f64, input: Input, out: &mut Vec<Output>);
 
--- a/crates/coveroute-engine/src/engine.rs
+++ b/crates/coveroute-engine/src/engine.rs
@@ -5,9 +5,10 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use coveroute::node::Node;
 use coveroute::policy::LOOK;
 use coveroute::types::{
-    Budget, Input, InvId, KeptAge, List, Loss, Node, Operation, Outcome, Output, Report, Settings, Settled,
+    Budget, Input, InvId, KeptAge, List, Loss, Operation, Outcome, Output, Report, Settings, Settled,
     Standing, Submission, Tgt, Told,
 };
 use coveroute_shared::Names;
--- a/crates/coveroute-node/src/at_size.rs
+++ b/crates/coveroute-node/src/at_size.rs
@@ -59,8 +59,8 @@
     for piece in text.as_bytes().chunks(piece) {
         lists.add(piece);
         match lists.next().expect("no fault") {
-            Told::List(listing) => assert!(came.replace(listing).is_none(), "once"),
-            Told::Lives | Told::Nothing => {}
+            Some(Told::List(listing)) => assert!(came.replace(listing).is_none(), "once"),
+            Some(Told::Lives) | None => {}
         }
     }
     (came.expect("a list"), lists.worked)
@@ -88,7 +88,7 @@
     let (text, mut lists) = (whole(5, &entries(WORKERS)), Lists::default());
     for piece in text.as_bytes()[..500_000].chunks(16_384) {
         lists.add(piece);
-        assert!(matches!(lists.next(), Ok(Told::Nothing)));
+        assert!(matches!(lists.next(), Ok(None)));
     }
     lists.add(format!("\n{}\n", whole(6, &entries(1))).as_bytes());
     let told = lists.next().expect_err("a fault");
--- a/crates/coveroute-node/src/departures.rs
+++ b/crates/coveroute-node/src/departures.rs
@@ -14,6 +14,10 @@
 use test_case::test_case;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 
+#[path = "../tests/support/message.rs"]
+mod message;
+use message::read_message;
+
 use crate::clock::seconds;
 use crate::crossings::{kernel, leave, Leaves, NOTICED};
 use crate::happening::Happening;
@@ -96,7 +100,7 @@
     fn serve(&self, at: usize, stream: TcpStream) {
         let mut answers = stream.try_clone().expect("a stream");
         let mut requests = BufReader::new(stream);
-        while let Some((begun, head, body)) = read_message(&mut requests) {
+        while let Some((begun, head, body)) = read_begun(&mut requests) {
             let path = head[0].split(' ').nth(1).expect("a path").to_owned();
             if !head[0].starts_with("POST") {
                 self.probes.fetch_add(1, Ordering::SeqCst);
@@ -138,23 +142,10 @@
 }
 
 /// When it began, its head and its body.
-fn read_message(stream: &mut BufReader<TcpStream>) -> Option<(Instant, Vec<String>, Vec<u8>)> {
+fn read_begun(stream: &mut BufReader<TcpStream>) -> Option<(Instant, Vec<String>, Vec<u8>)> {
     stream.fill_buf().ok().filter(|some| !some.is_empty())?;
-    let (begun, mut head, mut length) = (Instant::now(), Vec::new(), 0);
-    loop {
-        let mut line = String::new();
-        stream.read_line(&mut line).ok().filter(|read| *read > 0)?;
-        let line = line.trim_end().to_owned();
-        if line.is_empty() {
-            break;
-        }
-        if let Some(told) = line.to_lowercase().strip_prefix("content-length:") {
-            length = told.trim().parse().ok()?;
-        }
-        head.push(line);
-    }
-    let mut body = vec![0; length];
-    stream.read_exact(&mut body).ok()?;
+    let begun = Instant::now();
+    let (head, body) = read_message(stream)?;
     Some((begun, head, body))
 }
 
--- a/crates/coveroute-node/src/discovery.rs
+++ b/crates/coveroute-node/src/discovery.rs
@@ -107,8 +107,8 @@
         }
         loop {
             let told = match lists.next() {
-                Ok(Told::Nothing) => break,
-                Ok(told) => told,
+                Ok(None) => break,
+                Ok(Some(told)) => told,
                 // What it held is unknown: asking anew brings it again.
                 Err(e) => return (e, missed(heard)),
             };
@@ -119,7 +119,7 @@
                     tell(Watched::Listed(listing));
                     empty_lines = EMPTY_LINES;
                 }
-                Told::Lives | Told::Nothing => empty_lines += 1,
+                Told::Lives => empty_lines += 1,
             }
             if empty_lines >= EMPTY_LINES && !std::mem::replace(&mut begun, true) {
                 tell(Watched::Begun);
@@ -135,8 +135,6 @@
     List(Listing),
     /// An empty line: no news, and it lives.
     Lives,
-    /// Nothing whole.
-    Nothing,
 }
 
 /// Lists out of chunks that may end anywhere; one may stand on one line or on many.
@@ -213,8 +211,8 @@
         whole || broken || held <= READ_EACH || held >= 2 * self.read
     }
 
-    /// The next list that has come whole, or what else there is.
-    pub fn next(&mut self) -> Result<Told, String> {
+    /// The next list that has come whole, or what else there is; none while nothing is whole.
+    pub fn next(&mut self) -> Result<Option<Told>, String> {
         let blank = self.buffer.iter().take_while(|b| b.is_ascii_whitespace()).count();
         let lives = self.buffer.split_to(blank).contains(&b'\n');
         if !self.is_worth_reading() {
@@ -231,7 +229,7 @@
                 let end = lists.byte_offset();
                 self.buffer.advance(end);
                 (self.scan, self.read) = (Scan::default(), 0);
-                Ok(Told::List(hosts.into()))
+                Ok(Some(Told::List(hosts.into())))
             }
             Some(Err(e)) if !e.is_eof() && !self.at_end(&e) => Err(format!("a list can't be read: {e}")),
             Some(Err(_)) | None => self.unread(lives),
@@ -239,11 +237,11 @@
     }
 
     /// What is told while nothing is whole.
-    fn unread(&self, lives: bool) -> Result<Told, String> {
+    fn unread(&self, lives: bool) -> Result<Option<Told>, String> {
         if self.buffer.len() > LIST_MOST {
             return Err("a list is too long".into());
         }
         // The end of a list's own line is none that was left empty, but tells as much.
-        Ok(if lives { Told::Lives } else { Told::Nothing })
+        Ok(lives.then_some(Told::Lives))
     }
 }
--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -551,8 +551,8 @@
 
 fn lists(lists: &mut Lists) -> Vec<u64> {
     let list = || match lists.next().expect("no fault") {
-        ListTold::List(list) => Some(list.version),
-        ListTold::Lives | ListTold::Nothing => None,
+        Some(ListTold::List(list)) => Some(list.version),
+        Some(ListTold::Lives) | None => None,
     };
     std::iter::from_fn(list).collect()
 }
@@ -562,14 +562,14 @@
     let (mut came, line) = (Lists::default(), LINE.replace('\n', ""));
     let (head, tail) = line.split_at(40);
     came.add(head.as_bytes());
-    assert!(matches!(came.next(), Ok(ListTold::Nothing)), "half a line");
+    assert!(matches!(came.next(), Ok(None)), "half a line");
     came.add(format!("{tail}\n\n{line}\n").as_bytes());
     assert_eq!(lists(&mut came), [3, 3]);
     came.add(b"{\"version\": oops\n");
     assert!(came.next().is_err(), "a broken line ends the watch");
     let mut came = Lists::default();
     came.add(b"{\"version\":\n");
-    assert!(matches!(came.next(), Ok(ListTold::Nothing)), "it may go on on the next line");
+    assert!(matches!(came.next(), Ok(None)), "it may go on on the next line");
     came.add(&vec![b' '; 4 << 20]);
     assert!(came.next().is_err(), "but not without end");
 }
@@ -671,7 +671,7 @@
             let mut came = Lists::default();
             came.add(&text.as_bytes()[..cut]);
             let told = came.next().unwrap_or_else(|e| panic!("{e} at {cut}: {}", &text[..cut]));
-            assert!(!matches!(told, ListTold::List(_)), "not whole at {cut}");
+            assert!(!matches!(told, Some(ListTold::List(_))), "not whole at {cut}");
             came.add(&text.as_bytes()[cut..]);
             assert_eq!(lists(&mut came), [10], "cut at {cut}");
         }
--- a/crates/coveroute-node/tests/crowds/stand_in.rs
+++ b/crates/coveroute-node/tests/crowds/stand_in.rs
@@ -1,6 +1,6 @@
 //! What a node of these tests talks to: a discovery with a bound on its work, an executor, clients; and the node itself,
 //! a real process of the program under a real limit of descriptors.
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufReader, Write};
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -9,6 +9,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+#[path = "../support/message.rs"]
+mod message;
+pub use message::read_message;
+
 /// What a call may take before its test counts it as lost.
 const CALL_WITHIN: Duration = Duration::from_secs(10);
 
@@ -27,28 +31,6 @@
     (host(), 9000).into()
 }
 
-/// A request's or an answer's head and body.
-pub fn read_message(stream: &mut impl BufRead) -> Option<(Vec<String>, Vec<u8>)> {
-    let (mut head, mut length) = (Vec::new(), 0);
-    loop {
-        let mut line = String::new();
-        if stream.read_line(&mut line).ok()? == 0 {
-            return None;
-        }
-        let line = line.trim_end().to_owned();
-        if line.is_empty() {
-            break;
-        }
-        if let Some(told) = line.to_lowercase().strip_prefix("content-length:") {
-            length = told.trim().parse().ok()?;
-        }
-        head.push(line);
-    }
-    let mut body = vec![0; length];
-    stream.read_exact(&mut body).ok()?;
-    Some((head, body))
-}
-
 /// Writes a request on the connection; the answer's status and body.
 pub fn ask(stream: &mut TcpStream, request: &str) -> Option<(u16, String)> {
     ask_within(CALL_WITHIN, stream, request)
--- a/crates/coveroute-node/tests/replace.rs
+++ b/crates/coveroute-node/tests/replace.rs
@@ -1,6 +1,6 @@
 //! One process takes the place of another one, as operators do it: real processes of the program on loopback, with an
 //! executor and a discovery of the test's own.
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
 use std::path::{Path, PathBuf};
@@ -12,6 +12,10 @@
 
 use test_case::test_case;
 
+#[path = "support/message.rs"]
+mod message;
+use message::read_message;
+
 const SOON: Duration = Duration::from_secs(10);
 
 /// An address that is free now, on an address of this test's own so that tests don't meet.
@@ -22,28 +26,6 @@
     TcpListener::bind(SocketAddr::from((host, 0))).and_then(|l| l.local_addr()).expect("a free port")
 }
 
-/// A request's or an answer's head and body.
-fn read_message(stream: &mut BufReader<TcpStream>) -> Option<(Vec<String>, Vec<u8>)> {
-    let (mut head, mut length) = (Vec::new(), 0);
-    loop {
-        let mut line = String::new();
-        if stream.read_line(&mut line).ok()? == 0 {
-            return None;
-        }
-        let line = line.trim_end().to_owned();
-        if line.is_empty() {
-            break;
-        }
-        if let Some(told) = line.to_lowercase().strip_prefix("content-length:") {
-            length = told.trim().parse().ok()?;
-        }
-        head.push(line);
-    }
-    let mut body = vec![0; length];
-    stream.read_exact(&mut body).ok()?;
-    Some((head, body))
-}
-
 fn call(addr: SocketAddr, request: &str) -> Option<(Vec<String>, Vec<u8>)> {
     let mut stream = TcpStream::connect(addr).ok()?;
     stream.set_read_timeout(Some(SOON)).ok()?;
--- a/src/adopt.rs
+++ b/src/adopt.rs
@@ -1,6 +1,7 @@
 //! New settings under way: they are put in place of the old ones in one step; what was learnt stays. No decision.
 use crate::list_state::ListState;
-use crate::types::{Class, Node, Settings};
+use crate::node::Node;
+use crate::types::{Class, Settings};
 
 /// An entry of the operations that is new, and the one whose name it took over.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/src/learnt.rs
+++ b/src/learnt.rs
@@ -1,5 +1,6 @@
 //! What a node has learnt, in rows of figures that another process of it can begin with. No decision.
-use crate::types::{Budget, Class, Executor, Kind, Node, Tgt};
+use crate::node::Node;
+use crate::types::{Budget, Class, Executor, Kind, Tgt};
 
 /// Figures in the order in which `take` reads them; one of another length is passed over.
 pub type Row = Vec<f64>;
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -1,5 +1,6 @@
 //! What a node notes: of what it begins with, of answers, and of reports. What follows from it `policy` decides.
 use crate::chance::Chance;
+use crate::node::Node;
 use crate::policy::{GOOD_MOST, RACES};
 use crate::types::*;
 
--- a/src/parcel.rs
+++ b/src/parcel.rs
@@ -1,5 +1,6 @@
 //! Parcels: an invocation leaves one process of a node and goes on in another one, as it stands. No decision.
-use crate::types::{Executor, Inv, InvId, Life, Node, Operation};
+use crate::node::Node;
+use crate::types::{Executor, Inv, InvId, Life, Operation};
 
 impl Node {
     /// Takes the invocation out, with no answer and no word to executors: what it holds at them goes with it.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -2,6 +2,7 @@
 //! for each thing that happens, in order; the caller carries out what is put out, in order. Nothing here
 //! waits or reads a clock. Its interface is `types.rs`; docs/design.md tells why it decides as it does.
 use crate::list_state::ListState;
+use crate::node::Node;
 use crate::sampler::{Index, Sampler, LOOKED};
 use crate::types::*;
 use crate::write_limit;
--- a/src/sampler.rs
+++ b/src/sampler.rs
@@ -26,7 +26,7 @@
 /// Members and the running sums of their shares.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Sampler {
-    members: Vec<Tgt>,
+    pub(crate) members: Vec<Tgt>,
     sums: Vec<f64>,
 }
 
@@ -99,7 +99,7 @@
 }
 
 impl Lots {
-    fn new(mut members: Vec<Tgt>, mark: impl Fn(Tgt) -> u64, share: impl Fn(Tgt) -> f64) -> Self {
+    pub(crate) fn new(mut members: Vec<Tgt>, mark: impl Fn(Tgt) -> u64, share: impl Fn(Tgt) -> f64) -> Self {
         members.sort_by_cached_key(|&i| (mark(i), i));
         Lots { marks: members.iter().map(|&i| mark(i)).collect(), executors: Sampler::new(members, share) }
     }
@@ -147,14 +147,14 @@
 /// What is kept of a large fleet: made anew with each solve, and between two solves as things change.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Index {
-    parts: BTreeMap<Part, Sampler>,
+    pub(crate) parts: BTreeMap<Part, Sampler>,
     /// Made with the first key after a solve.
-    lots: Option<Lots>,
+    pub(crate) lots: Option<Lots>,
     cold: Members,
     kept: Members,
     idle: Members,
     /// Connections to all, at the last solve.
-    opened: usize,
+    pub(crate) opened: usize,
     /// Where the next window begins.
     pub from: usize,
 }
@@ -214,60 +214,5 @@
     }
 }
 
-impl Node {
-    /// So few that a start looks at all of them.
-    pub(crate) fn few(&self) -> bool {
-        self.rank.len() <= LOOKED
-    }
-
-    /// Ready executors that an invocation is bound to by what may have run, by kind, or to the own zone if `near`.
-    pub(crate) fn part(&self, inv: &Inv, near: bool) -> Option<&Sampler> {
-        let op = &self.set.operations[inv.op];
-        let group = match (inv.anchor(), op.effect) {
-            (Some(first), Effect::Deduplicated { group, .. }) => {
-                let entry = &self.tgts[first.tgt].entry;
-                match group {
-                    Group::All => None,
-                    Group::Zone => Some(Part::Zone(entry.zone)),
-                    Group::Cell => Some(Part::Cell(entry.cell)),
-                }
-            }
-            _ => None,
-        };
-        let own = near.then_some(Part::Zone(self.set.zone));
-        self.index.parts.get(&group.or(op.kind.map(Part::Kind)).or(own).unwrap_or(Part::All))
-    }
-
-    /// Executors that it can go to at all, and others: a part that it is bound to, or all.
-    pub(crate) fn bound_to<'a>(&'a self, inv: &Inv) -> impl Iterator<Item = &'a Executor> {
-        let part = self.part(inv, false);
-        let all = if part.is_none() { &self.tgts[..] } else { &[] };
-        part.into_iter().flat_map(|part| &part.members).map(|&i| &self.tgts[i]).chain(all)
-    }
-
-    /// Connections to all executors; of a large fleet, when last solved.
-    pub(crate) fn opened(&self) -> usize {
-        if self.few() {
-            self.tgts.iter().map(|t| t.open).sum()
-        } else {
-            self.index.opened
-        }
-    }
-
-    /// A key's order of executors, the same at every node (weighted rendezvous hashing): the whole, or its beginning.
-    pub(crate) fn lots(&mut self, key: u64) -> Vec<Tgt> {
-        if !self.few() {
-            let (rank, tgts) = (&self.rank, &self.tgts);
-            let mark = |i: Tgt| mix(u64::from(tgts[i].entry.mark));
-            let lots = || Lots::new(rank.clone(), mark, |i| tgts[i].share);
-            return self.index.lots.get_or_insert_with(lots).order(key);
-        }
-        let lot = |i: &Tgt| -self.tgts[*i].share / unit(key ^ u64::from(self.tgts[*i].entry.mark)).ln();
-        let mut order = self.rank.clone();
-        order.sort_by_cached_key(|i| std::cmp::Reverse(lot(i).to_bits()));
-        order
-    }
-}
-
 #[cfg(test)]
 pub(crate) mod tests;
--- a/src/sampler/tests.rs
+++ b/src/sampler/tests.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use super::*;
+use crate::node::Node;
 use test_case::test_case;
 
 thread_local!(static LOOKS: Cell<usize> = const { Cell::new(0) });
--- a/src/types.rs
+++ b/src/types.rs
@@ -1,14 +1,9 @@
 //! What goes into and comes out of the decision module, and the records it keeps. Times are seconds; no
 //! decision stands here.
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::VecDeque;
 
 use serde::{Deserialize, Serialize};
 
-use crate::chance::Chance;
-use crate::list_calls::ListCalls;
-use crate::list_state::ListState;
-use crate::sampler::Index;
-
 /// An invocation's id, as the protocol gave it.
 pub type InvId = u32;
 /// An executor's small index at this node.
@@ -193,13 +188,6 @@
     pub fn is_whole(&self) -> bool {
         matches!(self, List::Whole(_) | List::Kept(..))
     }
-
-    pub fn entries(self) -> Option<Vec<Entry>> {
-        match self {
-            List::Changes(entries) | List::Whole(entries) | List::Kept(entries, _) => Some(entries),
-            List::Lost(_) => None,
-        }
-    }
 }
 
 /// How old a list is that a node begins with.
@@ -792,96 +780,9 @@
     Never,
 }
 
-/// All that a node keeps.
-#[derive(Default)]
-pub struct Node {
-    pub(crate) set: Settings,
-    pub(crate) chance: Chance,
-    pub(crate) tgts: Vec<Executor>,
-    /// Ready executors, where a crossing has a price those of the own zone (`near` of them) first, then by
-    /// share, the largest first. Invocations that wait, the most pressing first.
-    pub(crate) rank: Vec<Tgt>,
-    pub(crate) near: usize,
-    /// What is drawn from in a large fleet.
-    pub(crate) index: Index,
-    pub(crate) waiting: Vec<InvId>,
-    pub(crate) invs: BTreeMap<InvId, Inv>,
-    pub(crate) classes: Vec<Class>,
-    pub(crate) tenants: Vec<Class>,
-    pub(crate) kinds: Vec<Kind>,
-    pub(crate) peer_heard: Vec<f64>,
-    pub(crate) phi: f64,
-    pub(crate) util: f64,
-    /// What executors are held against when they are doubted, at most one.
-    pub(crate) level: f64,
-    pub(crate) fog: f64,
-    /// How often an error is the invocation's own fault.
-    pub(crate) theirs: f64,
-    /// Where nothing is reported: the part of invocations that may leave the own zone at once, as starts come late there.
-    pub(crate) spill: f64,
-    pub(crate) misled: f64,
-    /// How often a forward that was told of room had to wait.
-    pub(crate) empty: f64,
-    /// How forwards over open and over new connections fared.
-    pub(crate) ways: [Record; 2],
-    /// How often what should have started, and had not, never did.
-    pub(crate) vain: f64,
-    /// What an invocation must press to be taken, in parts of the usual press.
-    pub(crate) price: f64,
-    pub(crate) usual: f64,
-    pub(crate) raised: f64,
-    /// Mean billed value of an invocation.
-    pub(crate) value: f64,
-    /// Mean own forwards held at an executor of the first `near` in rank, and of the others, at the last solve.
-    pub(crate) held: [f64; 2],
-    pub(crate) solved: f64,
-    /// When it last had a turn, and the one before.
-    pub(crate) turns: [f64; 2],
-    pub(crate) looking: bool,
-    /// When invocations were taken, and forwards beyond the first sent, within the budget's span.
-    pub(crate) taken: Times,
-    pub(crate) further: Times,
-    /// Invocations whose last forward had every reason to start, and had not when last looked at.
-    pub(crate) unsure: BTreeSet<InvId>,
-    /// By when all must be answered, once the node is to stop.
-    pub(crate) leaving: Option<f64>,
-    /// When discovery is called for the list, while it is not followed.
-    pub(crate) list_calls: ListCalls,
-    /// How current the list is, and whether requests may be sent by it.
-    pub(crate) list_state: ListState,
-    /// Requests given up, unsent or not, at a time when the list did not permit to send.
-    pub(crate) refused_without_list: u64,
-}
-
 /// Leaves those of the pool, if there are any and the condition holds.
 pub fn prefer(pool: &mut Vec<Tgt>, when: bool, those: impl Fn(&Tgt) -> bool) {
     if when && pool.iter().any(&those) {
         pool.retain(those);
     }
 }
-
-impl Node {
-    /// For an executor and a kind that may be new.
-    pub(crate) fn make_room(&mut self, entry: &Entry) {
-        self.tgts.extend((self.tgts.len()..=entry.tgt).map(Executor::unheard));
-        self.kinds.resize(self.kinds.len().max(entry.kind + 1), Kind::default());
-        self.kinds[entry.kind].size = self.kinds[entry.kind].size.max(entry.size);
-    }
-
-    /// The entries, before them as gone what a whole list leaves out.
-    pub(crate) fn with_absent(&self, whole: bool, entries: Vec<Entry>) -> Vec<Entry> {
-        let absent = |t: &Executor| Entry { standing: Standing::Gone, ..t.entry.clone() };
-        let named: BTreeSet<Tgt> = entries.iter().map(|entry| entry.tgt).collect();
-        let left_out = self.tgts.iter().filter(|t| whole && !named.contains(&t.entry.tgt));
-        let mut all: Vec<Entry> = left_out.map(absent).collect();
-        all.extend(entries);
-        all
-    }
-
-    /// What each ready executor's share is now, by its mark; for those who watch, no decision reads it.
-    pub fn shares(&self) -> impl Iterator<Item = (u32, f64)> + '_ {
-        let sum: f64 = self.rank.iter().map(|&tgt| self.tgts[tgt].beta).sum();
-        let share = move |&tgt: &Tgt| (self.tgts[tgt].entry.mark, self.tgts[tgt].beta / sum.max(1e-12));
-        self.rank.iter().map(share)
-    }
-}
--- a/src/write_limit.rs
+++ b/src/write_limit.rs
@@ -1,6 +1,7 @@
 //! Write limit: until when a forward that has been decided on may be written. Its connection may come up late, and what it was decided
 //! by may no longer hold then.
-use crate::types::{Effect, InvId, Node};
+use crate::node::Node;
+use crate::types::{Effect, InvId};
 
 /// Off the end of the window for repeats, in seconds: several times the way to an executor.
 pub const WINDOW_MARGIN: f64 = 0.1;
