A start or a SIGHUP that meets a moment without descriptors or disk is made again

Cause: main.rs took any failure of its listening socket for final. Change: listen.rs makes the sockets a process begins with, and config.rs reads the file, again each 10 ms for 2 s where the failure is one that passes (momentary.rs: EAGAIN, EINTR, EIO, EMFILE, ENFILE, ENOBUFS, ENOMEM); an address that is taken or not the machine's is told at once, as before. A SIGHUP's reading goes on apart, so that a stop does not wait for it. main.rs lost its sockets to a module.

--- a/crates/coveroute-node/src/config.rs
+++ b/crates/coveroute-node/src/config.rs
@@ -1,7 +1,7 @@
 //! What the node is told at its start: the platform's variables and the configuration file.
 use std::collections::BTreeSet;
 use std::net::{IpAddr, SocketAddr};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use coveroute::types::{Reports, Settings};
@@ -13,6 +13,7 @@
 
 use crate::clock::seconds;
 use crate::hosts::Hosts;
+use crate::momentary::{retried, retried_alone};
 use crate::needed::{fit, Figure, Keys};
 
 pub const PATH: &str = "BALANCER_CONFIG";
@@ -141,12 +142,17 @@
     /// Reads the file that is named, else the one that the environment names. At the start what the platform's
     /// variables say goes before it.
     pub fn read(path: Option<PathBuf>) -> Result<Self, String> {
-        Self::load(path, |text| Self::parse(text, Told::by_environment()))
+        let path = Self::path(path)?;
+        let text = retried_alone(|| std::fs::read_to_string(&path));
+        Self::load(&path, text, |text| Self::parse(text, Told::by_environment()))
     }
 
-    /// Reads it anew: the variables of a process that runs stay as they were, so the file goes before them.
-    pub fn reread(path: Option<PathBuf>) -> Result<Self, String> {
-        Self::load(path, |text| Self::parse_again(text, Told::by_environment()))
+    /// Reads it anew: the variables of a process that runs stay as they were, so the file goes before them. A disk that fails for a
+    /// moment is waited for, as the operators' word comes once.
+    pub async fn reread(path: Option<PathBuf>) -> Result<Self, String> {
+        let path = Self::path(path)?;
+        let text = retried(|| std::fs::read_to_string(&path)).await;
+        Self::load(&path, text, |text| Self::parse_again(text, Told::by_environment()))
     }
 
     /// Whose lists are taken unasked.
@@ -154,10 +160,17 @@
         (!self.settings.must_ask).then_some(self.discovery.ip())
     }
 
-    fn load(path: Option<PathBuf>, parse: impl Fn(&str) -> Result<Self, String>) -> Result<Self, String> {
-        let path = path.or_else(|| std::env::var_os(PATH).map(PathBuf::from));
-        let path = path.ok_or(format!("no configuration: name a file or set {PATH}"))?;
-        let text = std::fs::read_to_string(&path).map_err(|e| e.to_string());
+    fn path(named: Option<PathBuf>) -> Result<PathBuf, String> {
+        let path = named.or_else(|| std::env::var_os(PATH).map(PathBuf::from));
+        path.ok_or(format!("no configuration: name a file or set {PATH}"))
+    }
+
+    fn load(
+        path: &Path,
+        text: std::io::Result<String>,
+        parse: impl Fn(&str) -> Result<Self, String>,
+    ) -> Result<Self, String> {
+        let text = text.map_err(|e| e.to_string());
         text.and_then(|text| parse(&text)).map_err(|e| format!("{}: {e}", path.display()))
     }
 
--- a/crates/coveroute-node/src/connection.rs
+++ b/crates/coveroute-node/src/connection.rs
@@ -16,6 +16,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use crate::attempt::Attempt;
+use crate::momentary;
 use crate::socket::Socket;
 
 #[derive(Debug)]
@@ -90,22 +91,12 @@
 /// Between two tries to open a connection that fail on this machine.
 const AGAIN_AFTER: Duration = Duration::from_millis(10);
 
-/// What a connection fails with where this machine has no room for it, or was interrupted: that says nothing of who listens.
-const OWN_FAILURES: [Errno; 10] = [
-    Errno::EACCES,
-    Errno::EADDRINUSE,
-    Errno::EADDRNOTAVAIL,
-    Errno::EAGAIN,
-    Errno::EINTR,
-    Errno::EMFILE,
-    Errno::ENFILE,
-    Errno::ENOBUFS,
-    Errno::ENOMEM,
-    Errno::EPERM,
-];
+/// What a connection fails with, beside what passes, where it is this machine that can not open it: that says nothing of who listens.
+const OWN_FAILURES: [Errno; 4] = [Errno::EACCES, Errno::EADDRINUSE, Errno::EADDRNOTAVAIL, Errno::EPERM];
 
 fn is_own_failure(error: &io::Error) -> bool {
-    error.raw_os_error().is_some_and(|code| OWN_FAILURES.contains(&Errno::from_raw(code)))
+    momentary::passes(error)
+        || error.raw_os_error().is_some_and(|code| OWN_FAILURES.contains(&Errno::from_raw(code)))
 }
 
 /// Whether a request came to nothing since this machine could open no connection.
--- a/crates/coveroute-node/src/main.rs
+++ b/crates/coveroute-node/src/main.rs
@@ -22,7 +22,9 @@
 mod happening;
 mod hosts;
 mod link;
+mod listen;
 mod logger;
+mod momentary;
 mod needed;
 mod operators;
 mod peers;
@@ -47,10 +49,8 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
-use actix_rt::net::TcpListener;
 use log::{info, LevelFilter};
 use pico_args::Arguments;
-use tokio::net::TcpSocket;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc;
 
@@ -127,17 +127,18 @@
     }
 
     /// Both anew, or why one of them is not fit.
-    fn reread(&self) -> Happening {
-        let read = || {
-            let config = Config::reread(self.config.clone())?;
-            let plan = self.plan(&config)?.map(|(_, plan, _)| plan);
-            Ok((Box::new(config), plan))
-        };
-        match read() {
+    async fn reread(&self) -> Happening {
+        match self.read_again().await {
             Ok((config, plan)) => Happening::Reload(Ok(config), plan),
             Err(words) => Happening::Reload(Err(words), None),
         }
     }
+
+    async fn read_again(&self) -> Result<(Box<Config>, Option<Plan>), String> {
+        let config = Config::reread(self.config.clone()).await?;
+        let plan = self.plan(&config)?.map(|(_, plan, _)| plan);
+        Ok((Box::new(config), plan))
+    }
 }
 
 fn command(mut arguments: Arguments) -> Result<Command, String> {
@@ -222,7 +223,7 @@
     let fleet = files.plan(&config)?;
     // Not shared, and before anything is handed over: two processes that answer here would be told apart by nobody.
     let operators = match config.management {
-        Some(addr) => Some(TcpListener::bind(addr).await.map_err(|e| format!("management: {addr}: {e}"))?),
+        Some(addr) => Some(listen::operators(addr).await.map_err(|e| format!("management: {addr}: {e}"))?),
         None => None,
     };
     let place = replace::place(config.listen);
@@ -232,7 +233,7 @@
     };
     let (before, sockets) = before.map(|before| before.link(happenings.clone())).unzip();
     let hears = Files::own_peer(&config).or(fleet.as_ref().map(|(.., address)| *address));
-    let (listener, datagrams) = listen(config.listen, hears, sockets.unwrap_or_default())?;
+    let (listener, datagrams) = listen::sockets(config.listen, hears, sockets.unwrap_or_default()).await?;
     let clock = before.as_ref().map_or_else(Clock::new, |(_, handed)| handed.clock());
     let life = Rc::new(Life::new());
     let (executors, clients) = budget(config.sockets, config.memory_mb);
@@ -270,58 +271,6 @@
     Ok(())
 }
 
-/// The sockets that the process before handed over, or new ones. The address can be shared: a process that takes this
-/// one's place may come without anything being handed over.
-fn listen(
-    listen: SocketAddr,
-    hears: Option<SocketAddr>,
-    sockets: Vec<OwnedFd>,
-) -> Result<(TcpListener, Option<std::net::UdpSocket>), String> {
-    let mut sockets = sockets.into_iter();
-    let listener = match sockets.next() {
-        Some(socket) => {
-            let handed =
-                TcpListener::from_std(std::net::TcpListener::from(socket)).map_err(|e| e.to_string())?;
-            let there = handed.local_addr().map_err(|e| e.to_string())?;
-            if there != listen {
-                return Err(format!("{listen}: the process before serves at {there}"));
-            }
-            info!("takes over {there}");
-            handed
-        }
-        None => {
-            let listener = reuse(listen).map_err(|e| format!("{listen}: {e}"))?;
-            info!("listens on {listen}");
-            listener
-        }
-    };
-    let datagrams = match (hears, sockets.next()) {
-        (None, _) => None,
-        (Some(hears), Some(socket)) => {
-            let socket = std::net::UdpSocket::from(socket);
-            let there = socket.local_addr().map_err(|e| e.to_string())?;
-            if there != hears {
-                return Err(format!("{hears}: the process before hears nodes at {there}"));
-            }
-            Some(socket)
-        }
-        (Some(hears), None) => {
-            Some(std::net::UdpSocket::bind(hears).map_err(|e| format!("nodes' messages: {hears}: {e}"))?)
-        }
-    };
-    Ok((listener, datagrams))
-}
-
-/// Listens at an address that another process of this user may share.
-fn reuse(addr: SocketAddr) -> std::io::Result<TcpListener> {
-    const BACKLOG: u32 = 1024; // As the standard library's many times over: a burst while both processes start.
-    let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    socket.set_reuseaddr(true)?;
-    socket.set_reuseport(true)?;
-    socket.bind(addr)?;
-    socket.listen(BACKLOG)
-}
-
 /// Passes on that the platform wants the node to stop, or the operators its configuration to be read anew.
 fn signals(happenings: Happenings, files: Files) -> Result<impl Future<Output = ()>, String> {
     let listen = |kind| signal(kind).map_err(|e| e.to_string());
@@ -333,7 +282,12 @@
             let happening = tokio::select! {
                 _ = term.recv() => Happening::Stop,
                 _ = int.recv() => Happening::Stop,
-                _ = hup.recv() => files.reread(),
+                _ = hup.recv() => {
+                    // Apart: a stop must not wait for a disk.
+                    let (happenings, files) = (happenings.clone(), files.clone());
+                    actix_rt::spawn(async move { happenings.send(files.reread().await) });
+                    continue;
+                }
             };
             let _ = happenings.send(happening);
         }
--- a/crates/coveroute-node/tests/crowds/told_deadlines.rs
+++ b/crates/coveroute-node/tests/crowds/told_deadlines.rs
@@ -342,3 +342,21 @@
     println!("{} attempts, {late} at who is gone; {log}", world.referee.attempts());
     assert_eq!(late, 0, "attempts at an executor that is gone: {log}");
 }
+
+// Guards against a process that ends, and has to be started once more, for a moment without descriptors.
+#[test_case(Fault::errno(libc::ENFILE); "no descriptor on the machine")]
+#[test_case(Fault::errno(libc::EINTR).of(700); "interrupted")]
+fn a_node_that_starts_while_no_socket_can_be_made_serves_all_the_same(fault: Fault) {
+    let referee: Arc<Referee> = Arc::default();
+    let server = Server::new("s-0", &referee, node_of, Arc::new(|_, _| Does::Takes(20)));
+    server.listen();
+    let keeper = ListKeeper::start(vec![server.entry("up")]);
+    let faults = Faults::new(9000);
+    faults.begin(Call::Socket, fault);
+    let setup = Setup { environment: faults.environment(), ..Setup::default() };
+    let process = Process::start_with(free(), keeper.addr, Seat::of(256), &[], &setup);
+    thread::sleep(MOMENT);
+    assert!(faults.struck(Call::Socket) > 0, "it starts within the moment");
+    faults.end(Call::Socket);
+    assert!(until(READY, || process.is_ready()), "{}", process.log());
+}
