--- a/crates/coveroute-node/tests/crowds/soak/fault_schedule.rs
+++ b/crates/coveroute-node/tests/crowds/soak/fault_schedule.rs
@@ -14,7 +14,7 @@
 const HOUR: i64 = 3600;
 const EAGAIN: Fault = Fault { rearm_ms: 20, ..Fault::errno(libc::EAGAIN) };
 /// What can fail, one of them at a time for each system call.
-const CATALOGUE: [(Call, Fault); 15] = [
+const CATALOGUE: [(Call, Fault); 18] = [
     (Call::Accept, Fault::errno(libc::EMFILE)),
     (Call::Accept, Fault::errno(libc::ENOBUFS).of(900)),
     (Call::Accept, Fault::errno(libc::EINTR).of(500)),
@@ -24,7 +24,10 @@
     (Call::ReceiveFromClient, EAGAIN),
     (Call::ReceiveFromClient, Fault::short(60, 20)),
     (Call::ReceiveFromClient, Fault::errno(libc::EINTR).of(400)),
+    (Call::ReceiveFromClient, Fault::errno(libc::ENOMEM).of(500)),
     (Call::SendToClient, Fault::short(40, 20)),
+    (Call::SendToClient, Fault::errno(libc::ENOBUFS).of(500)),
+    (Call::SendToServer, Fault::errno(libc::ENOBUFS).of(500)),
     (Call::SendToServer, EAGAIN),
     (Call::SendToServer, Fault::short(70, 60)),
     (Call::ReceiveFromServer, Fault::errno(libc::EINTR).of(400)),
--- a/crates/coveroute-node/tests/crowds/told_deadlines.rs
+++ b/crates/coveroute-node/tests/crowds/told_deadlines.rs
@@ -204,6 +204,8 @@
 #[test_case(&[(Call::SendToServer, Fault::short(60, 200))]; "the kernel takes short pieces for executors")]
 #[test_case(&[(Call::SendToServer, Fault::errno(libc::EINTR).of(300))]; "writes are interrupted")]
 #[test_case(&[(Call::SendToClient, Fault::errno(libc::EINTR).of(300))]; "answers are interrupted")]
+#[test_case(&[(Call::SendToClient, Fault::errno(libc::ENOBUFS).of(500)), (Call::ReceiveFromClient, Fault::errno(libc::ENOMEM).of(500))]; "the kernel has no memory for clients")]
+#[test_case(&[(Call::SendToServer, Fault::errno(libc::ENOBUFS).of(500)), (Call::ReceiveFromServer, Fault::errno(libc::ENOMEM).of(500))]; "the kernel has no memory for executors")]
 #[test_case(&[(Call::SendToClient, Fault::short(9, 20))]; "the kernel takes short pieces of answers")]
 #[test_case(&[(Call::ReceiveFromServer, Fault::errno(libc::EINTR).of(300))]; "reads from executors are interrupted")]
 #[test_case(&[(Call::Socket, Fault::errno(libc::EMFILE).of(700)), (Call::Connect, Fault::errno(libc::EINTR).of(300))]; "connections can not be opened")]
