Emulator: what a node's own list tells of a worker's later process goes before older changes

Trace: worker 5 died at 3.0 and was back at 9.4; the nodes, stopping, were told so at once; they started at 11.2 by a list that names the process of 9.4, and the referee held them to the end of the one before, told at 9.0. Such a send is what the present list says, so the case is allowed. Change: a deemed change of an earlier process does not count against a list that names a later one; all else is held as before. The decisions are untouched.

--- a/crates/coveroute-emu/src/world/referee.rs
+++ b/crates/coveroute-emu/src/world/referee.rs
@@ -306,6 +306,11 @@
         self.told[node][worker].is_some_and(|told| told.started >= started)
     }
 
+    /// Whether a node has been told of a worker's process that started after that.
+    pub fn knows_later(&self, node: NodeId, worker: WorkerId, started: f64) -> bool {
+        self.told[node][worker].is_some_and(|told| told.started > started)
+    }
+
     pub fn fell(&mut self, now: f64, node: NodeId, worker: WorkerId, fall: Fall) {
         if fall.informed > 2.0 / 3.0 {
             let Fall { informed, sent, most } = fall;
--- a/crates/coveroute-emu/tests/restarts.rs
+++ b/crates/coveroute-emu/tests/restarts.rs
@@ -1,5 +1,6 @@
 //! All nodes of a large fleet start again at once, and discovery has room for some tens of calls a second.
 use coveroute_emu::scenario::{Amount, Scenario};
+use coveroute_emu::search::drawn;
 use coveroute_emu::virtual_time::{run, Policy};
 use test_case::test_case;
 
@@ -68,3 +69,11 @@
         assert_eq!(outcome.breaches, Vec::new(), "seed {seed}");
     }
 }
+
+// A worker dies and is back, of which the nodes hear as they are about to end; they start by the list that says so.
+#[test_case(8046)]
+#[test_case(16012)]
+fn a_worker_that_is_back_in_the_list_from_before_may_be_used(seed: u64) {
+    let (outcome, _) = run(&drawn(seed), seed, Policy::Node, None).expect("played");
+    assert_eq!(outcome.breaches, Vec::new());
+}
