The test of late connections gives them a long queue once they come up

Trace: its answer came 1.245 s after the request where the others' came after 1.040: 0.206 s is TCP's first retransmission. Several connections came up at once into a queue of one, so the kernel dropped the last step of a handshake that the node had seen complete, and its bytes went out again 0.2 s later. Nothing of the node comes in between, and the test is about connections that come up late, not about lost bytes. Change: the listener's queue is made long before the connections come up; bound and judge as before.

--- a/crates/coveroute-node/tests/crowds/told_deadlines.rs
+++ b/crates/coveroute-node/tests/crowds/told_deadlines.rs
@@ -250,6 +250,8 @@
     let world = World::start(referee, &[quick, late.clone()], &settings, "debug");
     let clients: Vec<_> = (0..12).map(|nth| world.asks_anew(world.nodes[nth % NODES].node)).collect();
     thread::sleep(Duration::from_millis(300));
+    // From here on there is room for all: a handshake that still met a full queue would lose its first bytes to a retransmission.
+    socket2::SockRef::from(&listener).listen(128).expect("a long queue");
     drop(filling);
     late.serve_all(listener);
     let answers: Vec<_> = clients.into_iter().map(|client| client.join().expect("a client")).collect();
