--- a/review/rig/src/executor.rs
+++ b/review/rig/src/executor.rs
@@ -18,6 +18,10 @@
     pub call: String,
     pub class: String,
     pub caller: String,
+    /// How long the node said that it would wait, in milliseconds.
+    pub budget_ms: f64,
+    /// Whether it was begun, or may have been.
+    pub began: bool,
 }
 
 /// What an executor does with an attempt.
@@ -29,6 +33,24 @@
     Hold,
     /// Turns it away unstarted: 503 with `X-Rejected: 1`. The answer goes once more so many seconds later, if any.
     Reject(Option<f64>),
+    /// Takes it and hands it back unstarted so many seconds later, with `returned`.
+    Return(f64),
+    /// Takes and begins it, and tells so many seconds later that it `failed`.
+    Fail(f64),
+    /// Takes and begins it, and tells so many seconds later that it was `lost`.
+    Lost(f64),
+    /// Begins it and answers 500.
+    Error,
+    /// Begins it and resets the connection before the 202.
+    Reset,
+    /// Begins it, acknowledges it after the first time, and tells `done` after the second.
+    Late(f64, f64),
+}
+
+impl Plan {
+    fn begins(&self) -> bool {
+        !matches!(self, Plan::Reject(_) | Plan::Return(_))
+    }
 }
 
 type Decide = dyn Fn(&Executor, &Attempt) -> Plan + Send + Sync;
@@ -137,9 +159,11 @@
     fn job(&self, request: &Message, out: &mut TcpStream, report: &str) -> std::io::Result<()> {
         let text = |name| request.header(name).unwrap_or_default().to_owned();
         let (call, class, caller) = (text("x-call-id"), text("x-call-class"), text("x-caller"));
-        let attempt = Attempt { at: self.case.now(), executor: self.id.clone(), call, class, caller };
-        self.attempts.lock().unwrap().push(attempt.clone());
+        let (at, budget_ms) = (self.case.now(), text("x-budget-ms").parse().unwrap_or(0.0));
+        let mut attempt = Attempt { at, executor: self.id.clone(), call, class, caller, budget_ms, began: false };
         let plan = (self.decide)(self, &attempt);
+        attempt.began = plan.begins();
+        self.attempts.lock().unwrap().push(attempt.clone());
         self.case.say(format!("{}: attempt of {} ({}): {plan:?}", self.id, attempt.call, attempt.class));
         match plan {
             Plan::Reject(again) => {
@@ -155,6 +179,45 @@
                 }
                 Ok(())
             }
+            Plan::Return(after) | Plan::Fail(after) | Plan::Lost(after) => {
+                let state = match plan {
+                    Plan::Return(_) => "returned",
+                    Plan::Fail(_) => "failed",
+                    _ => "lost",
+                };
+                if attempt.began {
+                    self.begin(&attempt);
+                    self.running.fetch_sub(1, Ordering::SeqCst);
+                }
+                let (mine, call) = (self.clone(), attempt.call.clone());
+                thread::spawn(move || {
+                    thread::sleep(Duration::from_secs_f64(after));
+                    mine.tell(&call, state, "");
+                });
+                out.write_all(&http::answer("202 Accepted", "", ""))
+            }
+            Plan::Error => {
+                self.begin(&attempt);
+                self.running.fetch_sub(1, Ordering::SeqCst);
+                out.write_all(&http::answer("500 Internal Server Error", report, ""))
+            }
+            Plan::Reset => {
+                self.begin(&attempt);
+                self.running.fetch_sub(1, Ordering::SeqCst);
+                out.shutdown(std::net::Shutdown::Both)?;
+                Err(std::io::ErrorKind::ConnectionReset.into())
+            }
+            Plan::Late(ack, run) => {
+                self.begin(&attempt);
+                let (mine, call) = (self.clone(), attempt.call.clone());
+                thread::spawn(move || {
+                    thread::sleep(Duration::from_secs_f64(run));
+                    mine.running.fetch_sub(1, Ordering::SeqCst);
+                    mine.tell(&call, "done", &format!(r#","result":"done {call}""#));
+                });
+                thread::sleep(Duration::from_secs_f64(ack));
+                out.write_all(&http::answer("202 Accepted", "", ""))
+            }
             Plan::Hold => {
                 self.begin(&attempt);
                 out.write_all(&http::answer("202 Accepted", "", ""))
