Review case 2: executors drain first, and without trouble they are replaced all the same

The case left the list's own order out: executors drain, leave the list and are stopped now, with and without the replacement of the node's process.

--- a/review/rig/src/bin/group.rs
+++ b/review/rig/src/bin/group.rs
@@ -58,7 +58,7 @@
     }
     let first: BTreeMap<String, String> =
         log.runs.lock().unwrap().iter().map(|(call, ids)| (call.clone(), ids[0].clone())).collect();
-    // One executor that holds a job, of each cell but the first, is replaced: it leaves the list, works on and is stopped.
+    // One executor that holds a job, of each cell but the first, is replaced: it drains, leaves the list and is stopped.
     let mut replaced: Vec<&Executor> = Vec::new();
     for cell in [1, 2] {
         replaced.extend(executors.iter().find(|e| cells[&e.id] == cell && first.values().any(|id| *id == e.id)));
@@ -67,11 +67,13 @@
         case.finish(Verdict::CouldNotRun("all jobs went to the first cell".into()));
     }
     let mut serving = old;
-    if case.trouble {
+    for state in ["draining", "removed"] {
         for executor in &replaced {
-            discovery.change(entry(executor, "removed"));
+            discovery.change(entry(executor, state));
         }
         case.sleep(0.5);
+    }
+    if case.trouble {
         let new = Node::start(&case, "new", listen, discovery.addr, Some(managements[1]), &file);
         let ready = || new.get(managements[1], "/v1/readyz").is_some_and(|ready| ready.0 == 200);
         if !case.wait(6.0, ready) {
