--- a/review/rig/src/bin/drain.rs
+++ b/review/rig/src/bin/drain.rs
@@ -9,7 +9,8 @@
 const CATEGORIES: &str = r#"[
    {"name":"rebuild","effect":"free","group":"all","window":5000.0,"onTime":250.0,"deadline":5000.0,"credit":1.0,"lateValue":0.0,"stream":false},
    {"name":"verify","effect":"guarded","group":"all","window":7500.0,"onTime":250.0,"deadline":5000.0,"credit":8.0,"lateValue":0.0,"stream":false}]"#;
-const ORGS: &str = r#"[{"name":"t0","quotaRps":400.0,"share":0.6},{"name":"t1","quotaRps":260.0,"share":0.4}]"#;
+const ORGS: &str =
+    r#"[{"name":"t0","quotaRps":400.0,"share":0.6},{"name":"t1","quotaRps":260.0,"share":0.4}]"#;
 /// Thirteen nodes, of which this is one; the others are not needed.
 const NODES: usize = 13;
 const ME: usize = 5;
@@ -22,10 +23,10 @@
 const MEASURING: f64 = 0.1;
 
 fn main() {
-    let case = Case::new();
+    let case = Case::begin();
     let listen = node::free_address();
     let log = Log::default();
-    let executors: Vec<Executor> = (0..14)
+    let executors: Vec<Executor> = (0..10)
         .map(|at| {
             Executor::start(&case, &format!("s-{at:02}"), listen, 4, &log, |_, attempt| {
                 Plan::Run(0.15, format!("done {}", attempt.call))
@@ -52,14 +53,15 @@
         while case.now() < until {
             let class = ["rebuild", "verify"][waiting.len() % 2];
             waiting.push(clients.send(class, &format!("c{:05}", waiting.len()), "t0", 5000));
-            case.sleep(0.03);
+            case.sleep(0.02);
         }
     };
     send(&case, case.now() + 3.0);
-    for number in 1..=REPLACEMENTS {
+    for (number, leaving) in executors.iter().enumerate().skip(1).take(REPLACEMENTS) {
         if case.trouble {
             let management = node::free_address();
-            let new = Node::start(&case, &format!("p{number}"), listen, discovery.addr, Some(management), &file());
+            let new =
+                Node::start(&case, &format!("p{number}"), listen, discovery.addr, Some(management), &file());
             let ready = || new.get(management, "/v1/readyz").is_some_and(|ready| ready.0 == 200);
             if !case.wait(6.0, ready) {
                 case.say(new.log_tail());
@@ -69,13 +71,13 @@
             let yes = case.now();
             serving.signal(node::SIGTERM);
             case.sleep(0.3);
-            discovery.change(entry(&executors[number], "draining"));
-            drained.push((executors[number].id.clone(), yes + TOLD, number));
+            discovery.change(entry(leaving, "draining"));
+            drained.push((leaving.id.clone(), yes + TOLD, number));
             serving = new;
         } else {
             case.sleep(0.3);
-            discovery.change(entry(&executors[number], "draining"));
-            drained.push((executors[number].id.clone(), case.now(), number));
+            discovery.change(entry(leaving, "draining"));
+            drained.push((leaving.id.clone(), case.now(), number));
         }
         // Not a multiple of the round in which the nodes ask discovery.
         send(&case, case.now() + 6.1);
@@ -85,7 +87,8 @@
     let attempts = log.attempts.lock().unwrap().clone();
     let mut broken = Vec::new();
     for (id, told, number) in &drained {
-        let late: Vec<_> = attempts.iter().filter(|a| a.executor == *id && a.at > told + GRACE + MEASURING).collect();
+        let late: Vec<_> =
+            attempts.iter().filter(|a| a.executor == *id && a.at > told + GRACE + MEASURING).collect();
         if let Some(last) = late.last() {
             broken.push(format!(
                 "replacement {number}: {} attempts at {id}, the last {:.2} s after the drain counted as told",
--- a/review/rig/src/bin/group.rs
+++ b/review/rig/src/bin/group.rs
@@ -14,7 +14,7 @@
 const ORGS: &str = r#"[{"name":"north-water","quotaRps":27.0,"share":0.6},{"name":"south-water","quotaRps":10.0,"share":0.4}]"#;
 
 fn main() {
-    let case = Case::new();
+    let case = Case::begin();
     let listen = node::free_address();
     let managements = [node::free_address(), node::free_address()];
     let log = Log::default();
@@ -61,7 +61,8 @@
     // One executor that holds a job, of each cell but the first, is replaced: it drains, leaves the list and is stopped.
     let mut replaced: Vec<&Executor> = Vec::new();
     for cell in [1, 2] {
-        replaced.extend(executors.iter().find(|e| cells[&e.id] == cell && first.values().any(|id| *id == e.id)));
+        replaced
+            .extend(executors.iter().find(|e| cells[&e.id] == cell && first.values().any(|id| *id == e.id)));
     }
     if replaced.is_empty() {
         case.finish(Verdict::CouldNotRun("all jobs went to the first cell".into()));
@@ -91,14 +92,16 @@
     for executor in &replaced {
         executor.die();
         for (call, _) in first.iter().filter(|(_, id)| **id == executor.id) {
-            executor.tell(call, "lost", "");
+            executor.end(call, "lost", "");
         }
     }
     case.sleep(1.5);
     // All others finish.
     for (call, id) in &first {
-        if let Some(executor) = executors.iter().find(|e| e.id == *id && !replaced.iter().any(|r| r.id == *id)) {
-            executor.tell(call, "done", &format!(r#","result":"done {call}""#));
+        if let Some(executor) =
+            executors.iter().find(|e| e.id == *id && !replaced.iter().any(|r| r.id == *id))
+        {
+            executor.end(call, "done", &format!(r#","result":"done {call}""#));
         }
     }
     let answers: Vec<_> = waiting.into_iter().map(|client| client.join().expect("a client")).collect();
@@ -108,7 +111,10 @@
         let first = &first[&attempt.call];
         let (from, to) = (cells[first], cells[&attempt.executor]);
         if from != to {
-            broken.push(format!("{} may have run at {first} (cell {from}) and was sent to {} (cell {to})", attempt.call, attempt.executor));
+            broken.push(format!(
+                "{} may have run at {first} (cell {from}) and was sent to {} (cell {to})",
+                attempt.call, attempt.executor
+            ));
         }
     }
     let served = answers.iter().filter(|answer| matches!(answer.result, Ok((200, _)))).count();
--- a/review/rig/src/bin/tenant.rs
+++ b/review/rig/src/bin/tenant.rs
@@ -9,13 +9,14 @@
 const CATEGORIES: &str = r#"[
    {"name":"lookup","effect":"free","group":"all","window":5000.0,"onTime":400.0,"deadline":10000.0,"credit":2.0,"lateValue":0.0,"stream":false},
    {"name":"payment","effect":"single_shot","group":"all","window":5000.0,"onTime":800.0,"deadline":20000.0,"credit":3.0,"lateValue":0.0,"stream":false}]"#;
-const BEFORE: &str = r#"[{"name":"water","quotaRps":27.0,"share":0.7},{"name":"gas","quotaRps":10.0,"share":0.3}]"#;
+const BEFORE: &str =
+    r#"[{"name":"water","quotaRps":27.0,"share":0.7},{"name":"gas","quotaRps":10.0,"share":0.3}]"#;
 const AFTER: &str = r#"[{"name":"water","quotaRps":37.0,"share":1.0}]"#;
 /// Seconds that each job runs: as long as those of the first deployment.
 const RUN: f64 = 1.5;
 
 fn main() {
-    let case = Case::new();
+    let case = Case::begin();
     let listen = node::free_address();
     let log = Log::default();
     let executors: Vec<Executor> = (0..12)
@@ -63,7 +64,9 @@
     case.say(node.log_tail());
     let line = format!("{} sent, {served} served, {lost} without an answer", answers.len());
     match node.ended() {
-        Some(how) => case.finish(Verdict::Broken(format!("the node's process ended by itself ({how}); {line}"))),
+        Some(how) => {
+            case.finish(Verdict::Broken(format!("the node's process ended by itself ({how}); {line}")))
+        }
         None if lost > 0 => case.finish(Verdict::Broken(line)),
         None if served == 0 => case.finish(Verdict::CouldNotRun(line)),
         None => case.finish(Verdict::Held(line)),
--- a/review/rig/src/case.rs
+++ b/review/rig/src/case.rs
@@ -16,7 +16,7 @@
 
 impl Case {
     /// The case whose folder is the first argument; the repository's root is the second.
-    pub fn new() -> Case {
+    pub fn begin() -> Case {
         let mut arguments = std::env::args().skip(1);
         let folder = PathBuf::from(arguments.next().unwrap_or_else(|| quit("usage: CASE FOLDER ROOT")));
         let root = PathBuf::from(arguments.next().unwrap_or_else(|| quit("usage: CASE FOLDER ROOT")));
--- a/review/rig/src/client.rs
+++ b/review/rig/src/client.rs
@@ -29,7 +29,8 @@
 pub fn request(class: &str, call: &str, caller: &str, budget_ms: u64) -> Vec<u8> {
     let body = format!("job {call}");
     let head = format!("POST /{class}/balance HTTP/1.1\r\nHost: backend.local\r\nX-Call-Id: {call}\r\nX-Call-Class: {class}\r\n");
-    let more = format!("X-Caller: {caller}\r\nX-Budget-Ms: {budget_ms}\r\nContent-Length: {}\r\n\r\n", body.len());
+    let more =
+        format!("X-Caller: {caller}\r\nX-Budget-Ms: {budget_ms}\r\nContent-Length: {}\r\n\r\n", body.len());
     [head, more, body].concat().into_bytes()
 }
 
@@ -40,7 +41,8 @@
 
     /// Sends one job on a connection of its own, in the background.
     pub fn send(&self, class: &str, call: &str, caller: &str, budget_ms: u64) -> thread::JoinHandle<Answer> {
-        let (mine, class, call, caller) = (self.clone(), class.to_owned(), call.to_owned(), caller.to_owned());
+        let (mine, class, call, caller) =
+            (self.clone(), class.to_owned(), call.to_owned(), caller.to_owned());
         self.sent.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
         thread::spawn(move || {
             let sent = mine.case.now();
--- a/review/rig/src/discovery.rs
+++ b/review/rig/src/discovery.rs
@@ -1,6 +1,6 @@
 //! A stand-in for discovery: the list of executors, whole or as a watch.
 use std::io::{BufReader, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -26,21 +26,11 @@
     }
 }
 
-/// What discovery does with calls that come.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Mode {
-    Serve,
-    /// Calls wait for so long and end with 503: the service is there and has too many callers.
-    Crowded(Duration),
-}
-
 struct State {
     version: u64,
     entries: Vec<Entry>,
     /// The changes, each with its version.
     changes: Vec<(u64, Entry)>,
-    mode: Mode,
-    watches: Vec<TcpStream>,
 }
 
 #[derive(Clone)]
@@ -58,7 +48,7 @@
 impl Discovery {
     pub fn start(case: &Case, entries: Vec<Entry>) -> Discovery {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let state = State { version: 1, entries, changes: Vec::new(), mode: Mode::Serve, watches: Vec::new() };
+        let state = State { version: 1, entries, changes: Vec::new() };
         let shared = Arc::new((Mutex::new(state), Condvar::new()));
         let addr = listener.local_addr().expect("an address");
         let discovery = Discovery { addr, shared, case: case.clone() };
@@ -92,32 +82,12 @@
         self.shared.1.notify_all();
     }
 
-    pub fn set_mode(&self, mode: Mode) {
-        self.case.say(format!("discovery: {mode:?}"));
-        self.shared.0.lock().unwrap().mode = mode;
-    }
-
-    /// Ends all open watches.
-    pub fn end_watches(&self) {
-        let mut state = self.shared.0.lock().unwrap();
-        self.case.say(format!("discovery: ends {} watches", state.watches.len()));
-        for watch in state.watches.drain(..) {
-            let _ = watch.shutdown(Shutdown::Both);
-        }
-    }
-
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(mut out) = stream.try_clone() else { return };
         let mut stream = BufReader::new(stream);
         let Ok(request) = http::read(&mut stream) else { return };
         let path = request.word(1).to_owned();
-        if let Mode::Crowded(wait) = { let mode = self.shared.0.lock().unwrap().mode; mode } {
-            thread::sleep(wait);
-            self.case.say(format!("discovery: {path} answered 503 after {:.1} s", wait.as_secs_f64()));
-            let _ = out.write_all(&http::answer("503 Service Unavailable", "Connection: close\r\n", ""));
-            return;
-        }
         if !path.contains("stream=1") {
             let body = self.known();
             self.case.say(format!("discovery: {path} answered with the whole list"));
@@ -137,14 +107,17 @@
             out.write_all(format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes()).is_ok()
         };
         let (lock, changed) = &*self.shared;
-        let mut state = lock.lock().unwrap();
-        state.watches.extend(out.try_clone());
+        let state = lock.lock().unwrap();
         let mut told = state.version;
         let first = match state.changes.first().is_none_or(|change| change.0 > index + 1) && index != told {
             true => list(told, true, &state.entries),
             false => {
-                let since: Vec<Entry> =
-                    state.changes.iter().filter(|change| change.0 > index).map(|change| change.1.clone()).collect();
+                let since: Vec<Entry> = state
+                    .changes
+                    .iter()
+                    .filter(|change| change.0 > index)
+                    .map(|change| change.1.clone())
+                    .collect();
                 list(told, false, &since)
             }
         };
@@ -174,7 +147,11 @@
             };
             drop(state);
             if (line.is_empty() && last.elapsed() < Duration::from_millis(1900)) || chunk(&mut out, &line) {
-                last = if line.is_empty() && last.elapsed() < Duration::from_millis(1900) { last } else { Instant::now() };
+                last = if line.is_empty() && last.elapsed() < Duration::from_millis(1900) {
+                    last
+                } else {
+                    Instant::now()
+                };
                 continue;
             }
             return;
--- a/review/rig/src/executor.rs
+++ b/review/rig/src/executor.rs
@@ -17,11 +17,6 @@
     pub executor: String,
     pub call: String,
     pub class: String,
-    pub caller: String,
-    /// How long the node said that it would wait, in milliseconds.
-    pub budget_ms: f64,
-    /// Whether it was begun, or may have been.
-    pub began: bool,
 }
 
 /// What an executor does with an attempt.
@@ -31,26 +26,6 @@
     Run(f64, String),
     /// Takes it, begins it and tells nothing by itself.
     Hold,
-    /// Turns it away unstarted: 503 with `X-Rejected: 1`. The answer goes once more so many seconds later, if any.
-    Reject(Option<f64>),
-    /// Takes it and hands it back unstarted so many seconds later, with `returned`.
-    Return(f64),
-    /// Takes and begins it, and tells so many seconds later that it `failed`.
-    Fail(f64),
-    /// Takes and begins it, and tells so many seconds later that it was `lost`.
-    Lost(f64),
-    /// Begins it and answers 500.
-    Error,
-    /// Begins it and resets the connection before the 202.
-    Reset,
-    /// Begins it, acknowledges it after the first time, and tells `done` after the second.
-    Late(f64, f64),
-}
-
-impl Plan {
-    fn begins(&self) -> bool {
-        !matches!(self, Plan::Reject(_) | Plan::Return(_))
-    }
 }
 
 type Decide = dyn Fn(&Executor, &Attempt) -> Plan + Send + Sync;
@@ -140,7 +115,6 @@
             if self.dead.load(Ordering::SeqCst) {
                 return;
             }
-            let report = format!("X-Load-Report: {}\r\n", self.load());
             let sent = match (request.word(0), request.word(1)) {
                 ("GET", "/metrics/load") => out.write_all(&http::answer("200 OK", "", &self.load())),
                 ("GET", _) => out.write_all(&http::answer("200 OK", "", "")),
@@ -148,7 +122,7 @@
                     self.case.say(format!("{}: DELETE {path}", self.id));
                     out.write_all(&http::answer("204 No Content", "", ""))
                 }
-                _ => self.job(&request, &mut out, &report),
+                _ => self.job(&request, &mut out),
             };
             if sent.is_err() {
                 return;
@@ -156,68 +130,14 @@
         }
     }
 
-    fn job(&self, request: &Message, out: &mut TcpStream, report: &str) -> std::io::Result<()> {
+    fn job(&self, request: &Message, out: &mut TcpStream) -> std::io::Result<()> {
         let text = |name| request.header(name).unwrap_or_default().to_owned();
-        let (call, class, caller) = (text("x-call-id"), text("x-call-class"), text("x-caller"));
-        let (at, budget_ms) = (self.case.now(), text("x-budget-ms").parse().unwrap_or(0.0));
-        let mut attempt = Attempt { at, executor: self.id.clone(), call, class, caller, budget_ms, began: false };
+        let (call, class) = (text("x-call-id"), text("x-call-class"));
+        let attempt = Attempt { at: self.case.now(), executor: self.id.clone(), call, class };
         let plan = (self.decide)(self, &attempt);
-        attempt.began = plan.begins();
         self.attempts.lock().unwrap().push(attempt.clone());
         self.case.say(format!("{}: attempt of {} ({}): {plan:?}", self.id, attempt.call, attempt.class));
         match plan {
-            Plan::Reject(again) => {
-                let rejection = http::answer("503 Service Unavailable", &format!("X-Rejected: 1\r\n{report}"), "");
-                out.write_all(&rejection)?;
-                if let Some(after) = again {
-                    let (mut out, case, id) = (out.try_clone()?, self.case.clone(), self.id.clone());
-                    thread::spawn(move || {
-                        thread::sleep(Duration::from_secs_f64(after));
-                        case.say(format!("{id}: the same 503 once more on that connection"));
-                        let _ = out.write_all(&rejection);
-                    });
-                }
-                Ok(())
-            }
-            Plan::Return(after) | Plan::Fail(after) | Plan::Lost(after) => {
-                let state = match plan {
-                    Plan::Return(_) => "returned",
-                    Plan::Fail(_) => "failed",
-                    _ => "lost",
-                };
-                if attempt.began {
-                    self.begin(&attempt);
-                    self.running.fetch_sub(1, Ordering::SeqCst);
-                }
-                let (mine, call) = (self.clone(), attempt.call.clone());
-                thread::spawn(move || {
-                    thread::sleep(Duration::from_secs_f64(after));
-                    mine.tell(&call, state, "");
-                });
-                out.write_all(&http::answer("202 Accepted", "", ""))
-            }
-            Plan::Error => {
-                self.begin(&attempt);
-                self.running.fetch_sub(1, Ordering::SeqCst);
-                out.write_all(&http::answer("500 Internal Server Error", report, ""))
-            }
-            Plan::Reset => {
-                self.begin(&attempt);
-                self.running.fetch_sub(1, Ordering::SeqCst);
-                out.shutdown(std::net::Shutdown::Both)?;
-                Err(std::io::ErrorKind::ConnectionReset.into())
-            }
-            Plan::Late(ack, run) => {
-                self.begin(&attempt);
-                let (mine, call) = (self.clone(), attempt.call.clone());
-                thread::spawn(move || {
-                    thread::sleep(Duration::from_secs_f64(run));
-                    mine.running.fetch_sub(1, Ordering::SeqCst);
-                    mine.tell(&call, "done", &format!(r#","result":"done {call}""#));
-                });
-                thread::sleep(Duration::from_secs_f64(ack));
-                out.write_all(&http::answer("202 Accepted", "", ""))
-            }
             Plan::Hold => {
                 self.begin(&attempt);
                 out.write_all(&http::answer("202 Accepted", "", ""))
@@ -227,8 +147,7 @@
                 let (mine, call) = (self.clone(), attempt.call.clone());
                 thread::spawn(move || {
                     thread::sleep(Duration::from_secs_f64(time));
-                    mine.running.fetch_sub(1, Ordering::SeqCst);
-                    mine.tell(&call, "done", &format!(r#","result":"{result}""#));
+                    mine.end(&call, "done", &format!(r#","result":"{result}""#));
                 });
                 out.write_all(&http::answer("202 Accepted", "", ""))
             }
@@ -241,9 +160,15 @@
         self.case.say(format!("{}: {} begins", self.id, attempt.call));
     }
 
+    /// A job that was begun has ended: tells the node so.
+    pub fn end(&self, call: &str, state: &str, more: &str) {
+        self.running.fetch_sub(1, Ordering::SeqCst);
+        self.tell(call, state, more);
+    }
+
     /// Tells the node what became of a job, ten times at most until it is acknowledged. An executor that has died tells
     /// nothing but, by its machine's agent, `lost`.
-    pub fn tell(&self, call: &str, state: &str, more: &str) {
+    fn tell(&self, call: &str, state: &str, more: &str) {
         let load = self.load();
         let body = format!(r#"{{"id":"{call}","from":"{}","state":"{state}"{more},"load":{load}}}"#, self.id);
         for _ in 0..10 {
--- a/review/rig/src/node.rs
+++ b/review/rig/src/node.rs
@@ -85,7 +85,10 @@
         command.args(["-c", &run]).current_dir(&case.root).stdin(Stdio::null());
         command.stdout(out.try_clone().expect("a descriptor")).stderr(out);
         command.env("BALANCER_NAME", "n0").env("BALANCER_LISTEN", listen.to_string());
-        command.env("BALANCER_DISCOVERY", discovery.to_string()).env("BALANCER_CONFIG", &path).env("TMPDIR", &temp);
+        command
+            .env("BALANCER_DISCOVERY", discovery.to_string())
+            .env("BALANCER_CONFIG", &path)
+            .env("TMPDIR", &temp);
         match management {
             Some(management) => command.env("BALANCER_MANAGEMENT", management.to_string()),
             None => command.env_remove("BALANCER_MANAGEMENT"),
@@ -99,7 +102,8 @@
                 Ok(())
             })
         };
-        let child = command.spawn().unwrap_or_else(|e| case.finish(Verdict::CouldNotRun(format!("{run}: {e}"))));
+        let child =
+            command.spawn().unwrap_or_else(|e| case.finish(Verdict::CouldNotRun(format!("{run}: {e}"))));
         let pid = child.id() as i32;
         STARTED.lock().unwrap().push(child);
         case.say(format!("node {tag}: `{run}` started, listens on {listen}"));
