--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,5 @@
 #!/bin/sh
+# Plays the case and writes record.txt beside this file: what was sent, answered and run.
 # Exit 1: the rule was broken; 0: it held; 2: the case couldn't run. TROUBLE=0: the same without the disruption.
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 root=$(cd "$here/../.." && pwd) || exit 2
