Keep a deduplicated job in its group after a replacement of the process

Cause: Node::is_eligible looked up the first forward's group in the current entry of its executor. The handover has the executor's name alone and the state before it the listed executors alone, so import_invocation made an entry with zone and cell 0 for it. Evidence: the new process logs "executor 000000 is doubtful", the mark of such an entry, just before it sends the job on; jobs of listed executors stay in their cells. The same lookup let an executor that is listed with another cell take the group of its earlier jobs along.

Change: a forward keeps the location of its executor (zone and cell) from when it was sent; groups are told by that alone. JobHandover has the locations, with zones by name. An unknown location (a handover of an older release) shares no zone or cell: the job is not sent again, and its client is answered at once.

Tests, which failed before: a_job_handed_over_stays_in_its_deduplication_group (zone, cell: sent to another group), a_job_of_an_unknown_deduplication_group_is_not_sent_again (zone, cell: one forward instead of none), a_repeat_stays_in_the_cell_in_which_the_first_forward_may_have_run (eligible were 2 and 3 instead of 1). The test of the serialized names has the new key, as exact as before. All tests of the library and the engine pass.

--- a/crates/coveroute-emu/src/baseline.rs
+++ b/crates/coveroute-emu/src/baseline.rs
@@ -160,7 +160,8 @@
             (_, None) | (Effect::Idempotent, _) => true,
             (Effect::NonIdempotent, Some(_)) => false,
             (Effect::Deduplicated { group, window }, Some((tgt, sent))) => {
-                now - sent < window && self.workers[tgt].entry.shares_dedup_group(group, &worker.entry)
+                now - sent < window
+                    && self.workers[tgt].entry.location().shares_dedup_group(group, &worker.entry)
             }
         };
         let ready =
--- a/crates/coveroute-engine/src/engine.rs
+++ b/crates/coveroute-engine/src/engine.rs
@@ -425,10 +425,12 @@
         let mut invocation = self.queue.decisions_mut().export_invocation(id)?;
         invocation.deadline = deadline; // The other process is not stopping, so the full deadline applies.
         let entry = self.entries[invocation.op].clone();
-        let (timeout, kind) =
-            (self.operations.timeout(invocation.op), entry.kind.and_then(|kind| self.fleet.kind(kind)));
-        let kind = kind.cloned();
-        let handover = JobHandover { call, operation, entry, timeout, kind, deadline, invocation, forwards };
+        let timeout = self.operations.timeout(invocation.op);
+        let kind = entry.kind.and_then(|kind| self.fleet.kind(kind)).cloned();
+        let named = |location| self.fleet.named_location(location);
+        let locations = invocation.forwards.iter().map(|forward| forward.location.and_then(named)).collect();
+        let handover =
+            JobHandover { call, operation, entry, timeout, kind, deadline, invocation, forwards, locations };
         if !handover.is_consistent() || !handover.survives_round_trip() {
             self.queue.decisions_mut().import_invocation(id, handover.invocation);
             return None;
@@ -445,8 +447,17 @@
         handover: JobHandover,
         out: &mut Vec<Action>,
     ) {
-        let JobHandover { call, operation, mut entry, timeout, kind, deadline, mut invocation, forwards } =
-            handover;
+        let JobHandover {
+            call,
+            operation,
+            mut entry,
+            timeout,
+            kind,
+            deadline,
+            mut invocation,
+            forwards,
+            locations,
+        } = handover;
         entry.kind = kind.map(|kind| self.fleet.kind_number(&kind));
         let known = self.entries.len();
         invocation.op = self.operations.entry(&operation, timeout, &entry, &mut self.entries);
@@ -461,11 +472,11 @@
                 stage,
             })
             .collect();
-        invocation
-            .forwards
-            .iter_mut()
-            .zip(&forwards)
-            .for_each(|(fwd, forward)| fwd.executor_index = forward.executor_index);
+        let locations = locations.iter().chain(std::iter::repeat(&None));
+        for ((fwd, forward), location) in invocation.forwards.iter_mut().zip(&forwards).zip(locations) {
+            fwd.executor_index = forward.executor_index;
+            fwd.location = location.as_ref().map(|location| self.fleet.numbered_location(location));
+        }
         self.served_by_predecessor.remove(&call);
         let (call, operation) = (Arc::from(call), self.operations.name(invocation.op).clone());
         self.counts.register(&operation);
--- a/crates/coveroute-engine/src/job_handover.rs
+++ b/crates/coveroute-engine/src/job_handover.rs
@@ -1,5 +1,6 @@
 //! A running job in the form in which one process of a node hands it to another. It uses names, because each process
 //! assigns its own numbers. The client's connection and the job's body are transferred separately.
+use coveroute::location::Location;
 use coveroute::types::{Invocation, Operation};
 use serde::{Deserialize, Serialize};
 
@@ -20,12 +21,18 @@
     pub invocation: Invocation,
     /// Executor, time of sending and stage of each forward.
     pub forwards: Vec<(String, f64, Stage)>,
+    /// Where the executor of each forward was. Handovers from older versions of the program lack this field.
+    #[serde(default)]
+    pub locations: Vec<Option<Location<String>>>,
 }
 
 impl JobHandover {
     /// Whether the parts are consistent. A handover received over a link may not come from an engine.
     pub fn is_consistent(&self) -> bool {
-        self.invocation.forwards.len() == self.forwards.len() && self.timeout > 0.0
+        let forwards = self.forwards.len();
+        self.invocation.forwards.len() == forwards
+            && (self.locations.is_empty() || self.locations.len() == forwards)
+            && self.timeout > 0.0
     }
 
     /// Whether the handover can be read back from its JSON form. A job with a number that JSON cannot represent stays here.
--- a/crates/coveroute-engine/src/list.rs
+++ b/crates/coveroute-engine/src/list.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use coveroute::location::Location;
 use coveroute::types::{Entry, ExecutorIndex, List, Settings, Standing};
 use coveroute_shared::{position, Listed, Names, Roster};
 use serde::{Deserialize, Serialize};
@@ -121,6 +122,17 @@
         self.roster.number(id)
     }
 
+    /// The location with its zone by name, for another process.
+    pub fn named_location(&self, location: Location) -> Option<Location<String>> {
+        let zone = self.names.zones.get(location.zone)?.clone();
+        Some(Location { zone, cell: location.cell })
+    }
+
+    /// The location with its zone by number, as in this process.
+    pub fn numbered_location(&mut self, location: &Location<String>) -> Location {
+        Location { zone: position(&mut self.names.zones, &location.zone), cell: location.cell }
+    }
+
     pub fn kind(&self, kind: usize) -> Option<&String> {
         self.names.kinds.get(kind)
     }
--- a/crates/coveroute-engine/src/tests.rs
+++ b/crates/coveroute-engine/src/tests.rs
@@ -691,6 +691,68 @@
     assert_eq!(answers(&out), [&Answer::Errored], "it may have run, and may not run again");
 }
 
+/// Executors 0 and 1 are in zone and cell 0, executors 2 and 3 in zone and cell 1.
+fn grouped_host(at: usize) -> Host {
+    Host { zone: format!("z{}", at / 2), cell: at as i64 / 2, ..host(at, Standing::Ready) }
+}
+
+/// Hands over a job whose executor, 2 or 3, has left the list, through JSON; the other three are listed. With `without`,
+/// the handover lacks this field. Returns the executors to which the next process sends the job once the first attempt is
+/// lost, and its answers.
+fn resent_after_handover(effect: Effect, without: &str) -> (Vec<String>, Vec<Action>) {
+    let mut old = engine().0;
+    reload(
+        &mut old,
+        NOW,
+        reloaded_settings(&["look", "pay"], &[operation(effect), operation(effect)], &[5.0, 10.0], 4),
+    );
+    let list = |version, hosts| Event::Watch(1, WatchEvent::Listed(listing(version, true, hosts)));
+    handle(&mut old, NOW, list(2, (2..4).map(grouped_host).collect()));
+    let sent = |out: &[Action]| -> Vec<ExecutorIndex> {
+        let to = |action: &Action| {
+            if let Action::Send { executor_index, .. } = action {
+                Some(*executor_index)
+            } else {
+                None
+            }
+        };
+        out.iter().filter_map(to).collect()
+    };
+    let out = handle(&mut old, NOW, Event::CallReceived(1, &call(CALL, "pay", 9.0)));
+    handle(&mut old, NOW, Event::Replied(1, 0, Reply::Taken));
+    let first = old.fleet().id(sent(&out)[0]).to_owned();
+    let others = (0..4).map(grouped_host).filter(|host| host.id != first).collect();
+    handle(&mut old, NOW, list(3, others));
+    let mut new = successor(&old);
+    let mut handover = serde_json::to_value(old.hand_over_job(1).expect("a handover")).expect("JSON");
+    handover.as_object_mut().expect("an object").remove(without);
+    let handover: JobHandover = serde_json::from_value(handover).expect("a handover");
+    assert!(handover.is_consistent());
+    new.take_over_job(NOW, 7, handover, &mut Vec::new());
+    let lost = JobStatus::Ended(Outcome::Reset);
+    let lost = JobReport { call: CALL.into(), from: first, status: lost, report: Report::default() };
+    let out = handle(&mut new, NOW + 1.0, Event::JobReport(lost));
+    (sent(&out).into_iter().map(|i| new.fleet().id(i).to_owned()).collect(), out)
+}
+
+// Guards against a second effect: the next process took an executor that had left the list for one of zone and cell 0.
+#[test_case(Group::Zone; "by zone")]
+#[test_case(Group::Cell; "by cell")]
+fn a_job_handed_over_stays_in_its_deduplication_group(group: Group) {
+    let (sent, out) = resent_after_handover(Effect::Deduplicated { group, window: 9.0 }, "");
+    assert!(sent == ["s-2"] || sent == ["s-3"], "{out:?}");
+}
+
+// Guards against a second effect: a handover from an older release does not say where an executor was.
+#[test_case(Group::Zone, 0; "by zone it fails")]
+#[test_case(Group::Cell, 0; "by cell it fails")]
+#[test_case(Group::All, 1; "in one group of all it is sent again")]
+fn a_job_of_an_unknown_deduplication_group_is_not_sent_again(group: Group, forwards: usize) {
+    let (sent, out) = resent_after_handover(Effect::Deduplicated { group, window: 9.0 }, "locations");
+    assert_eq!(sent.len(), forwards, "{out:?}");
+    assert_eq!(answers(&out), Vec::from_iter((forwards == 0).then_some(&Answer::Errored)));
+}
+
 #[test]
 fn the_overload_factor_of_cold_executors_is_split_between_processes() {
     let mut engine = engine().0;
@@ -806,7 +868,8 @@
     let state = serde_json::to_value(old.state()).expect("JSON");
     assert_eq!(keys(&state), "calls current executors further kinds listing node operations taken tenants");
     let handover = serde_json::to_value(old.hand_over_job(1).expect("a handover")).expect("JSON");
-    assert_eq!(keys(&handover), "call end entry forwards inv kind operation timeout");
+    assert_eq!(keys(&handover), "call end entry forwards inv kind locations operation timeout");
+    assert_eq!(keys(&handover["locations"][0]), "cell zone");
     assert_eq!(
         keys(&handover["inv"]),
         "again aim cross end forwards gap hasty hint hopeless key life load memory op press sample spare until worth"
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! state. No module does I/O or reads a clock.
 mod list_calls;
 pub mod list_state;
+pub mod location;
 pub mod measurements;
 pub mod node;
 pub mod policy;
--- a/src/node.rs
+++ b/src/node.rs
@@ -120,12 +120,11 @@
         let op = &self.settings.operations[invocation.op];
         let group = match (invocation.first_possible_run(), op.effect) {
             (Some(first), Effect::Deduplicated { group, .. }) => {
-                let entry = &self.executors[first.executor_index].entry;
-                match group {
+                first.location.and_then(|location| match group {
                     Group::All => None,
-                    Group::Zone => Some(Subset::Zone(entry.zone)),
-                    Group::Cell => Some(Subset::Cell(entry.cell)),
-                }
+                    Group::Zone => Some(Subset::Zone(location.zone)),
+                    Group::Cell => Some(Subset::Cell(location.cell)),
+                })
             }
             _ => None,
         };
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -762,8 +762,8 @@
                 Effect::Idempotent => true,
                 Effect::NonIdempotent => false,
                 Effect::Deduplicated { group, window } => {
-                    let same = self.executors[first.executor_index].entry.shares_dedup_group(group, &t.entry);
-                    same && now < first.sent + window - write_limit::WINDOW_MARGIN
+                    first.shares_dedup_group(group, &t.entry)
+                        && now < first.sent + window - write_limit::WINDOW_MARGIN
                 }
             })
     }
@@ -992,6 +992,7 @@
             had_reported_slot,
             reused_connection: t.has_idle_connection(),
             expected_at_once,
+            location: Some(t.entry.location()),
             ..Forward::new(executor_index, now)
         });
         // Ends the trial: it is one invocation.
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -37,8 +37,10 @@
 /// Adds an invocation whose earlier forwards, all sent at 1, went to executors 0, 1, ... and are in these
 /// states.
 fn add(node: &mut Node, state: InvocationState, forward_states: &[ForwardState]) {
+    let location = |i: ExecutorIndex| node.executors.get(i).map(|t| t.entry.location());
     let forward = |(executor_index, &forward_state)| Forward {
         state: forward_state,
+        location: location(executor_index),
         ..Forward::new(executor_index, 1.0)
     };
     let forwards: Vec<Forward> = forward_states.iter().enumerate().map(forward).collect();
@@ -104,6 +106,20 @@
     assert!((least..most).contains(&first), "{first}");
 }
 
+// Guards against a second effect: a repeat went to the cell to which the executor had moved after its forward.
+#[test]
+fn a_repeat_stays_in_the_cell_in_which_the_first_forward_may_have_run() {
+    let mut node = node(DEDUP_CELL, 4);
+    add(&mut node, InvocationState::Uncertain, &[ForwardState::MayHaveRun]);
+    node.on_list(
+        1.5,
+        List::Changes(vec![Entry { cell: 1, ..entry(0, Standing::Gone, 0.0) }]),
+        &mut Vec::new(),
+    );
+    let eligible = |i: usize| node.is_eligible(2.0, &node.invocations[&ID], &node.executors[i]);
+    assert_eq!([0, 1, 2, 3].map(eligible), [false, true, false, false]);
+}
+
 // All forwards were sent at 1; the last is the one to be written.
 #[test_case(DEDUP_ALL, &[ForwardState::MayHaveRun, ForwardState::InFlight], 2.9; "a repeat within the window of the first")]
 #[test_case(DEDUP_ALL, &[ForwardState::NotRun, ForwardState::InFlight], f64::INFINITY; "not a repeat, as the first never ran")]
--- a/src/sampler/tests.rs
+++ b/src/sampler/tests.rs
@@ -310,7 +310,8 @@
 fn a_repeat_is_drawn_from_where_it_may_go(effect: Effect, fits: fn(&Entry) -> bool) {
     // A repeat may be restricted to a few of thousands of executors, which draws over all hardly ever hit.
     let mut simulation = Simulation::new(5_000, |set| set.operations[0].effect = effect, ready);
-    let first = Forward { state: ForwardState::MayHaveRun, ..Forward::new(4000, 1.0) };
+    let location = Some(simulation.node.executors[4000].entry.location());
+    let first = Forward { state: ForwardState::MayHaveRun, location, ..Forward::new(4000, 1.0) };
     let invocation = Invocation {
         latest_start: 5.0,
         give_up_at: 5.0,
--- a/src/types.rs
+++ b/src/types.rs
@@ -5,6 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::location::Location;
+
 /// An invocation's id, as given by the protocol.
 pub type InvocationId = u32;
 /// An executor's index at this node.
@@ -468,6 +470,9 @@
 pub struct Forward {
     #[serde(rename = "tgt")]
     pub executor_index: ExecutorIndex,
+    /// Where the executor was at the time. `None` if unknown: then no other executor shares its zone or cell.
+    #[serde(skip)]
+    pub location: Option<Location>,
     pub sent: f64,
     #[serde(rename = "fate")]
     pub state: ForwardState,
@@ -497,6 +502,11 @@
         self.state != ForwardState::NotRun
     }
 
+    /// Whether the executor of this entry belongs to the deduplication group of this forward's executor.
+    pub fn shares_dedup_group(&self, group: Group, entry: &Entry) -> bool {
+        group == Group::All || self.location.is_some_and(|location| location.shares_dedup_group(group, entry))
+    }
+
     /// Whether it is in flight without a sign of life although it should have started at once.
     pub fn is_start_missing(&self) -> bool {
         self.expected_at_once && self.state == ForwardState::InFlight && self.wait.is_none()
@@ -514,6 +524,7 @@
     pub fn new(executor_index: ExecutorIndex, sent: f64) -> Self {
         Forward {
             executor_index,
+            location: None,
             sent,
             state: ForwardState::InFlight,
             wait: None,
@@ -884,17 +895,6 @@
     }
 }
 
-impl Entry {
-    /// Whether both executors are in the same deduplication group.
-    pub fn shares_dedup_group(&self, group: Group, other: &Entry) -> bool {
-        match group {
-            Group::All => true,
-            Group::Zone => other.zone == self.zone,
-            Group::Cell => other.cell == self.cell,
-        }
-    }
-}
-
 /// Where an invocation can be sent now. `Never`: no executor may take it, now or later.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Placement {
