Renumber the tenants of running jobs when new settings are applied

Cause: a job keeps its tenant's number. Node::replace_settings rebuilt tenant_stats under new numbers and left the jobs' as they were; Node::transition indexed by the old one, beyond the end ("the len is 1 but the index is 1") or into another tenant's record where tenants had changed places.

Change: the jobs' tenants are renumbered in the same step; one that is gone counts for none. Operations, zones, kinds and peers were looked through: their numbers don't change while the node runs.

Test a_job_counts_for_its_own_tenant_after_new_settings: of five cases three panicked before and two counted for another tenant.

--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -1653,3 +1653,28 @@
     );
     assert_eq!(Node::new(settings(false), 1).missing_slot_rate, 0.0, "where starts are not reported");
 }
+
+// Guards against a process that ends: a job's tenant was looked up by its old number after new settings lacked it. Each case
+// has the previous numbers of the new tenants, the job's old number, and which of the new tenants its outcome counts for.
+#[test_case(&[Some(0)], 1, &[false]; "its tenant is gone")]
+#[test_case(&[Some(1)], 1, &[true]; "another one is gone")]
+#[test_case(&[Some(1), Some(0)], 0, &[false, true]; "they change places")]
+#[test_case(&[None], 0, &[false]; "all are new")]
+#[test_case(&[], 0, &[]; "there are none")]
+fn a_job_counts_for_its_own_tenant_after_new_settings(
+    tenants: &[Option<usize>],
+    tenant: usize,
+    counts: &[bool],
+) {
+    let mut node = node(Effect::Idempotent, 2);
+    let settings = |quotas| Settings { quotas, ..node.settings.clone() };
+    let (before, after) = (settings(vec![9.0; 2]), settings(vec![9.0; tenants.len()]));
+    node.replace_settings(before, &[], &[None, None]);
+    add(&mut node, InvocationState::InFlight, &[ForwardState::InFlight]);
+    node.invocations.entry(ID).and_modify(|invocation| invocation.tenant = Some(tenant));
+    node.replace_settings(after, &[], tenants);
+    node.tenant_stats.iter_mut().for_each(|stats| stats.in_time_fraction = 0.5);
+    settle_forward(&mut node, 2.0, Outcome::Succeeded);
+    let counted: Vec<bool> = node.tenant_stats.iter().map(|stats| stats.in_time_fraction != 0.5).collect();
+    assert_eq!((node.invocations.len(), &counted[..]), (0, counts));
+}
--- a/src/reconfigure.rs
+++ b/src/reconfigure.rs
@@ -12,8 +12,8 @@
 }
 
 impl Node {
-    /// Replaces the settings; jobs in progress keep their entries. `tenants`: the previous index of each
-    /// tenant.
+    /// Replaces the settings; jobs in progress keep their entries of the operations, and their tenants where
+    /// these still exist. `tenants`: the previous index of each tenant.
     pub fn replace_settings(
         &mut self,
         settings: Settings,
@@ -30,6 +30,10 @@
                 TrafficStats { rate, arrived, longest_timeout: 0.0, ..old.clone() }
             });
         }
+        let renumbered = |tenant: usize| tenants.iter().position(|from| *from == Some(tenant));
+        for invocation in self.invocations.values_mut() {
+            invocation.tenant = invocation.tenant.and_then(renumbered);
+        }
         let previous = |from: &Option<usize>| from.and_then(|from| self.tenant_stats.get(from)).cloned();
         self.tenant_stats = tenants.iter().map(|from| previous(from).unwrap_or_default()).collect();
         self.peer_last_heard.resize(settings.nodes.max(settings.node_index + 1), 0.0);
