Make a new process ready once it hears of changes of the list

Cause: Engine::apply_initial_list made a process with a list that was handed over ready at once, while its first call to discovery comes in the node's turn, in a round of up to 4.5 s. The old process, whose watch tells each change, stops accepting at the yes.

Change: the first news of discovery makes it ready, or 5.5 s, as with a list from before the start; until it announces that it serves, or the link to the old process ends, it accepts no connections. The old one serves meanwhile, by a list that is current, so nobody is refused for it. Turned down: to ask at once (a fleet that is upgraded would ask in one moment), a shorter round and lifetime (nobody is served while discovery is late).

Test a_successor_is_ready_once_it_hears_of_changes, four cases, which failed before: the process was Serving at its start. a_successor_starts_with_the_list_and_the_learned_state expects Starting there, as the phase was the fault, and is otherwise the same. Engine tests (83) and the 24 tests of replacements with real processes pass.

--- a/crates/coveroute-engine/src/engine.rs
+++ b/crates/coveroute-engine/src/engine.rs
@@ -599,7 +599,8 @@
     }
 
     /// Applies the list that the node starts with. A node that was down for seconds or days must not serve at once from a
-    /// list of that age: it becomes ready when the current list arrives, or when the platform would not wait any longer.
+    /// list of that age, and one that takes over from another process does not hear of changes yet: it becomes ready when
+    /// the current list arrives, or when the platform would not wait any longer.
     fn apply_initial_list(&mut self, now: f64, age: InitialListAge, known: Listing, out: &mut Vec<Action>) {
         let source = match age {
             InitialListAge::Current => "handed over by the previous process",
@@ -611,10 +612,10 @@
         self.apply_listing(now, &known, |_, entries| List::Initial(entries, age), out);
         match age {
             _ if known.hosts.is_empty() => {}
-            InitialListAge::Unknown => {
+            InitialListAge::Unknown | InitialListAge::Current => {
                 self.timers.schedule(now + READY_DEADLINE, Timer::PhaseStep(Step::ExecutorsKnown))
             }
-            InitialListAge::Current | InitialListAge::Unspecified => drop(self.step(Step::ExecutorsKnown)),
+            InitialListAge::Unspecified => drop(self.step(Step::ExecutorsKnown)),
         }
     }
 
--- a/crates/coveroute-node/src/driver.rs
+++ b/crates/coveroute-node/src/driver.rs
@@ -193,6 +193,8 @@
             actions,
         };
         driver.node_state.set_predecessor_accepting(driver.predecessor.is_some());
+        // The predecessor accepts until this process announces that it serves.
+        driver.node_state.set_accepts_connections(driver.predecessor.is_none());
         driver.split_limits();
         driver.execute_actions();
         if driver.predecessor.is_none() {
@@ -368,7 +370,7 @@
         {
             predecessor.send_serving();
             self.announced = true;
-            self.receive_peer_messages(true);
+            self.set_accepting(true);
         }
     }
 
@@ -440,6 +442,9 @@
                 self.predecessor = None;
                 self.receive_peer_messages(true);
                 self.takeover_complete();
+                if !self.announced {
+                    self.node_state.set_accepts_connections(true);
+                }
                 self.split_limits();
             }
             (Side::Successor, LinkEvent::Ended) => {
