--- a/crates/coveroute-node/src/client_stream.rs
+++ b/crates/coveroute-node/src/client_stream.rs
@@ -9,6 +9,7 @@
 
 use actix_rt::net::TcpStream;
 use bytes::{Buf, BytesMut};
+use memchr::memchr_iter;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use crate::client_connection::{ClientConnection, ConnectionState};
@@ -16,9 +17,12 @@
 
 /// Largest single read from the socket, in bytes.
 const MAX_READ: usize = 16 * 1024;
-/// Bytes that are passed to the parser at once, at most.
-const MAX_PORTION: usize = 4 * 1024;
-/// Bytes that are passed at once although a request head ends before them. Fewer would make a body of empty lines
+/// Bytes that are passed on, at most, before the parser runs. It starts an incomplete head anew each time.
+const MAX_BURST: usize = 64 * 1024;
+/// Lines that are passed on before the parser runs: what it makes of bytes grows with the requests, headers and chunks
+/// in them, each of which takes a line.
+const MAX_LINES: usize = 256;
+/// Bytes that are passed on although a request head ends before them. Fewer would make a body of empty lines
 /// expensive to read.
 const MIN_PORTION: usize = 512;
 /// Bytes that are held while a request is pending: one more complete request, head and body.
@@ -31,14 +35,14 @@
     connection: Rc<ClientConnection>,
     /// Bytes that were received and not passed to the parser yet.
     unparsed: BytesMut,
-    /// A portion was passed on, and the parser has not run since.
-    portion_passed: bool,
+    /// Bytes that may still be passed on before the parser runs.
+    burst_left: usize,
 }
 
 impl ClientStream {
     pub fn new(socket: TcpStream, connection: Rc<ClientConnection>) -> Self {
         let (socket, unparsed) = (Socket::new(socket), BytesMut::new());
-        ClientStream { socket, connection, unparsed, portion_passed: false }
+        ClientStream { socket, connection, unparsed, burst_left: MAX_BURST }
     }
 
     /// Receives bytes and returns their number, 0 at the end of the stream.
@@ -82,34 +86,35 @@
 
     /// Passes the next portion on.
     fn pass_portion(&mut self, buf: &mut ReadBuf) {
-        let count = portion_len(&self.unparsed).min(buf.remaining());
+        let (portion, is_cut) = portion_len(&self.unparsed);
+        let count = portion.min(buf.remaining());
         buf.put_slice(&self.unparsed[..count]);
+        self.burst_left = if is_cut { 0 } else { self.burst_left.saturating_sub(count) };
         self.unparsed.advance(count);
         if self.unparsed.is_empty() {
             self.unparsed = BytesMut::new(); // Releases the memory: most connections are idle most of the time.
         }
         self.connection.set_unparsed(self.unparsed.len());
         self.connection.bytes_passed();
-        self.portion_passed = true;
     }
 }
 
-/// Length of the portion at the start of these bytes: up to the end of the first request head in it, if there is one. A
-/// portion thus completes few requests. An empty line in a body is taken for the end of a head, which is harmless.
-pub fn portion_len(bytes: &[u8]) -> usize {
-    let most = bytes.len().min(MAX_PORTION);
-    let head_end = empty_line_end(&bytes[..most]).unwrap_or(most);
-    head_end.max(MIN_PORTION).min(most)
-}
-
-/// The end of the first empty line, whether lines end with CRLF or LF.
-fn empty_line_end(bytes: &[u8]) -> Option<usize> {
-    let ends_line = |at: &usize| bytes[*at] == b'\n';
-    (0..bytes.len()).filter(ends_line).find_map(|at| match &bytes[at + 1..] {
-        [b'\n', ..] => Some(at + 2),
-        [b'\r', b'\n', ..] => Some(at + 3),
-        _ => None,
-    })
+/// Length of the portion at the start of these bytes, and whether it is cut off: after the first empty line, which ends a
+/// request head, or after `MAX_LINES`. It thus completes few requests. An empty line in a body is taken for the end of a
+/// head, which is harmless.
+pub fn portion_len(bytes: &[u8]) -> (usize, bool) {
+    let mut line_start = 0;
+    for (line, at) in memchr_iter(b'\n', bytes).enumerate() {
+        let end = at + 1;
+        if matches!(&bytes[line_start..at], [] | [b'\r']) {
+            return (end.max(MIN_PORTION).min(bytes.len()), true);
+        }
+        if line + 1 == MAX_LINES {
+            return (end, true);
+        }
+        line_start = end;
+    }
+    (bytes.len(), false)
 }
 
 impl Drop for ClientStream {
@@ -120,14 +125,22 @@
 
 impl AsyncRead for ClientStream {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
-        let parser_is_due = std::mem::take(&mut self.portion_passed);
         if self.connection.state() == ConnectionState::AwaitingAnswer {
+            self.burst_left = MAX_BURST;
             return self.poll_until_end(cx);
         }
-        if self.unparsed.is_empty() && ready!(self.poll_receive(cx))? == 0 {
-            return Poll::Ready(Ok(()));
+        if self.unparsed.is_empty() {
+            match self.poll_receive(cx)? {
+                Poll::Ready(0) => return Poll::Ready(Ok(())),
+                Poll::Ready(_) => {}
+                Poll::Pending => {
+                    self.burst_left = MAX_BURST;
+                    return Poll::Pending;
+                }
+            }
         }
-        if parser_is_due {
+        if self.burst_left == 0 {
+            self.burst_left = MAX_BURST;
             cx.waker().wake_by_ref();
             return Poll::Pending;
         }
@@ -154,3 +167,6 @@
         Pin::new(&mut self.socket).poll_shutdown(cx)
     }
 }
+
+#[cfg(test)]
+mod tests;
