--- /dev/null
+++ b/review/stands-2/src/lib.rs
@@ -0,0 +1,557 @@
+//! Stand-ins for the second review's cases: a discovery service, executors, a proxy and clients as the operators' protocol
+//! page describes them, and the node as a process of its own, started by the deploy file's command.
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+pub mod http;
+pub use http::{Message, Reader};
+
+pub const fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// The exit codes of a case.
+pub const HELD: i32 = 0;
+pub const BROKEN: i32 = 1;
+pub const COULD_NOT_RUN: i32 = 2;
+
+/// Whether the disruption is played.
+pub fn trouble() -> bool {
+    std::env::var("TROUBLE").map_or(true, |value| value != "0")
+}
+
+/// What was sent, answered and run, with the time since the start in seconds.
+#[derive(Clone)]
+pub struct Record {
+    file: Arc<Mutex<File>>,
+    start: Instant,
+}
+
+impl Record {
+    pub fn open() -> io::Result<Record> {
+        let file = Arc::new(Mutex::new(File::create(case_folder().join("record.txt"))?));
+        Ok(Record { file, start: Instant::now() })
+    }
+
+    pub fn now(&self) -> f64 {
+        self.start.elapsed().as_secs_f64()
+    }
+
+    pub fn line(&self, words: impl AsRef<str>) {
+        let line = format!("{:8.3} {}\n", self.now(), words.as_ref());
+        let _ = self.file.lock().unwrap().write_all(line.as_bytes());
+    }
+}
+
+pub fn listen() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").expect("a free port")
+}
+
+fn free_port() -> u16 {
+    listen().local_addr().unwrap().port()
+}
+
+/// Runs a closure for each connection in a thread of its own.
+pub fn serve(listener: TcpListener, each: impl Fn(TcpStream) + Send + Sync + 'static) {
+    let each = Arc::new(each);
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let _ = stream.set_nodelay(true);
+            let each = each.clone();
+            thread::spawn(move || each(stream));
+        }
+    });
+}
+
+/// One entry of the list of executors.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    pub id: String,
+    pub addr: SocketAddr,
+    pub zone: String,
+    pub cell: i64,
+    pub state: String,
+}
+
+impl Entry {
+    pub fn up(id: &str, addr: SocketAddr) -> Entry {
+        Entry { id: id.into(), addr, zone: "a".into(), cell: 0, state: "up".into() }
+    }
+
+    fn json(&self) -> String {
+        let Entry { id, addr, zone, cell, state } = self;
+        format!(
+            r#"{{"id":"{id}","addr":"{addr}","zone":"{zone}","kind":"k","cell":{cell},"state":"{state}","weight":1.0,"started_ms":0}}"#
+        )
+    }
+}
+
+#[derive(Default)]
+struct List {
+    version: u64,
+    /// Each executor's latest entry, with the version that brought it.
+    entries: BTreeMap<String, (u64, Entry)>,
+    /// Calls are answered 503 after this wait, but for those of the caller whose turn it is.
+    refusing: Option<Duration>,
+    /// Raised to end all open watches.
+    epoch: u64,
+}
+
+/// The discovery service: the whole list, and watches on its changes.
+#[derive(Clone)]
+pub struct Discovery {
+    pub addr: SocketAddr,
+    list: Arc<(Mutex<List>, Condvar)>,
+    record: Record,
+}
+
+impl Discovery {
+    pub fn start(record: &Record) -> Discovery {
+        let listener = listen();
+        let addr = listener.local_addr().unwrap();
+        let discovery = Discovery { addr, list: Arc::default(), record: record.clone() };
+        let own = discovery.clone();
+        serve(listener, move |stream| drop(own.answer(stream)));
+        discovery
+    }
+
+    pub fn set(&self, entry: Entry) {
+        let (list, changed) = &*self.list;
+        let mut list = list.lock().unwrap();
+        list.version += 1;
+        let version = list.version;
+        self.record.line(format!("discovery {}: version {version}: {} is {}", self.addr, entry.id, entry.state));
+        list.entries.insert(entry.id.clone(), (version, entry));
+        changed.notify_all();
+    }
+
+    /// From now on calls wait this long and are answered 503; `None`: they are served.
+    pub fn refuse(&self, after: Option<Duration>) {
+        self.record.line(format!("discovery {}: turns calls away: {after:?}", self.addr));
+        self.list.0.lock().unwrap().refusing = after;
+    }
+
+    /// Resets all open watches.
+    pub fn end_watches(&self) {
+        self.record.line("discovery: ends all watches");
+        self.list.0.lock().unwrap().epoch += 1;
+        self.list.1.notify_all();
+    }
+
+    fn answer(&self, mut stream: TcpStream) -> io::Result<()> {
+        let mut reader = Reader::new(stream.try_clone()?);
+        let Some(call) = reader.next()? else { return Ok(()) };
+        let refusing = self.list.0.lock().unwrap().refusing;
+        if let Some(wait) = refusing.filter(|_| call.header("x-turn").is_none()) {
+            thread::sleep(wait);
+            self.record.line(format!("discovery {}: {} -> 503", self.addr, call.target));
+            return stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\nconnection: close\r\n\r\n");
+        }
+        let index = call.target.split("index=").nth(1).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
+        let (list, changed) = &*self.list;
+        if !call.target.contains("stream=1") {
+            let line = Self::lines(&list.lock().unwrap(), 0);
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\nconnection: close\r\n\r\n", line.len());
+            return stream.write_all((head + &line).as_bytes());
+        }
+        stream.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")?;
+        let mut chunk = |text: &str| stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes());
+        let mut held = list.lock().unwrap();
+        let (epoch, mut told) = (held.epoch, held.version);
+        self.record.line(format!("discovery {}: watch from version {index}, told version {told}", self.addr));
+        let first = Self::lines(&held, index);
+        drop(held);
+        chunk(&first)?;
+        loop {
+            held = list.lock().unwrap();
+            if held.version == told && held.epoch == epoch {
+                held = changed.wait_timeout(held, ms(2000)).unwrap().0;
+            }
+            if held.epoch != epoch {
+                return Ok(());
+            }
+            let line = if held.version == told { "\n".into() } else { Self::lines(&held, told) };
+            told = held.version;
+            drop(held);
+            chunk(&line)?;
+        }
+    }
+
+    /// The changes after a version, or for 0 the whole list.
+    fn lines(list: &List, after: u64) -> String {
+        let full = after == 0;
+        let listed = list.entries.values().filter(|(at, entry)| *at > after && !(full && entry.state == "removed"));
+        let entries: Vec<String> = listed.map(|(_, entry)| entry.json()).collect();
+        format!("{{\"version\":{},\"full\":{full},\"servers\":[{}]}}\n", list.version, entries.join(","))
+    }
+}
+
+/// Sends one call to the node, on a connection of its own; returns the status.
+pub fn call_once(to: SocketAddr, method: &str, target: &str, body: &str, wait: Duration) -> io::Result<(u16, Vec<u8>)> {
+    let mut stream = TcpStream::connect_timeout(&to, wait)?;
+    stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(wait))?;
+    let head = format!("{method} {target} HTTP/1.1\r\nhost: backend.local\r\ncontent-length: {}\r\nconnection: close\r\n\r\n", body.len());
+    stream.write_all((head + body).as_bytes())?;
+    let answer = Reader::new(stream).next()?.ok_or(io::ErrorKind::UnexpectedEof)?;
+    Ok((answer.status(), answer.body))
+}
+
+/// What an executor tells of a job: tried until it is answered, ten times at most.
+pub fn news(record: &Record, node: SocketAddr, call: &str, from: &str, rest: &str) {
+    let body = format!(r#"{{"id":"{call}","from":"{from}",{rest}}}"#);
+    for _ in 0..10 {
+        match call_once(node, "POST", "/_jobs/news", &body, ms(2000)) {
+            Ok((status @ (200 | 204), _)) => return record.line(format!("{from}: told {body}: {status}")),
+            other => record.line(format!("{from}: told {body}: {other:?}")),
+        }
+        thread::sleep(ms(200));
+    }
+}
+
+/// What an executor does with a connection: gets each request, and returns whether the connection stays open.
+pub trait Executor: Send + Sync + 'static {
+    fn request(&self, request: Message, stream: &mut TcpStream) -> io::Result<bool>;
+    /// The node has closed the connection.
+    fn closed(&self) {}
+}
+
+pub fn start_executor(executor: Arc<dyn Executor>) -> SocketAddr {
+    let listener = listen();
+    let addr = listener.local_addr().unwrap();
+    serve(listener, move |mut stream| {
+        let Ok(other) = stream.try_clone() else { return };
+        let mut reader = Reader::new(other);
+        while let Ok(Some(request)) = reader.next() {
+            if !executor.request(request, &mut stream).unwrap_or(false) {
+                break;
+            }
+        }
+        executor.closed();
+    });
+    addr
+}
+
+pub fn respond(stream: &mut TcpStream, status: &str, headers: &str, body: &str) -> io::Result<()> {
+    let head = format!("HTTP/1.1 {status}\r\n{headers}content-length: {}\r\n\r\n", body.len());
+    stream.write_all((head + body).as_bytes())
+}
+
+/// A client's request.
+pub fn job(class: &str, call: &str, budget_ms: u64, more: &str, body: &[u8]) -> Vec<u8> {
+    let head = format!(
+        "POST /{class} HTTP/1.1\r\nHost: backend.local\r\nX-Call-Id: {call}\r\nX-Call-Class: {class}\r\nX-Budget-Ms: {budget_ms}\r\n{more}Content-Length: {}\r\n\r\n",
+        body.len()
+    );
+    [head.as_bytes(), body].concat()
+}
+
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+}
+
+/// An id that no other request has.
+pub fn call_id(run: u64, number: u64) -> String {
+    format!("{run:08x}{number:08x}")
+}
+
+/// The repository's root: the case is started there.
+pub fn root() -> PathBuf {
+    std::env::var_os("ROOT").map(PathBuf::from).unwrap_or_else(|| ".".into())
+}
+
+/// The value of a key of the deploy file.
+fn deploy(key: &str) -> String {
+    let text = std::fs::read_to_string(root().join("deploy/balancer.toml")).expect("the deploy file");
+    let line = text.lines().find(|line| line.starts_with(&format!("{key} =")));
+    line.and_then(|line| line.split('"').nth(1)).expect("its key").to_owned()
+}
+
+/// A folder that is removed at the end.
+pub struct Folder(pub PathBuf);
+
+impl Folder {
+    pub fn new(name: &str) -> Folder {
+        let path = std::env::temp_dir().join(format!("coveroute-review-{name}-{}-{}", std::process::id(), free_port()));
+        std::fs::create_dir_all(&path).expect("a temporary folder");
+        Folder(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// A node: the command of the deploy file, started by the shell from the root.
+pub struct Node {
+    pub listen: SocketAddr,
+    pub management: SocketAddr,
+    pub child: Child,
+    folder: Folder,
+}
+
+/// What a node is told, beside its addresses. `settings` is the settings object as text.
+pub struct Terms<'a> {
+    pub discovery: SocketAddr,
+    pub listen: SocketAddr,
+    pub limits: &'a str,
+    pub settings: &'a str,
+}
+
+impl Terms<'_> {
+    fn config(&self, management: SocketAddr) -> String {
+        let Terms { discovery, listen, limits, settings } = self;
+        format!(
+            r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","management":"{management}","seed":"8c1f30d27a5be964","limits":{limits},"settings":{settings}}}"#
+        )
+    }
+}
+
+/// The limits of a node, as on the days that are scored.
+pub const LIMITS: &str = r#"{"cores":1.0,"memory_mb":192,"sockets":1024}"#;
+
+pub fn free_address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], free_port()))
+}
+
+impl Node {
+    pub fn start(terms: &Terms, tmp: &Path, record: &Record) -> Node {
+        let folder = Folder::new("node");
+        let (listen, management) = (terms.listen, free_address());
+        let path = folder.0.join("config.json");
+        std::fs::write(&path, terms.config(management)).expect("the configuration");
+        let log = match std::env::var_os("NODE_LOG") {
+            Some(path) => Stdio::from(File::options().create(true).append(true).open(path).unwrap()),
+            None => Stdio::null(),
+        };
+        let child = Command::new("/bin/sh")
+            .args(["-c", &deploy("run")])
+            .current_dir(root())
+            .env("BALANCER_NAME", "n0")
+            .env("BALANCER_CONFIG", &path)
+            .env("BALANCER_LISTEN", listen.to_string())
+            .env("BALANCER_DISCOVERY", terms.discovery.to_string())
+            .env("TMPDIR", tmp)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .expect("the node");
+        // For `run.sh`, which ends the node if this program can't.
+        if let Some(path) = std::env::var_os("PIDS") {
+            let file = File::options().create(true).append(true).open(path);
+            let _ = file.and_then(|mut file| writeln!(file, "{}", child.id()));
+        }
+        record.line(format!("node {}: started at {listen}", child.id()));
+        Node { listen, management, child, folder }
+    }
+
+    /// Waits until the node serves.
+    pub fn ready(&self, record: &Record) -> bool {
+        for _ in 0..300 {
+            if let Ok((200, _)) = call_once(self.listen, "GET", "/up", "", ms(500)) {
+                record.line(format!("node {}: serves", self.child.id()));
+                return true;
+            }
+            thread::sleep(ms(50));
+        }
+        false
+    }
+
+    /// The new process's yes, at the operators' door.
+    pub fn yes(&self, record: &Record) -> bool {
+        for _ in 0..200 {
+            if let Ok((200, _)) = call_once(self.management, "GET", "/v1/readyz", "", ms(500)) {
+                record.line(format!("node {}: says yes", self.child.id()));
+                return true;
+            }
+            thread::sleep(ms(20));
+        }
+        false
+    }
+
+    /// Puts a new configuration in the place of the old one, and tells the node.
+    pub fn reload(&self, terms: &Terms, record: &Record) {
+        let path = self.folder.0.join("config.json");
+        let new = path.with_extension("new");
+        std::fs::write(&new, terms.config(self.management)).expect("the new configuration");
+        std::fs::rename(new, path).expect("the new configuration in place");
+        record.line(format!("configuration: discovery is {} now", terms.discovery));
+        self.signal("HUP", record);
+    }
+
+    pub fn signal(&self, name: &str, record: &Record) {
+        record.line(format!("node {}: gets {name}", self.child.id()));
+        let _ = Command::new("/bin/sh").args(["-c", &format!("kill -{name} {}", self.child.id())]).status();
+    }
+
+    pub fn ended(&mut self) -> Option<std::process::ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// The case's folder, where its record goes.
+fn case_folder() -> PathBuf {
+    std::env::var_os("CASE").map(PathBuf::from).expect("CASE names the case's folder")
+}
+
+/// A proxy in front of an executor: passes bytes on both ways, also the end of either side. `answer` gets each piece that
+/// comes from the executor and returns whether it is passed on.
+pub fn proxy(to: SocketAddr, answer: impl Fn(&[u8]) -> bool + Send + Sync + 'static) -> SocketAddr {
+    let listener = listen();
+    let addr = listener.local_addr().unwrap();
+    let answer = Arc::new(answer);
+    serve(listener, move |client| {
+        let Ok(server) = TcpStream::connect(to) else { return };
+        let _ = server.set_nodelay(true);
+        let (Ok(mut from_client), Ok(mut to_server)) = (client.try_clone(), server.try_clone()) else { return };
+        let onward = thread::spawn(move || {
+            let mut piece = [0; 16 * 1024];
+            while let Ok(count @ 1..) = from_client.read(&mut piece) {
+                if to_server.write_all(&piece[..count]).is_err() {
+                    break;
+                }
+            }
+            let _ = to_server.shutdown(std::net::Shutdown::Both);
+        });
+        let (mut server, mut client, mut piece) = (server, client, [0; 16 * 1024]);
+        while let Ok(count @ 1..) = server.read(&mut piece) {
+            if answer(&piece[..count]) && client.write_all(&piece[..count]).is_err() {
+                break;
+            }
+        }
+        let _ = client.shutdown(std::net::Shutdown::Both);
+        let _ = onward.join();
+    });
+    addr
+}
+
+/// An executor that takes every job, runs it for the given time and tells its end.
+pub struct Worker {
+    pub id: &'static str,
+    pub node: SocketAddr,
+    pub work: Duration,
+    pub record: Record,
+    pub attempts: Attempts,
+}
+
+/// What became of an attempt, as its executor sees it.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    pub call: String,
+    pub executor: &'static str,
+    pub begun: f64,
+    /// When it ended or was given up, and how.
+    pub end: Option<(f64, &'static str)>,
+}
+
+pub type Attempts = Arc<Mutex<Vec<Attempt>>>;
+
+impl Worker {
+    pub fn end(&self, call: &str, how: &'static str) -> bool {
+        let mut attempts = self.attempts.lock().unwrap();
+        let open = |a: &&mut Attempt| a.call == call && a.executor == self.id && a.end.is_none();
+        let Some(attempt) = attempts.iter_mut().rev().find(open) else { return false };
+        attempt.end = Some((self.record.now(), how));
+        true
+    }
+
+    pub fn begin(&self, call: &str) {
+        let (call, begun) = (call.to_owned(), self.record.now());
+        self.record.line(format!("{}: has {call}", self.id));
+        self.attempts.lock().unwrap().push(Attempt { call, executor: self.id, begun, end: None });
+    }
+
+    /// The requests that are no jobs: a job is given up, or a probe.
+    pub fn other(&self, request: &Message, stream: &mut TcpStream) -> io::Result<bool> {
+        let status = match (request.method.as_str(), request.target.as_str()) {
+            ("DELETE", target) => {
+                let given_up = self.end(target.rsplit('/').next().unwrap_or_default(), "given up");
+                self.record.line(format!("{}: {} {target}: {given_up}", self.id, request.method));
+                "204 No Content"
+            }
+            ("GET", "/alive") => "200 OK",
+            ("GET", "/metrics/load") => {
+                respond(stream, "200 OK", "", r#"{"x0":8.0,"queue":0,"inflight":0,"depth":0,"concurrent":0}"#)?;
+                return Ok(true);
+            }
+            _ => "404 Not Found",
+        };
+        respond(stream, status, "", "")?;
+        Ok(true)
+    }
+
+    /// Runs the job in a thread of its own.
+    pub fn run(self: &Arc<Self>, call: String) {
+        let own = self.clone();
+        thread::spawn(move || {
+            thread::sleep(own.work);
+            if own.end(&call, "done") {
+                own.record.line(format!("{}: has run {call}", own.id));
+                let rest = format!(r#""state":"done","result":"{call} by {}""#, own.id);
+                news(&own.record, own.node, &call, own.id, &rest);
+            }
+        });
+    }
+}
+
+/// A `Worker` as it is.
+pub struct Plain(pub Arc<Worker>);
+
+impl Executor for Plain {
+    fn request(&self, request: Message, stream: &mut TcpStream) -> io::Result<bool> {
+        let call = request.call();
+        if request.method != "POST" || call.is_empty() {
+            return self.0.other(&request, stream);
+        }
+        self.0.begin(&call);
+        respond(stream, "202 Accepted", "", "")?;
+        self.0.run(call);
+        Ok(true)
+    }
+}
+
+pub fn worker(id: &'static str, node: SocketAddr, work: Duration, record: &Record, attempts: &Attempts) -> Arc<Worker> {
+    Arc::new(Worker { id, node, work, record: record.clone(), attempts: attempts.clone() })
+}
+
+/// Starts plain workers with these ids and lists them.
+pub fn workers(ids: &[&'static str], node: SocketAddr, work: Duration, record: &Record, discovery: &Discovery) -> Attempts {
+    let attempts = Attempts::default();
+    for id in ids {
+        let plain = Plain(worker(id, node, work, record, &attempts));
+        discovery.set(Entry::up(id, start_executor(Arc::new(plain))));
+    }
+    attempts
+}
+
+/// The exit code, written to the record with the reason.
+pub fn verdict(record: &Record, broken: usize, words: &str) -> std::process::ExitCode {
+    let code = if broken > 0 { BROKEN } else { HELD };
+    let line = format!("verdict: {} ({broken} {words}), trouble {}", ["held", "BROKEN"][code as usize], trouble());
+    record.line(&line);
+    println!("{line}");
+    std::process::ExitCode::from(code as u8)
+}
+
+pub fn could_not_run(record: &Record, why: &str) -> std::process::ExitCode {
+    record.line(format!("could not run: {why}"));
+    eprintln!("could not run: {why}");
+    std::process::ExitCode::from(COULD_NOT_RUN as u8)
+}
