Review case 10: a stop closes on jobs that were read behind the last answer

Need: the independent review looks for faults that break the operators' rules. Change: a case in which clients have written six jobs at once on a connection, and the node gets SIGTERM. It closes each connection with its next answer, and the jobs that it has read behind that get none.

--- /dev/null
+++ b/review/stands-2/src/bin/case-10.rs
@@ -0,0 +1,78 @@
+//! Case 10: a client sends some jobs at once on one connection, and the node is told to stop by SIGTERM. From half of its time
+//! on, the node closes the connection with its next answer, and the jobs behind it get none.
+use std::io::{self, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::ExitCode;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use stands_2::*;
+
+const SETTINGS: &str = r#"{"me":0,"replicasOfMe":4,"zone":"a","zones":["a"],"skus":["k"],
+ "categories":[{"name":"post","effect":"free","onTime":2500.0,"deadline":10000.0,"credit":1.0}],
+ "goal":{"whole":0.8,"worstClass":0.2},"familyInfo":{"tellsStart":false,"progress":0.0},
+ "limits":{"maxAttempts":4,"dialTimeout":250.0,"connIdle":60000.0,"cancelling":true,"probing":true,"retryAfter":true,
+  "maxRetryAfter":2000.0,"secondCopies":true},
+ "registryMode":"on_request","report":{"source":"none","names":[]},
+ "rules":{"startCapacity":0.3,"warmUp":9000.0,"overloadFactor":4.0,"fall":2000.0,"drainGrace":500.0,"askWithin":10000.0}}"#;
+const DEADLINE: u64 = 10_000;
+const CLIENTS: u64 = 4;
+const AT_ONCE: u64 = 6;
+/// SIGKILL comes so long after SIGTERM: the longest deadline, 3 s at most, and 0.7 s.
+const KILL_AFTER: Duration = ms(3700);
+
+fn client(node: SocketAddr, run: u64, own: u64, record: &Record) -> io::Result<u64> {
+    let mut stream = TcpStream::connect(node)?;
+    stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(ms(DEADLINE + 500)))?;
+    let mut reader = Reader::new(stream.try_clone()?);
+    let calls: Vec<String> = (0..AT_ONCE).map(|number| call_id(run, own * AT_ONCE + number)).collect();
+    let jobs: Vec<Vec<u8>> = calls.iter().map(|call| job("post", call, DEADLINE, "", b"a body")).collect();
+    stream.write_all(&jobs.concat())?;
+    record.line(format!("client {own}: has written {} to {}", calls[0], calls[calls.len() - 1]));
+    let mut lost = 0;
+    for call in &calls {
+        match reader.next() {
+            Ok(Some(answer)) => record.line(format!("client {own}: {call}: {}", answer.status())),
+            other => {
+                record.line(format!("BROKEN: client {own}: {call}: no answer: {:?}", other.err()));
+                lost += 1;
+            }
+        }
+    }
+    Ok(lost)
+}
+
+fn main() -> ExitCode {
+    let record = Record::open().expect("the record");
+    let (tmp, discovery, listen) = (Folder::new("tmp"), Discovery::start(&record), free_address());
+    let _attempts = workers(&["e1", "e2", "e3", "e4"], listen, ms(900), &record, &discovery);
+    let terms = Terms { discovery: discovery.addr, listen, limits: LIMITS, settings: SETTINGS };
+    let mut node = Node::start(&terms, &tmp.0, &record);
+    if !node.ready(&record) {
+        return could_not_run(&record, "the node does not serve");
+    }
+    let (run, mut lost) = (unix_ms() & 0xffff_ffff, 0);
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|own| {
+            let record = record.clone();
+            thread::spawn(move || client(listen, run, own, &record))
+        })
+        .collect();
+    thread::sleep(ms(300));
+    if trouble() {
+        let told = Instant::now();
+        node.signal("TERM", &record);
+        while node.ended().is_none() && told.elapsed() < KILL_AFTER {
+            thread::sleep(ms(10));
+        }
+        record.line(format!("node: {:?} after SIGTERM: {:?}", told.elapsed(), node.ended()));
+    }
+    for client in clients {
+        match client.join() {
+            Ok(Ok(count)) => lost += count,
+            other => return could_not_run(&record, &format!("a client: {other:?}")),
+        }
+    }
+    verdict(&record, lost as usize, "jobs without an answer")
+}
