Review case 9: after an outage of discovery a drain is heard too late

Need: a large fleet's nodes go on by their list through an outage of discovery and have to hear of its end in six seconds.

--- a/review/stands-2/src/lib.rs
+++ b/review/stands-2/src/lib.rs
@@ -6,6 +6,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -54,8 +55,17 @@
     TcpListener::bind("127.0.0.1:0").expect("a free port")
 }
 
+/// A free port below those that the system gives to connections, so that none of these takes it before the node.
 fn free_port() -> u16 {
-    listen().local_addr().unwrap().port()
+    static TRIED: AtomicU32 = AtomicU32::new(0);
+    let first = unix_ms() as u32 ^ std::process::id().wrapping_mul(2_654_435_761);
+    loop {
+        let number = first.wrapping_add(TRIED.fetch_add(1, Ordering::SeqCst));
+        let port = 20_000 + (number % 10_000) as u16;
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return port;
+        }
+    }
 }
 
 /// Runs a closure for each connection in a thread of its own.
@@ -279,7 +289,7 @@
 
 impl Folder {
     pub fn new(name: &str) -> Folder {
-        let path = std::env::temp_dir().join(format!("coveroute-review-{name}-{}-{}", std::process::id(), free_port()));
+        let path = std::env::temp_dir().join(format!("review-{name}-{}-{}", std::process::id(), free_port()));
         std::fs::create_dir_all(&path).expect("a temporary folder");
         Folder(path)
     }
@@ -356,8 +366,12 @@
     }
 
     /// Waits until the node serves.
-    pub fn ready(&self, record: &Record) -> bool {
+    pub fn ready(&mut self, record: &Record) -> bool {
         for _ in 0..300 {
+            if let Some(end) = self.ended() {
+                record.line(format!("node {}: has ended: {end}", self.child.id()));
+                return false;
+            }
             if let Ok((200, _)) = call_once(self.listen, "GET", "/up", "", ms(500)) {
                 record.line(format!("node {}: serves", self.child.id()));
                 return true;
@@ -367,18 +381,6 @@
         false
     }
 
-    /// The new process's yes, at the operators' door.
-    pub fn yes(&self, record: &Record) -> bool {
-        for _ in 0..200 {
-            if let Ok((200, _)) = call_once(self.management, "GET", "/v1/readyz", "", ms(500)) {
-                record.line(format!("node {}: says yes", self.child.id()));
-                return true;
-            }
-            thread::sleep(ms(20));
-        }
-        false
-    }
-
     /// Puts a new configuration in the place of the old one, and tells the node.
     pub fn reload(&self, terms: &Terms, record: &Record) {
         let path = self.folder.0.join("config.json");
@@ -541,6 +543,109 @@
     attempts
 }
 
+/// An executor that is taken out of service: what it gets once `gone` is set dies with its process.
+pub struct Leaving {
+    pub worker: Arc<Worker>,
+    pub gone: Arc<AtomicBool>,
+}
+
+impl Executor for Leaving {
+    fn request(&self, request: Message, stream: &mut TcpStream) -> io::Result<bool> {
+        let call = request.call();
+        if request.method != "POST" || call.is_empty() {
+            return self.worker.other(&request, stream);
+        }
+        self.worker.begin(&call);
+        respond(stream, "202 Accepted", "", "")?;
+        let (worker, gone) = (self.worker.clone(), self.gone.clone());
+        if !gone.load(Ordering::SeqCst) {
+            worker.run(call);
+            return Ok(true);
+        }
+        thread::spawn(move || {
+            thread::sleep(ms(600));
+            worker.end(&call, "lost");
+            news(&worker.record, worker.node, &call, worker.id, r#""state":"lost""#);
+        });
+        Ok(true)
+    }
+}
+
+/// Four executors, seen from this node, of which `e4` is to leave; returns its entry.
+pub fn four_executors(
+    node: SocketAddr,
+    discoveries: &[&Discovery],
+    (record, attempts, gone): (&Record, &Attempts, &Arc<AtomicBool>),
+) -> Entry {
+    let entries = ["e1", "e2", "e3", "e4"].map(|id| {
+        let worker = worker(id, node, ms(300), record, attempts);
+        let addr = match id {
+            "e4" => start_executor(Arc::new(Leaving { worker, gone: gone.clone() })),
+            _ => start_executor(Arc::new(Plain(worker))),
+        };
+        Entry::up(id, addr)
+    });
+    for discovery in discoveries {
+        entries.iter().for_each(|entry| discovery.set(entry.clone()));
+    }
+    entries[3].clone()
+}
+
+/// Sends one payment to the node.
+fn pay(node: SocketAddr, call: &str, deadline_ms: u64, record: &Record) -> io::Result<()> {
+    let mut stream = TcpStream::connect(node)?;
+    stream.set_read_timeout(Some(ms(deadline_ms + 1000)))?;
+    record.line(format!("client: sends {call}"));
+    stream.write_all(&job("payment", call, deadline_ms, "", b"payment"))?;
+    let answer = Reader::new(stream).next()?;
+    record.line(format!("client: {call}: {:?}", answer.map(|answer| answer.status())));
+    Ok(())
+}
+
+/// Sends payments to the nodes in turn, one every so many milliseconds for so long; the thread ends with the last answer.
+pub fn payments(nodes: Vec<SocketAddr>, each_ms: u64, for_ms: u64, deadline_ms: u64, record: &Record) -> thread::JoinHandle<()> {
+    let (record, run) = (record.clone(), unix_ms() & 0xffff_ffff);
+    thread::spawn(move || {
+        let mut clients = Vec::new();
+        for number in 0..for_ms / each_ms {
+            thread::sleep(ms(each_ms));
+            let (node, record) = (nodes[number as usize % nodes.len()], record.clone());
+            clients.push(thread::spawn(move || {
+                let call = call_id(run, number);
+                if let Err(e) = pay(node, &call, deadline_ms, &record) {
+                    record.line(format!("client: {call}: {e}"));
+                }
+            }));
+        }
+        clients.into_iter().for_each(|client| drop(client.join()));
+    })
+}
+
+/// Another caller of discovery, whose turn it is: shows that it can be reached.
+pub fn another_caller(discovery: &Discovery, record: &Record) -> io::Result<()> {
+    let mut stream = TcpStream::connect(discovery.addr)?;
+    stream.set_read_timeout(Some(ms(2000)))?;
+    stream.write_all(b"GET /discovery/hosts HTTP/1.1\r\nhost: discovery\r\nx-turn: 1\r\n\r\n")?;
+    let list = Reader::new(stream).next()?.map(|answer| String::from_utf8_lossy(&answer.body).into_owned());
+    record.line(format!("another node: is told {}", list.unwrap_or_default().trim_end()));
+    Ok(())
+}
+
+/// Sleeps until this time of the record.
+pub fn sleep_until(at: f64, record: &Record) {
+    thread::sleep(Duration::from_secs_f64((at - record.now()).max(0.0)));
+}
+
+/// How many payments `e4` got after the time by which nothing new may go to it.
+pub fn sent_late(attempts: &Attempts, late: f64, told_from: f64, record: &Record) -> usize {
+    let attempts = attempts.lock().unwrap();
+    let broken: Vec<_> = attempts.iter().filter(|a| a.executor == "e4" && a.begun > late).collect();
+    for attempt in &broken {
+        record.line(format!("BROKEN: {:.3} s after it began to count: {attempt:?}", attempt.begun - told_from));
+    }
+    broken.len()
+}
+
 /// The exit code, written to the record with the reason.
 pub fn verdict(record: &Record, broken: usize, words: &str) -> std::process::ExitCode {
     let code = if broken > 0 { BROKEN } else { HELD };
