Review case 10: after SIGHUP an old list is used for longer than 4 s

Need: this fault is graver than the one that stood here, a stop that closes on jobs read behind the last answer.

--- a/review/stands-2/src/bin/case-10.rs
+++ b/review/stands-2/src/bin/case-10.rs
@@ -1,78 +1,61 @@
-//! Case 10: a client sends some jobs at once on one connection, and the node is told to stop by SIGTERM. From half of its time
-//! on, the node closes the connection with its next answer, and the jobs behind it get none.
-use std::io::{self, Write};
-use std::net::{SocketAddr, TcpStream};
+//! Case 10: a new configuration moves discovery, and the new service has too many callers at first. The node goes on by its old
+//! list for longer than the page allows after SIGHUP, and sends payments to an executor that drains.
 use std::process::ExitCode;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::thread;
-use std::time::{Duration, Instant};
 
 use stands_2::*;
 
 const SETTINGS: &str = r#"{"me":0,"replicasOfMe":4,"zone":"a","zones":["a"],"skus":["k"],
- "categories":[{"name":"post","effect":"free","onTime":2500.0,"deadline":10000.0,"credit":1.0}],
+ "categories":[{"name":"payment","effect":"single_shot","onTime":800.0,"deadline":8000.0,"credit":3.0}],
  "goal":{"whole":0.8,"worstClass":0.2},"familyInfo":{"tellsStart":false,"progress":0.0},
  "limits":{"maxAttempts":4,"dialTimeout":250.0,"connIdle":60000.0,"cancelling":true,"probing":true,"retryAfter":true,
   "maxRetryAfter":2000.0,"secondCopies":true},
  "registryMode":"on_request","report":{"source":"none","names":[]},
  "rules":{"startCapacity":0.3,"warmUp":9000.0,"overloadFactor":4.0,"fall":2000.0,"drainGrace":500.0,"askWithin":10000.0}}"#;
-const DEADLINE: u64 = 10_000;
-const CLIENTS: u64 = 4;
-const AT_ONCE: u64 = 6;
-/// SIGKILL comes so long after SIGTERM: the longest deadline, 3 s at most, and 0.7 s.
-const KILL_AFTER: Duration = ms(3700);
-
-fn client(node: SocketAddr, run: u64, own: u64, record: &Record) -> io::Result<u64> {
-    let mut stream = TcpStream::connect(node)?;
-    stream.set_nodelay(true)?;
-    stream.set_read_timeout(Some(ms(DEADLINE + 500)))?;
-    let mut reader = Reader::new(stream.try_clone()?);
-    let calls: Vec<String> = (0..AT_ONCE).map(|number| call_id(run, own * AT_ONCE + number)).collect();
-    let jobs: Vec<Vec<u8>> = calls.iter().map(|call| job("post", call, DEADLINE, "", b"a body")).collect();
-    stream.write_all(&jobs.concat())?;
-    record.line(format!("client {own}: has written {} to {}", calls[0], calls[calls.len() - 1]));
-    let mut lost = 0;
-    for call in &calls {
-        match reader.next() {
-            Ok(Some(answer)) => record.line(format!("client {own}: {call}: {}", answer.status())),
-            other => {
-                record.line(format!("BROKEN: client {own}: {call}: no answer: {:?}", other.err()));
-                lost += 1;
-            }
-        }
-    }
-    Ok(lost)
-}
+const DEADLINE: u64 = 8000;
+/// After SIGHUP, in seconds: what discovery has to tell counts as told.
+const TOLD: f64 = 4.0;
+/// `rules.drainGrace`, and what each limit is longer on sockets.
+const GRACE: f64 = 0.5 + 0.05;
+/// For so long after SIGHUP the new service turns the node's calls away.
+const CROWDED: f64 = 8.0;
 
 fn main() -> ExitCode {
     let record = Record::open().expect("the record");
-    let (tmp, discovery, listen) = (Folder::new("tmp"), Discovery::start(&record), free_address());
-    let _attempts = workers(&["e1", "e2", "e3", "e4"], listen, ms(900), &record, &discovery);
-    let terms = Terms { discovery: discovery.addr, listen, limits: LIMITS, settings: SETTINGS };
+    let (tmp, listen) = (Folder::new("tmp"), free_address());
+    let (old, new) = (Discovery::start(&record), Discovery::start(&record));
+    let (attempts, gone) = (Attempts::default(), Arc::new(AtomicBool::new(false)));
+    let leaving = four_executors(listen, &[&old, &new], (&record, &attempts, &gone));
+    let terms = Terms { discovery: old.addr, listen, limits: LIMITS, settings: SETTINGS };
     let mut node = Node::start(&terms, &tmp.0, &record);
     if !node.ready(&record) {
         return could_not_run(&record, "the node does not serve");
     }
-    let (run, mut lost) = (unix_ms() & 0xffff_ffff, 0);
-    let clients: Vec<_> = (0..CLIENTS)
-        .map(|own| {
-            let record = record.clone();
-            thread::spawn(move || client(listen, run, own, &record))
-        })
-        .collect();
-    thread::sleep(ms(300));
+    let clients = payments(vec![listen], 40, 14_000, DEADLINE, &record);
+    thread::sleep(ms(2500));
     if trouble() {
-        let told = Instant::now();
-        node.signal("TERM", &record);
-        while node.ended().is_none() && told.elapsed() < KILL_AFTER {
-            thread::sleep(ms(10));
-        }
-        record.line(format!("node: {:?} after SIGTERM: {:?}", told.elapsed(), node.ended()));
+        new.refuse(Some(ms(5)));
+    }
+    let moved = record.now();
+    node.reload(&Terms { discovery: new.addr, ..terms }, &record);
+    new.set(Entry { state: "draining".into(), ..leaving });
+    if another_caller(&new, &record).is_err() {
+        return could_not_run(&record, "discovery can't be reached");
     }
-    for client in clients {
-        match client.join() {
-            Ok(Ok(count)) => lost += count,
-            other => return could_not_run(&record, &format!("a client: {other:?}")),
-        }
+    thread::sleep(ms(1500));
+    old.end_watches();
+    let late = moved + TOLD + GRACE;
+    sleep_until(late, &record);
+    record.line("e4: has to get nothing new from now on, and is taken out of service");
+    gone.store(true, Ordering::SeqCst);
+    sleep_until(moved + CROWDED, &record);
+    new.refuse(None);
+    drop(clients.join());
+    thread::sleep(ms(1000));
+    if node.ended().is_some() {
+        return could_not_run(&record, "the node has ended");
     }
-    verdict(&record, lost as usize, "jobs without an answer")
+    verdict(&record, sent_late(&attempts, late, moved, &record), "payments sent to an executor that drains")
 }
