Review case 6: unfit requests at full speed take the node's memory

Change: a case in which 60 bad clients send 300 requests without an id at once, again and again. What is turned away waits to be counted in a channel without a bound, which the driver empties more slowly than the connections fill it.

--- a/review/stands-2/src/bin/case-6.rs
+++ b/review/stands-2/src/bin/case-6.rs
@@ -1,108 +1,129 @@
-//! Case 6: an executor begins a payment, and its answer comes spoilt, as 429. The node hands that status on, the client takes
-//! it for a refusal and sends the payment again.
-use std::collections::BTreeMap;
-use std::io::{self, Write};
+//! Case 6: some clients send hundreds of requests at once that a node can't use. The node answers them faster than it counts them,
+//! and what waits to be counted takes more memory than the node may have. The platform kills a node for that.
+use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::process::ExitCode;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Arc;
 use std::thread;
 
 use stands_2::*;
 
 const SETTINGS: &str = r#"{"me":0,"replicasOfMe":4,"zone":"a","zones":["a"],"skus":["k"],
- "categories":[{"name":"payment","effect":"single_shot","onTime":800.0,"deadline":8000.0,"credit":3.0}],
+ "categories":[{"name":"payment","effect":"single_shot","onTime":2500.0,"deadline":8000.0,"credit":3.0}],
  "goal":{"whole":0.8,"worstClass":0.2},"familyInfo":{"tellsStart":false,"progress":0.0},
  "limits":{"maxAttempts":4,"dialTimeout":250.0,"connIdle":60000.0,"cancelling":true,"probing":true,"retryAfter":true,
   "maxRetryAfter":2000.0,"secondCopies":true},
  "registryMode":"on_request","report":{"source":"none","names":[]},
  "rules":{"startCapacity":0.3,"warmUp":9000.0,"overloadFactor":4.0,"fall":2000.0,"drainGrace":500.0,"askWithin":10000.0}}"#;
 const DEADLINE: u64 = 8000;
-const PAYMENTS: u64 = 60;
-/// One answer in so many is spoilt.
-const SPOILT: u64 = 8;
-/// Clients repeat by themselves up to two times, after a wait.
-const TRIES: u64 = 3;
+/// `limits.memory_mb` in `LIMITS`.
+const MEMORY_MB: f64 = 192.0;
+const BAD_CLIENTS: usize = 60;
+/// Requests that a bad client sends at once; none is of use, as it has no id.
+const AT_ONCE: usize = 300;
+const UNFIT: &[u8] = b"POST /payment HTTP/1.1\r\nHost: backend.local\r\nContent-Length: 0\r\n\r\n";
+/// How long the bad clients stay, in milliseconds.
+const FOR: u64 = 60_000;
 
-struct Spoiler {
-    worker: Arc<Worker>,
-    answers: Arc<AtomicU64>,
-    /// How often each payment has run, by its body.
-    ledger: Arc<Mutex<BTreeMap<String, Vec<String>>>>,
-}
-
-impl Executor for Spoiler {
-    fn request(&self, request: Message, stream: &mut TcpStream) -> io::Result<bool> {
-        let call = request.call();
-        if request.method != "POST" || call.is_empty() {
-            return self.worker.other(&request, stream);
+/// Sends its requests at full speed, reads what it is sent, and begins again on a new connection.
+fn bad_client(node: SocketAddr, over: &AtomicBool, answers: &AtomicUsize) {
+    let requests = UNFIT.repeat(AT_ONCE);
+    while !over.load(Ordering::SeqCst) {
+        let Ok(mut stream) = TcpStream::connect(node) else {
+            thread::sleep(ms(10));
+            continue;
+        };
+        let _ = stream.set_read_timeout(Some(ms(3000)));
+        let _ = stream.write_all(&requests);
+        let mut piece = [0; 16 * 1024];
+        while let Ok(count @ 1..) = stream.read(&mut piece) {
+            answers.fetch_add(piece[..count].windows(9).filter(|text| text == b"HTTP/1.1 ").count(), Ordering::SeqCst);
         }
-        let payment = String::from_utf8_lossy(&request.body).into_owned();
-        self.worker.begin(&call);
-        self.ledger.lock().unwrap().entry(payment).or_default().push(call.clone());
-        let spoilt = trouble() && self.answers.fetch_add(1, Ordering::SeqCst) % SPOILT == SPOILT - 1;
-        self.worker.record.line(format!("{}: runs {call}, answer {}", self.worker.id, if spoilt { "429" } else { "202" }));
-        respond(stream, if spoilt { "429 Too Many Requests" } else { "202 Accepted" }, "", "")?;
-        self.worker.run(call);
-        Ok(true)
     }
 }
 
-/// Sends the payment until it is served, fails or has been refused too often.
-fn pay(node: SocketAddr, run: u64, number: u64, record: &Record) -> io::Result<usize> {
-    let payment = format!("payment {number}");
-    let mut refused_after_run = 0;
-    for attempt in 0..TRIES {
-        let call = call_id(run, number * TRIES + attempt);
-        let mut stream = TcpStream::connect(node)?;
-        stream.set_read_timeout(Some(ms(DEADLINE + 1000)))?;
-        record.line(format!("client: sends {call}: {payment}"));
-        stream.write_all(&job("payment", &call, DEADLINE, "", payment.as_bytes()))?;
-        let answer = Reader::new(stream).next()?.ok_or(io::ErrorKind::UnexpectedEof)?;
-        record.line(format!("client: {call}: {}", answer.status()));
-        if !matches!(answer.status(), 429 | 503) {
-            break;
-        }
-        refused_after_run += 1;
-        let pause = answer.header("retry-after").and_then(|pause| pause.parse::<f64>().ok()).unwrap_or(0.1);
-        thread::sleep(ms((pause * 1e3) as u64));
-    }
-    Ok(refused_after_run)
+/// Sends one payment; returns whether it got an answer in time.
+fn pay(node: SocketAddr, call: &str, record: &Record) -> io::Result<bool> {
+    let mut stream = TcpStream::connect(node)?;
+    stream.set_read_timeout(Some(ms(DEADLINE + 500)))?;
+    record.line(format!("client: sends {call}"));
+    stream.write_all(&job("payment", call, DEADLINE, "", b"payment"))?;
+    let answer = Reader::new(stream).next();
+    let shown = answer.as_ref().map(|answer| answer.as_ref().map(|answer| answer.status()));
+    record.line(format!("client: {call}: {shown:?}"));
+    Ok(matches!(answer, Ok(Some(_))))
+}
+
+/// Resident memory of a process in megabytes, as the kernel tells it.
+fn memory_mb(pid: u32) -> Option<f64> {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+    Some(line.trim().split(' ').next()?.parse::<f64>().ok()? / 1024.0)
 }
 
 fn main() -> ExitCode {
     let record = Record::open().expect("the record");
     let (tmp, discovery, listen) = (Folder::new("tmp"), Discovery::start(&record), free_address());
-    let (attempts, answers, ledger) = (Attempts::default(), Arc::default(), Arc::<Mutex<BTreeMap<_, _>>>::default());
-    for id in ["e1", "e2", "e3", "e4"] {
-        let worker = worker(id, listen, ms(300), &record, &attempts);
-        let spoiler = Spoiler { worker, answers: Arc::clone(&answers), ledger: ledger.clone() };
-        discovery.set(Entry::up(id, start_executor(Arc::new(spoiler))));
-    }
+    let _attempts = workers(&["e1", "e2", "e3", "e4"], listen, ms(1500), &record, &discovery);
     let terms = Terms { discovery: discovery.addr, listen, limits: LIMITS, settings: SETTINGS };
     let mut node = Node::start(&terms, &tmp.0, &record);
     if !node.ready(&record) {
         return could_not_run(&record, "the node does not serve");
     }
+    let Some(before) = memory_mb(node.child.id()) else {
+        return could_not_run(&record, "the node's memory is not told");
+    };
+    record.line(format!("node: {before:.1} MB of {MEMORY_MB}"));
+    let (over, answers, lost) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
     let run = unix_ms() & 0xffff_ffff;
-    let clients: Vec<_> = (0..PAYMENTS)
-        .map(|number| {
-            let record = record.clone();
-            thread::spawn(move || {
-                thread::sleep(ms(100 * number));
-                if let Err(e) = pay(listen, run, number, &record) {
-                    record.line(format!("client: payment {number}: {e}"));
+    let usual = {
+        let (record, over, lost) = (record.clone(), over.clone(), lost.clone());
+        thread::spawn(move || {
+            let mut clients = Vec::new();
+            for number in 0.. {
+                if over.load(Ordering::SeqCst) {
+                    break;
                 }
-            })
+                let (record, lost) = (record.clone(), lost.clone());
+                clients.push(thread::spawn(move || {
+                    let call = call_id(run, number);
+                    // Who meets no node at all has handed nothing in.
+                    if let Ok(false) = pay(listen, &call, &record) {
+                        lost.fetch_add(1, Ordering::SeqCst);
+                    }
+                }));
+                thread::sleep(ms(250));
+            }
+            clients.into_iter().for_each(|client| drop(client.join()));
         })
-        .collect();
-    clients.into_iter().for_each(|client| drop(client.join()));
-    thread::sleep(ms(500));
-    if node.ended().is_some() {
-        return could_not_run(&record, "the node has ended");
+    };
+    thread::sleep(ms(3000));
+    for _ in 0..if trouble() { BAD_CLIENTS } else { 0 } {
+        let (over, answers) = (over.clone(), answers.clone());
+        thread::spawn(move || bad_client(listen, &over, &answers));
+    }
+    record.line(format!("{} bad clients begin", if trouble() { BAD_CLIENTS } else { 0 }));
+    let begun = record.now();
+    let (mut peak, mut killed, mut shown) = (before, false, begun);
+    while record.now() < begun + FOR as f64 / 1e3 && node.ended().is_none() {
+        thread::sleep(ms(10));
+        peak = memory_mb(node.child.id()).map_or(peak, |now| now.max(peak));
+        if record.now() > shown + 0.5 {
+            shown = record.now();
+            record.line(format!("node: {peak:.1} MB; {} answers to bad clients", answers.load(Ordering::SeqCst)));
+        }
+        if peak > MEMORY_MB {
+            record.line(format!("BROKEN: the node has {peak:.1} MB of {MEMORY_MB}, {:.1} s after they began; the platform kills it", record.now() - begun));
+            let _ = node.child.kill();
+            killed = true;
+            break;
+        }
     }
-    let ledger = ledger.lock().unwrap();
-    let twice: Vec<_> = ledger.iter().filter(|(_, runs)| runs.len() > 1).collect();
-    twice.iter().for_each(|(payment, runs)| record.line(format!("BROKEN: {payment} has run as {runs:?}")));
-    verdict(&record, twice.len(), "payments have run more than once")
+    let crashed = killed || node.ended().is_some();
+    over.store(true, Ordering::SeqCst);
+    drop(usual.join());
+    let lost = lost.load(Ordering::SeqCst);
+    record.line(format!("{lost} payments have no answer; the node had {peak:.1} MB at most"));
+    verdict(&record, usize::from(crashed) + usize::from(lost > 0 && !crashed), "times the node was killed for its memory, ended, or left a payment unanswered")
 }
