--- a/review/stands-2/src/bin/case-6.rs
+++ b/review/stands-2/src/bin/case-6.rs
@@ -38,7 +38,10 @@
         let _ = stream.write_all(&requests);
         let mut piece = [0; 16 * 1024];
         while let Ok(count @ 1..) = stream.read(&mut piece) {
-            answers.fetch_add(piece[..count].windows(9).filter(|text| text == b"HTTP/1.1 ").count(), Ordering::SeqCst);
+            answers.fetch_add(
+                piece[..count].windows(9).filter(|text| text == b"HTTP/1.1 ").count(),
+                Ordering::SeqCst,
+            );
         }
     }
 }
@@ -49,7 +52,7 @@
     stream.set_read_timeout(Some(ms(DEADLINE + 500)))?;
     record.line(format!("client: sends {call}"));
     stream.write_all(&job("payment", call, DEADLINE, "", b"payment"))?;
-    let answer = Reader::new(stream).next();
+    let answer = Reader::new(stream).read();
     let shown = answer.as_ref().map(|answer| answer.as_ref().map(|answer| answer.status()));
     record.line(format!("client: {call}: {shown:?}"));
     Ok(matches!(answer, Ok(Some(_))))
@@ -75,7 +78,8 @@
         return could_not_run(&record, "the node's memory is not told");
     };
     record.line(format!("node: {before:.1} MB of {MEMORY_MB}"));
-    let (over, answers, lost) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+    let (over, answers, lost) =
+        (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
     let run = unix_ms() & 0xffff_ffff;
     let usual = {
         let (record, over, lost) = (record.clone(), over.clone(), lost.clone());
@@ -111,7 +115,10 @@
         peak = memory_mb(node.child.id()).map_or(peak, |now| now.max(peak));
         if record.now() > shown + 0.5 {
             shown = record.now();
-            record.line(format!("node: {peak:.1} MB; {} answers to bad clients", answers.load(Ordering::SeqCst)));
+            record.line(format!(
+                "node: {peak:.1} MB; {} answers to bad clients",
+                answers.load(Ordering::SeqCst)
+            ));
         }
         if peak > MEMORY_MB {
             record.line(format!("BROKEN: the node has {peak:.1} MB of {MEMORY_MB}, {:.1} s after they began; the platform kills it", record.now() - begun));
@@ -125,5 +132,9 @@
     drop(usual.join());
     let lost = lost.load(Ordering::SeqCst);
     record.line(format!("{lost} payments have no answer; the node had {peak:.1} MB at most"));
-    verdict(&record, usize::from(crashed) + usize::from(lost > 0 && !crashed), "times the node was killed for its memory, ended, or left a payment unanswered")
+    verdict(
+        &record,
+        usize::from(crashed) + usize::from(lost > 0 && !crashed),
+        "times the node was killed for its memory, ended, or left a payment unanswered",
+    )
 }
--- a/review/stands-2/src/bin/case-7.rs
+++ b/review/stands-2/src/bin/case-7.rs
@@ -41,7 +41,11 @@
         self.worker.begin(&call);
         self.ledger.lock().unwrap().entry(payment).or_default().push(call.clone());
         let spoilt = trouble() && self.answers.fetch_add(1, Ordering::SeqCst) % SPOILT == SPOILT - 1;
-        self.worker.record.line(format!("{}: runs {call}, answer {}", self.worker.id, if spoilt { "429" } else { "202" }));
+        self.worker.record.line(format!(
+            "{}: runs {call}, answer {}",
+            self.worker.id,
+            if spoilt { "429" } else { "202" }
+        ));
         respond(stream, if spoilt { "429 Too Many Requests" } else { "202 Accepted" }, "", "")?;
         self.worker.run(call);
         Ok(true)
@@ -58,7 +62,7 @@
         stream.set_read_timeout(Some(ms(DEADLINE + 1000)))?;
         record.line(format!("client: sends {call}: {payment}"));
         stream.write_all(&job("payment", &call, DEADLINE, "", payment.as_bytes()))?;
-        let answer = Reader::new(stream).next()?.ok_or(io::ErrorKind::UnexpectedEof)?;
+        let answer = Reader::new(stream).read()?.ok_or(io::ErrorKind::UnexpectedEof)?;
         record.line(format!("client: {call}: {}", answer.status()));
         if !matches!(answer.status(), 429 | 503) {
             break;
@@ -73,7 +77,8 @@
 fn main() -> ExitCode {
     let record = Record::open().expect("the record");
     let (tmp, discovery, listen) = (Folder::new("tmp"), Discovery::start(&record), free_address());
-    let (attempts, answers, ledger) = (Attempts::default(), Arc::default(), Arc::<Mutex<BTreeMap<_, _>>>::default());
+    let (attempts, answers, ledger) =
+        (Attempts::default(), Arc::default(), Arc::<Mutex<BTreeMap<_, _>>>::default());
     for id in ["e1", "e2", "e3", "e4"] {
         let worker = worker(id, listen, ms(300), &record, &attempts);
         let spoiler = Spoiler { worker, answers: Arc::clone(&answers), ledger: ledger.clone() };
--- a/review/stands-2/src/bin/case-8.rs
+++ b/review/stands-2/src/bin/case-8.rs
@@ -61,7 +61,7 @@
                 stream.set_read_timeout(Some(ms(DEADLINE + 1000)))?;
                 record.line(format!("client: sends {call}"));
                 stream.write_all(&job("lookup", &call, DEADLINE, "", b"lobby"))?;
-                let answer = Reader::new(stream).next()?;
+                let answer = Reader::new(stream).read()?;
                 record.line(format!("client: {call}: {:?}", answer.map(|answer| answer.status())));
                 Ok(())
             })
--- a/review/stands-2/src/bin/case-9.rs
+++ b/review/stands-2/src/bin/case-9.rs
@@ -27,7 +27,8 @@
     stream.set_read_timeout(Some(ms(DEADLINE + 500)))?;
     let mut reader = Reader::new(stream.try_clone()?);
     let calls: Vec<String> = (0..AT_ONCE).map(|number| call_id(run, own * AT_ONCE + number)).collect();
-    let jobs: Vec<Vec<u8>> = calls.iter().map(|call| job("post", call, DEADLINE, "", &[b'x'; BODY])).collect();
+    let jobs: Vec<Vec<u8>> =
+        calls.iter().map(|call| job("post", call, DEADLINE, "", &[b'x'; BODY])).collect();
     if trouble() {
         stream.write_all(&jobs.concat())?;
         record.line(format!("client {own}: has written {} to {}", calls[0], calls[calls.len() - 1]));
@@ -37,7 +38,7 @@
         if !trouble() {
             stream.write_all(job)?;
         }
-        match reader.next() {
+        match reader.read() {
             Ok(Some(answer)) => record.line(format!("client {own}: {call}: {}", answer.status())),
             other => {
                 record.line(format!("BROKEN: client {own}: {call}: no answer: {:?}", other.err()));
--- a/review/stands-2/src/http.rs
+++ b/review/stands-2/src/http.rs
@@ -68,17 +68,19 @@
     }
 
     /// The next message, or none at the end of the stream.
-    pub fn next(&mut self) -> io::Result<Option<Message>> {
+    pub fn read(&mut self) -> io::Result<Option<Message>> {
         let Some(first) = self.line()? else { return Ok(None) };
         let mut parts = first.split(' ');
-        let (method, target) = (parts.next().unwrap_or_default().to_owned(), parts.next().unwrap_or_default().to_owned());
+        let (method, target) =
+            (parts.next().unwrap_or_default().to_owned(), parts.next().unwrap_or_default().to_owned());
         let mut message = Message { method, target, ..Message::default() };
         loop {
             let line = self.line()?.ok_or(io::ErrorKind::UnexpectedEof)?;
             let Some((name, value)) = line.split_once(':') else { break };
             message.headers.push((name.trim().to_owned(), value.trim().to_owned()));
         }
-        let chunked = message.header("transfer-encoding").is_some_and(|value| value.eq_ignore_ascii_case("chunked"));
+        let chunked =
+            message.header("transfer-encoding").is_some_and(|value| value.eq_ignore_ascii_case("chunked"));
         if chunked {
             loop {
                 let size = self.line()?.ok_or(io::ErrorKind::UnexpectedEof)?;
--- a/review/stands-2/src/lib.rs
+++ b/review/stands-2/src/lib.rs
@@ -137,7 +137,8 @@
         let mut list = list.lock().unwrap();
         list.version += 1;
         let version = list.version;
-        self.record.line(format!("discovery {}: version {version}: {} is {}", self.addr, entry.id, entry.state));
+        self.record
+            .line(format!("discovery {}: version {version}: {} is {}", self.addr, entry.id, entry.state));
         list.entries.insert(entry.id.clone(), (version, entry));
         changed.notify_all();
     }
@@ -157,18 +158,21 @@
 
     fn answer(&self, mut stream: TcpStream) -> io::Result<()> {
         let mut reader = Reader::new(stream.try_clone()?);
-        let Some(call) = reader.next()? else { return Ok(()) };
+        let Some(call) = reader.read()? else { return Ok(()) };
         let refusing = self.list.0.lock().unwrap().refusing;
         if let Some(wait) = refusing.filter(|_| call.header("x-turn").is_none()) {
             thread::sleep(wait);
             self.record.line(format!("discovery {}: {} -> 503", self.addr, call.target));
-            return stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\nconnection: close\r\n\r\n");
+            return stream.write_all(
+                b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\nconnection: close\r\n\r\n",
+            );
         }
         let index = call.target.split("index=").nth(1).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
         let (list, changed) = &*self.list;
         if !call.target.contains("stream=1") {
             let line = Self::lines(&list.lock().unwrap(), 0);
-            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\nconnection: close\r\n\r\n", line.len());
+            let head =
+                format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\nconnection: close\r\n\r\n", line.len());
             return stream.write_all((head + &line).as_bytes());
         }
         stream.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")?;
@@ -197,20 +201,27 @@
     /// The changes after a version, or for 0 the whole list.
     fn lines(list: &List, after: u64) -> String {
         let full = after == 0;
-        let listed = list.entries.values().filter(|(at, entry)| *at > after && !(full && entry.state == "removed"));
+        let listed =
+            list.entries.values().filter(|(at, entry)| *at > after && !(full && entry.state == "removed"));
         let entries: Vec<String> = listed.map(|(_, entry)| entry.json()).collect();
         format!("{{\"version\":{},\"full\":{full},\"servers\":[{}]}}\n", list.version, entries.join(","))
     }
 }
 
 /// Sends one call to the node, on a connection of its own; returns the status.
-pub fn call_once(to: SocketAddr, method: &str, target: &str, body: &str, wait: Duration) -> io::Result<(u16, Vec<u8>)> {
+pub fn call_once(
+    to: SocketAddr,
+    method: &str,
+    target: &str,
+    body: &str,
+    wait: Duration,
+) -> io::Result<(u16, Vec<u8>)> {
     let mut stream = TcpStream::connect_timeout(&to, wait)?;
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(wait))?;
     let head = format!("{method} {target} HTTP/1.1\r\nhost: backend.local\r\ncontent-length: {}\r\nconnection: close\r\n\r\n", body.len());
     stream.write_all((head + body).as_bytes())?;
-    let answer = Reader::new(stream).next()?.ok_or(io::ErrorKind::UnexpectedEof)?;
+    let answer = Reader::new(stream).read()?.ok_or(io::ErrorKind::UnexpectedEof)?;
     Ok((answer.status(), answer.body))
 }
 
@@ -239,7 +250,7 @@
     serve(listener, move |mut stream| {
         let Ok(other) = stream.try_clone() else { return };
         let mut reader = Reader::new(other);
-        while let Ok(Some(request)) = reader.next() {
+        while let Ok(Some(request)) = reader.read() {
             if !executor.request(request, &mut stream).unwrap_or(false) {
                 break;
             }
@@ -304,9 +315,8 @@
 /// A node: the command of the deploy file, started by the shell from the root.
 pub struct Node {
     pub listen: SocketAddr,
-    pub management: SocketAddr,
     pub child: Child,
-    folder: Folder,
+    _folder: Folder,
 }
 
 /// What a node is told, beside its addresses. `settings` is the settings object as text.
@@ -362,7 +372,7 @@
             let _ = file.and_then(|mut file| writeln!(file, "{}", child.id()));
         }
         record.line(format!("node {}: started at {listen}", child.id()));
-        Node { listen, management, child, folder }
+        Node { listen, child, _folder: folder }
     }
 
     /// Waits until the node serves.
@@ -381,21 +391,6 @@
         false
     }
 
-    /// Puts a new configuration in the place of the old one, and tells the node.
-    pub fn reload(&self, terms: &Terms, record: &Record) {
-        let path = self.folder.0.join("config.json");
-        let new = path.with_extension("new");
-        std::fs::write(&new, terms.config(self.management)).expect("the new configuration");
-        std::fs::rename(new, path).expect("the new configuration in place");
-        record.line(format!("configuration: discovery is {} now", terms.discovery));
-        self.signal("HUP", record);
-    }
-
-    pub fn signal(&self, name: &str, record: &Record) {
-        record.line(format!("node {}: gets {name}", self.child.id()));
-        let _ = Command::new("/bin/sh").args(["-c", &format!("kill -{name} {}", self.child.id())]).status();
-    }
-
     pub fn ended(&mut self) -> Option<std::process::ExitStatus> {
         self.child.try_wait().ok().flatten()
     }
@@ -422,7 +417,9 @@
     serve(listener, move |client| {
         let Ok(server) = TcpStream::connect(to) else { return };
         let _ = server.set_nodelay(true);
-        let (Ok(mut from_client), Ok(mut to_server)) = (client.try_clone(), server.try_clone()) else { return };
+        let (Ok(mut from_client), Ok(mut to_server)) = (client.try_clone(), server.try_clone()) else {
+            return;
+        };
         let onward = thread::spawn(move || {
             let mut piece = [0; 16 * 1024];
             while let Ok(count @ 1..) = from_client.read(&mut piece) {
@@ -490,7 +487,12 @@
             }
             ("GET", "/alive") => "200 OK",
             ("GET", "/metrics/load") => {
-                respond(stream, "200 OK", "", r#"{"x0":8.0,"queue":0,"inflight":0,"depth":0,"concurrent":0}"#)?;
+                respond(
+                    stream,
+                    "200 OK",
+                    "",
+                    r#"{"x0":8.0,"queue":0,"inflight":0,"depth":0,"concurrent":0}"#,
+                )?;
                 return Ok(true);
             }
             _ => "404 Not Found",
@@ -529,12 +531,24 @@
     }
 }
 
-pub fn worker(id: &'static str, node: SocketAddr, work: Duration, record: &Record, attempts: &Attempts) -> Arc<Worker> {
+pub fn worker(
+    id: &'static str,
+    node: SocketAddr,
+    work: Duration,
+    record: &Record,
+    attempts: &Attempts,
+) -> Arc<Worker> {
     Arc::new(Worker { id, node, work, record: record.clone(), attempts: attempts.clone() })
 }
 
 /// Starts plain workers with these ids and lists them.
-pub fn workers(ids: &[&'static str], node: SocketAddr, work: Duration, record: &Record, discovery: &Discovery) -> Attempts {
+pub fn workers(
+    ids: &[&'static str],
+    node: SocketAddr,
+    work: Duration,
+    record: &Record,
+    discovery: &Discovery,
+) -> Attempts {
     let attempts = Attempts::default();
     for id in ids {
         let plain = Plain(worker(id, node, work, record, &attempts));
@@ -597,13 +611,19 @@
     stream.set_read_timeout(Some(ms(deadline_ms + 1000)))?;
     record.line(format!("client: sends {call}"));
     stream.write_all(&job("payment", call, deadline_ms, "", b"payment"))?;
-    let answer = Reader::new(stream).next()?;
+    let answer = Reader::new(stream).read()?;
     record.line(format!("client: {call}: {:?}", answer.map(|answer| answer.status())));
     Ok(())
 }
 
 /// Sends payments to the nodes in turn, one every so many milliseconds for so long; the thread ends with the last answer.
-pub fn payments(nodes: Vec<SocketAddr>, each_ms: u64, for_ms: u64, deadline_ms: u64, record: &Record) -> thread::JoinHandle<()> {
+pub fn payments(
+    nodes: Vec<SocketAddr>,
+    each_ms: u64,
+    for_ms: u64,
+    deadline_ms: u64,
+    record: &Record,
+) -> thread::JoinHandle<()> {
     let (record, run) = (record.clone(), unix_ms() & 0xffff_ffff);
     thread::spawn(move || {
         let mut clients = Vec::new();
@@ -626,7 +646,7 @@
     let mut stream = TcpStream::connect(discovery.addr)?;
     stream.set_read_timeout(Some(ms(2000)))?;
     stream.write_all(b"GET /discovery/hosts HTTP/1.1\r\nhost: discovery\r\nx-turn: 1\r\n\r\n")?;
-    let list = Reader::new(stream).next()?.map(|answer| String::from_utf8_lossy(&answer.body).into_owned());
+    let list = Reader::new(stream).read()?.map(|answer| String::from_utf8_lossy(&answer.body).into_owned());
     record.line(format!("another node: is told {}", list.unwrap_or_default().trim_end()));
     Ok(())
 }
@@ -641,7 +661,8 @@
     let attempts = attempts.lock().unwrap();
     let broken: Vec<_> = attempts.iter().filter(|a| a.executor == "e4" && a.begun > late).collect();
     for attempt in &broken {
-        record.line(format!("BROKEN: {:.3} s after it began to count: {attempt:?}", attempt.begun - told_from));
+        record
+            .line(format!("BROKEN: {:.3} s after it began to count: {attempt:?}", attempt.begun - told_from));
     }
     broken.len()
 }
@@ -649,7 +670,8 @@
 /// The exit code, written to the record with the reason.
 pub fn verdict(record: &Record, broken: usize, words: &str) -> std::process::ExitCode {
     let code = if broken > 0 { BROKEN } else { HELD };
-    let line = format!("verdict: {} ({broken} {words}), trouble {}", ["held", "BROKEN"][code as usize], trouble());
+    let line =
+        format!("verdict: {} ({broken} {words}), trouble {}", ["held", "BROKEN"][code as usize], trouble());
     record.line(&line);
     println!("{line}");
     std::process::ExitCode::from(code as u8)
