--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -20,7 +20,7 @@
     child=$!
     wait "$child"
     code=$?
-    [ $code -eq 2 ] || break
+    [ $code -eq 3 ] || break
 done
 [ $code -le 2 ] || end 2
 rm -rf "$folder"
--- a/review/stands-2/src/bin/case-10.rs
+++ b/review/stands-2/src/bin/case-10.rs
@@ -40,7 +40,7 @@
         views.push((discovery, leaving));
     }
     if !nodes.iter_mut().all(|node| node.ready(&record)) {
-        return could_not_run(&record, "a node does not serve");
+        return did_not_start(&record);
     }
     let listens = nodes.iter().map(|node| node.listen).collect();
     let for_ms = 2000 + (OUTAGE * 1e3) as u64 + 10_000;
--- a/review/stands-2/src/bin/case-9.rs
+++ b/review/stands-2/src/bin/case-9.rs
@@ -56,7 +56,7 @@
     let terms = Terms { discovery: discovery.addr, listen, limits: LIMITS, settings: SETTINGS };
     let mut node = Node::start(&terms, &tmp.0, &record);
     if !node.ready(&record) {
-        return could_not_run(&record, "the node does not serve");
+        return did_not_start(&record);
     }
     let (run, mut lost) = (unix_ms() & 0xffff_ffff, 0);
     let clients: Vec<_> = (0..CLIENTS)
--- a/review/stands-2/src/lib.rs
+++ b/review/stands-2/src/lib.rs
@@ -22,6 +22,8 @@
 pub const HELD: i32 = 0;
 pub const BROKEN: i32 = 1;
 pub const COULD_NOT_RUN: i32 = 2;
+/// A node could not start: `run.sh` plays the case again.
+pub const DID_NOT_START: i32 = 3;
 
 /// Whether the disruption is played.
 pub fn trouble() -> bool {
@@ -677,6 +679,12 @@
     std::process::ExitCode::from(code as u8)
 }
 
+pub fn did_not_start(record: &Record) -> std::process::ExitCode {
+    record.line("a node does not serve");
+    eprintln!("a node does not serve");
+    std::process::ExitCode::from(DID_NOT_START as u8)
+}
+
 pub fn could_not_run(record: &Record, why: &str) -> std::process::ExitCode {
     record.line(format!("could not run: {why}"));
     eprintln!("could not run: {why}");
