--- a/review/stands-2/src/bin/case-10.rs
+++ b/review/stands-2/src/bin/case-10.rs
@@ -7,15 +7,9 @@
 
 use stands_2::*;
 
-const SETTINGS: &str = r#"{"me":ME,"replicasOfMe":24,"zone":"a","zones":["a"],"skus":["k"],
- "categories":[{"name":"payment","effect":"single_shot","onTime":800.0,"deadline":8000.0,"credit":3.0}],
- "goal":{"whole":0.8,"worstClass":0.2},"familyInfo":{"tellsStart":false,"progress":0.0},
- "limits":{"maxAttempts":4,"dialTimeout":250.0,"connIdle":60000.0,"cancelling":true,"probing":true,"retryAfter":true,
-  "maxRetryAfter":2000.0,"secondCopies":true},
- "registryMode":"on_request","report":{"source":"none","names":[]},
- "rules":{"startCapacity":0.3,"warmUp":9000.0,"overloadFactor":4.0,"fall":2000.0,"drainGrace":500.0,"askWithin":10000.0}}"#;
 const DEADLINE: u64 = 8000;
-/// These of the 24 nodes are started, each a process.
+const FLEET: usize = 24;
+/// These of its nodes are started, each a process.
 const NODES: [usize; 6] = [0, 4, 8, 12, 16, 20];
 /// How long discovery is out of reach; a call ends with 503 after this wait meanwhile.
 const OUTAGE: f64 = 23.0;
@@ -33,7 +27,8 @@
         // Each node sees discovery and the executors under addresses of its own.
         let (tmp, discovery, listen) = (Folder::new("tmp"), Discovery::start(&record), free_address());
         let leaving = four_executors(listen, &[&discovery], (&record, &attempts, &gone));
-        let settings = SETTINGS.replace("ME", &me.to_string());
+        let settings =
+            Deployment { me, nodes: FLEET, ..Deployment::of("payment", "single_shot", DEADLINE) }.settings();
         let terms = Terms { discovery: discovery.addr, listen, limits: LIMITS, settings: &settings };
         nodes.push(Node::start(&terms, &tmp.0, &record));
         folders.push(tmp);
--- a/review/stands-2/src/bin/case-6.rs
+++ b/review/stands-2/src/bin/case-6.rs
@@ -9,13 +9,6 @@
 
 use stands_2::*;
 
-const SETTINGS: &str = r#"{"me":0,"replicasOfMe":4,"zone":"a","zones":["a"],"skus":["k"],
- "categories":[{"name":"payment","effect":"single_shot","onTime":2500.0,"deadline":8000.0,"credit":3.0}],
- "goal":{"whole":0.8,"worstClass":0.2},"familyInfo":{"tellsStart":false,"progress":0.0},
- "limits":{"maxAttempts":4,"dialTimeout":250.0,"connIdle":60000.0,"cancelling":true,"probing":true,"retryAfter":true,
-  "maxRetryAfter":2000.0,"secondCopies":true},
- "registryMode":"on_request","report":{"source":"none","names":[]},
- "rules":{"startCapacity":0.3,"warmUp":9000.0,"overloadFactor":4.0,"fall":2000.0,"drainGrace":500.0,"askWithin":10000.0}}"#;
 const DEADLINE: u64 = 8000;
 /// `limits.memory_mb` in `LIMITS`.
 const MEMORY_MB: f64 = 192.0;
@@ -69,7 +62,8 @@
     let record = Record::open().expect("the record");
     let (tmp, discovery, listen) = (Folder::new("tmp"), Discovery::start(&record), free_address());
     let _attempts = workers(&["e1", "e2", "e3", "e4"], listen, ms(1500), &record, &discovery);
-    let terms = Terms { discovery: discovery.addr, listen, limits: LIMITS, settings: SETTINGS };
+    let settings = Deployment::of("payment", "single_shot", DEADLINE).settings();
+    let terms = Terms { discovery: discovery.addr, listen, limits: LIMITS, settings: &settings };
     let mut node = Node::start(&terms, &tmp.0, &record);
     if !node.ready(&record) {
         return did_not_start(&record);
--- a/review/stands-2/src/bin/case-7.rs
+++ b/review/stands-2/src/bin/case-7.rs
@@ -10,13 +10,6 @@
 
 use stands_2::*;
 
-const SETTINGS: &str = r#"{"me":0,"replicasOfMe":4,"zone":"a","zones":["a"],"skus":["k"],
- "categories":[{"name":"payment","effect":"single_shot","onTime":800.0,"deadline":8000.0,"credit":3.0}],
- "goal":{"whole":0.8,"worstClass":0.2},"familyInfo":{"tellsStart":false,"progress":0.0},
- "limits":{"maxAttempts":4,"dialTimeout":250.0,"connIdle":60000.0,"cancelling":true,"probing":true,"retryAfter":true,
-  "maxRetryAfter":2000.0,"secondCopies":true},
- "registryMode":"on_request","report":{"source":"none","names":[]},
- "rules":{"startCapacity":0.3,"warmUp":9000.0,"overloadFactor":4.0,"fall":2000.0,"drainGrace":500.0,"askWithin":10000.0}}"#;
 const DEADLINE: u64 = 8000;
 const PAYMENTS: u64 = 60;
 /// One answer in so many is spoilt.
@@ -84,7 +77,8 @@
         let spoiler = Spoiler { worker, answers: Arc::clone(&answers), ledger: ledger.clone() };
         discovery.set(Entry::up(id, start_executor(Arc::new(spoiler))));
     }
-    let terms = Terms { discovery: discovery.addr, listen, limits: LIMITS, settings: SETTINGS };
+    let settings = Deployment::of("payment", "single_shot", DEADLINE).settings();
+    let terms = Terms { discovery: discovery.addr, listen, limits: LIMITS, settings: &settings };
     let mut node = Node::start(&terms, &tmp.0, &record);
     if !node.ready(&record) {
         return did_not_start(&record);
--- a/review/stands-2/src/bin/case-8.rs
+++ b/review/stands-2/src/bin/case-8.rs
@@ -9,13 +9,6 @@
 
 use stands_2::*;
 
-const SETTINGS: &str = r#"{"me":0,"replicasOfMe":2,"zone":"a","zones":["a"],"skus":["k"],
- "categories":[{"name":"lookup","effect":"free","onTime":2500.0,"deadline":5000.0,"credit":5.0}],
- "goal":{"whole":0.8,"worstClass":0.2},"familyInfo":{"tellsStart":false,"progress":0.0},
- "limits":{"maxAttempts":3,"dialTimeout":250.0,"connIdle":60000.0,"cancelling":true,"probing":true,"retryAfter":true,
-  "maxRetryAfter":2000.0,"secondCopies":false},
- "registryMode":"pushed","report":{"source":"none","names":[]},
- "rules":{"startCapacity":0.35,"warmUp":8600.0,"overloadFactor":4.0,"fall":2000.0,"drainGrace":500.0}}"#;
 const DEADLINE: u64 = 5000;
 const JOBS: u64 = 90;
 /// Answers get lost for 6 s, one in so many.
@@ -45,7 +38,14 @@
         };
         discovery.set(Entry::up(id, proxy(executor, passes)));
     }
-    let terms = Terms { discovery: discovery.addr, listen, limits: LIMITS, settings: SETTINGS };
+    let settings = Deployment {
+        nodes: 2,
+        second_copies: false,
+        registry_mode: "pushed",
+        ..Deployment::of("lookup", "free", DEADLINE)
+    }
+    .settings();
+    let terms = Terms { discovery: discovery.addr, listen, limits: LIMITS, settings: &settings };
     let mut node = Node::start(&terms, &tmp.0, &record);
     if !node.ready(&record) {
         return did_not_start(&record);
--- a/review/stands-2/src/bin/case-9.rs
+++ b/review/stands-2/src/bin/case-9.rs
@@ -7,13 +7,6 @@
 
 use stands_2::*;
 
-const SETTINGS: &str = r#"{"me":0,"replicasOfMe":4,"zone":"a","zones":["a"],"skus":["k"],
- "categories":[{"name":"post","effect":"free","onTime":2500.0,"deadline":10000.0,"credit":1.0}],
- "goal":{"whole":0.8,"worstClass":0.2},"familyInfo":{"tellsStart":false,"progress":0.0},
- "limits":{"maxAttempts":4,"dialTimeout":250.0,"connIdle":60000.0,"cancelling":true,"probing":true,"retryAfter":true,
-  "maxRetryAfter":2000.0,"secondCopies":true},
- "registryMode":"on_request","report":{"source":"none","names":[]},
- "rules":{"startCapacity":0.3,"warmUp":9000.0,"overloadFactor":4.0,"fall":2000.0,"drainGrace":500.0,"askWithin":10000.0}}"#;
 const DEADLINE: u64 = 10_000;
 const CLIENTS: u64 = 4;
 const AT_ONCE: u64 = 40;
@@ -53,7 +46,8 @@
     let record = Record::open().expect("the record");
     let (tmp, discovery, listen) = (Folder::new("tmp"), Discovery::start(&record), free_address());
     let _attempts = workers(&["e1", "e2", "e3", "e4"], listen, ms(20), &record, &discovery);
-    let terms = Terms { discovery: discovery.addr, listen, limits: LIMITS, settings: SETTINGS };
+    let settings = Deployment::of("post", "free", DEADLINE).settings();
+    let terms = Terms { discovery: discovery.addr, listen, limits: LIMITS, settings: &settings };
     let mut node = Node::start(&terms, &tmp.0, &record);
     if !node.ready(&record) {
         return did_not_start(&record);
--- a/review/stands-2/src/lib.rs
+++ b/review/stands-2/src/lib.rs
@@ -338,6 +338,38 @@
     }
 }
 
+/// The settings of a small deployment with one operation.
+pub struct Deployment {
+    pub me: usize,
+    pub nodes: usize,
+    pub operation: &'static str,
+    pub effect: &'static str,
+    pub deadline_ms: u64,
+    pub second_copies: bool,
+    pub registry_mode: &'static str,
+}
+
+impl Deployment {
+    /// Four nodes that ask for the list.
+    pub fn of(operation: &'static str, effect: &'static str, deadline_ms: u64) -> Deployment {
+        let registry_mode = "on_request";
+        Deployment { me: 0, nodes: 4, operation, effect, deadline_ms, second_copies: true, registry_mode }
+    }
+
+    pub fn settings(&self) -> String {
+        let Deployment { me, nodes, operation, effect, deadline_ms, second_copies, registry_mode } = self;
+        format!(
+            r#"{{"me":{me},"replicasOfMe":{nodes},"zone":"a","zones":["a"],"skus":["k"],
+ "categories":[{{"name":"{operation}","effect":"{effect}","onTime":2500.0,"deadline":{deadline_ms}.0,"credit":3.0}}],
+ "goal":{{"whole":0.8,"worstClass":0.2}},"familyInfo":{{"tellsStart":false,"progress":0.0}},
+ "limits":{{"maxAttempts":4,"dialTimeout":250.0,"connIdle":60000.0,"cancelling":true,"probing":true,"retryAfter":true,
+  "maxRetryAfter":2000.0,"secondCopies":{second_copies}}},
+ "registryMode":"{registry_mode}","report":{{"source":"none","names":[]}},
+ "rules":{{"startCapacity":0.3,"warmUp":9000.0,"overloadFactor":4.0,"fall":2000.0,"drainGrace":500.0,"askWithin":10000.0}}}}"#
+        )
+    }
+}
+
 /// The limits of a node, as on the days that are scored.
 pub const LIMITS: &str = r#"{"cores":1.0,"memory_mb":192,"sockets":1024}"#;
 
