--- a/review/stands-2/play.sh
+++ b/review/stands-2/play.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Plays the case with this number against the deploy file's build, after review/build-2.sh; its record goes to review/NUMBER.
+# play.sh NUMBER RECORD: plays the case with this number against the deploy file's build, after review/build-2.sh.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves out the disruption.
 root=$(cd "$(dirname "$0")/../.." && pwd) || exit 2
 case=$root/review/stands-2/target/release/case-$1
@@ -15,7 +15,7 @@
 # Again if a node could not start (3): another program may have taken its port just then.
 for _ in 1 2 3; do
     rm -f "$folder/pids"
-    CASE=$root/review/$1 ROOT=$root PIDS=$folder/pids TMPDIR=$folder "$case" &
+    RECORD=$2 ROOT=$root PIDS=$folder/pids TMPDIR=$folder "$case" &
     child=$!
     wait "$child"
     code=$?
--- a/review/stands-2/src/lib.rs
+++ b/review/stands-2/src/lib.rs
@@ -39,7 +39,7 @@
 
 impl Record {
     pub fn open() -> io::Result<Record> {
-        let file = Arc::new(Mutex::new(File::create(case_folder().join("record.txt"))?));
+        let file = Arc::new(Mutex::new(File::create(record_file())?));
         Ok(Record { file, start: Instant::now() })
     }
 
@@ -437,9 +437,9 @@
     }
 }
 
-/// The case's folder, where its record goes.
-fn case_folder() -> PathBuf {
-    std::env::var_os("CASE").map(PathBuf::from).expect("CASE names the case's folder")
+/// Where the case's record goes.
+fn record_file() -> PathBuf {
+    std::env::var_os("RECORD").map(PathBuf::from).expect("RECORD names the record")
 }
 
 /// A proxy in front of an executor: passes bytes on both ways, also the end of either side. `answer` gets each piece that
