One bound for all that client connections tell the driver

What callers saw: payments without an answer.

Cause: ClientServer told the driver of each request that it turned away by a channel without a bound, and connections answer such requests without waiting for it. Jobs, reports and answers waited behind all of these.

Change: events of client connections (jobs, requests turned away, reports, pushed lists) share 64 places; a place is free once its event was handled, and they are given in the order of the calls. A connection that waits for one passes nothing further to the parser.

--- a/crates/coveroute-node/src/client_connection.rs
+++ b/crates/coveroute-node/src/client_connection.rs
@@ -63,6 +63,8 @@
     job: Cell<Option<InvocationId>>,
     /// Bytes that were received and not passed to the parser yet.
     unparsed: Cell<usize>,
+    /// The answer to a request waits for the driver: no further request is passed to the parser.
+    is_paused: Cell<bool>,
     /// Received bytes were discarded: the connection can't be reused after the response.
     has_overrun: Cell<bool>,
     /// A response is only partly written.
@@ -105,6 +107,7 @@
             socket,
             job,
             unparsed,
+            is_paused: Cell::new(false),
             has_overrun,
             is_write_pending,
             is_handed_over,
@@ -199,6 +202,16 @@
         }
     }
 
+    /// Sets whether further requests are held back while the answer to one waits for the driver.
+    pub fn set_paused(&self, paused: bool) {
+        self.is_paused.set(paused);
+    }
+
+    /// Whether further requests are held back, because one is not answered yet.
+    pub fn holds_back(&self) -> bool {
+        self.is_paused.get() || self.state() == ConnectionState::AwaitingAnswer
+    }
+
     /// A complete request has arrived.
     pub fn set_waiting(&self) {
         self.enter(ConnectionState::AwaitingAnswer);
--- a/crates/coveroute-node/src/client_stream.rs
+++ b/crates/coveroute-node/src/client_stream.rs
@@ -12,7 +12,7 @@
 use memchr::memchr_iter;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-use crate::client_connection::{ClientConnection, ConnectionState};
+use crate::client_connection::ClientConnection;
 use crate::socket::Socket;
 
 /// Largest single read from the socket, in bytes.
@@ -125,7 +125,7 @@
 
 impl AsyncRead for ClientStream {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
-        if self.connection.state() == ConnectionState::AwaitingAnswer {
+        if self.connection.holds_back() {
             self.burst_left = MAX_BURST;
             return self.poll_until_end(cx);
         }
--- a/crates/coveroute-node/src/driver.rs
+++ b/crates/coveroute-node/src/driver.rs
@@ -246,6 +246,10 @@
 
     pub fn handle_event(&mut self, event: DriverEvent) {
         match event {
+            DriverEvent::FromClient(event, slot) => {
+                self.handle_event(*event);
+                drop(slot);
+            }
             DriverEvent::Accepted(id, job, client) => {
                 self.fleet_member
                     .iter()
--- a/crates/coveroute-node/src/event.rs
+++ b/crates/coveroute-node/src/event.rs
@@ -1,11 +1,12 @@
-//! Events: what the socket modules report to the driver.
+//! Events: what the socket modules report to the driver, and the bound on those that clients cause.
 use std::rc::Rc;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use coveroute::types::{ExecutorIndex, InvocationId, Outcome, PeerMessageKind, Report};
 use coveroute_engine::{JobReport, JobResult, NodeMetrics, Reply, WatchEvent};
 use coveroute_fleet::FleetConfig;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, OwnedSemaphorePermit, Semaphore};
 
 use crate::attempt::AttemptFigures;
 use crate::client_connection::Client;
@@ -14,8 +15,46 @@
 use crate::link::{Link, LinkEvent, Side};
 use crate::request::Job;
 
+/// Unbounded: for events whose number the sender bounds by itself.
 pub type EventSender = mpsc::UnboundedSender<DriverEvent>;
 
+/// Events of client connections that may wait for the driver at once.
+const MAX_QUEUED_CLIENT_EVENTS: usize = 64;
+
+/// A place among the queued client events. It is free again when it is dropped.
+pub type QueueSlot = OwnedSemaphorePermit;
+
+/// Sends the events of all client connections. At most `MAX_QUEUED_CLIENT_EVENTS` of them wait for the driver at
+/// once; a connection whose event has no place waits, and reads nothing further meanwhile. Clients that send faster
+/// than the driver works are thus slowed down by TCP, and what other clients send is not queued behind all of it.
+pub struct ClientEvents {
+    events: EventSender,
+    slots: Arc<Semaphore>,
+}
+
+impl ClientEvents {
+    pub fn new(events: EventSender) -> Self {
+        ClientEvents { events, slots: Arc::new(Semaphore::new(MAX_QUEUED_CLIENT_EVENTS)) }
+    }
+
+    /// Waits for a place in the queue, in the order of the calls.
+    pub async fn slot(&self) -> Option<QueueSlot> {
+        // Fails only for a closed semaphore, and this one is never closed.
+        self.slots.clone().acquire_owned().await.ok()
+    }
+
+    /// Sends the event, which keeps its place until the driver has handled it.
+    pub fn send(&self, slot: Option<QueueSlot>, event: DriverEvent) {
+        let _ = self.events.send(DriverEvent::FromClient(Box::new(event), slot));
+    }
+
+    /// Reports that the client of a job has disconnected. It takes no place, as there is one such event at most for
+    /// each `Accepted`, which had one.
+    pub fn client_disconnected(&self, id: InvocationId) {
+        let _ = self.events.send(DriverEvent::Disconnected(id));
+    }
+}
+
 /// The figures reported in the metrics: the engine's and those of attempts.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct NodeFigures {
@@ -25,6 +64,8 @@
 
 /// An event for the driver.
 pub enum DriverEvent {
+    /// An event of a client connection, with its place in the queue.
+    FromClient(Box<DriverEvent>, Option<QueueSlot>),
     /// A client's request was read completely.
     Accepted(InvocationId, Box<Job>, Client),
     /// The client has closed its connection.
--- a/crates/coveroute-node/src/race_tests.rs
+++ b/crates/coveroute-node/src/race_tests.rs
@@ -65,8 +65,10 @@
 /// Waits for the first accepted job.
 async fn first_job(event_receiver: &mut UnboundedReceiver<DriverEvent>) -> (u64, Box<dyn std::any::Any>) {
     loop {
-        if let DriverEvent::Accepted(id, _, answer) = event_receiver.recv().await.expect("an event") {
-            return (id.into(), Box::new(answer));
+        let event = event_receiver.recv().await.expect("an event");
+        let DriverEvent::FromClient(event, _slot) = event else { continue };
+        if let DriverEvent::Accepted(id, _, client) = *event {
+            return (id.into(), Box::new(client));
         }
     }
 }
--- a/crates/coveroute-node/src/server.rs
+++ b/crates/coveroute-node/src/server.rs
@@ -26,7 +26,7 @@
 use crate::client_stream::ClientStream;
 use crate::clock::Clock;
 use crate::descriptors::Descriptors;
-use crate::event::{DriverEvent, EventSender};
+use crate::event::{ClientEvents, DriverEvent, EventSender, QueueSlot};
 use crate::hosts::Hosts;
 use crate::node_state::NodeState;
 use crate::socket::Socket;
@@ -53,7 +53,7 @@
 pub struct ClientServer {
     clock: Clock,
     node_state: Rc<NodeState>,
-    events: EventSender,
+    events: ClientEvents,
     connections: ClientConnections,
     /// Maximum number of connections with a pending request.
     max_waiting: usize,
@@ -76,7 +76,7 @@
         ClientServer {
             clock,
             node_state,
-            events,
+            events: ClientEvents::new(events),
             connections: ClientConnections::default(),
             max_waiting,
             max_others,
@@ -205,6 +205,20 @@
         }
     }
 
+    /// Waits for a place in the driver's queue. The connection passes on no further request meanwhile.
+    async fn queue_slot(&self, connection: Option<&Rc<ClientConnection>>) -> Option<QueueSlot> {
+        connection.iter().for_each(|connection| connection.set_paused(true));
+        let slot = self.events.slot().await;
+        connection.iter().for_each(|connection| connection.set_paused(false));
+        slot
+    }
+
+    /// Sends an event of the connection to the driver once there is a place for it.
+    async fn report(&self, connection: Option<&Rc<ClientConnection>>, event: DriverEvent) {
+        let slot = self.queue_slot(connection).await;
+        self.events.send(slot, event);
+    }
+
     async fn answer(
         &self,
         mut request: Request,
@@ -217,9 +231,9 @@
                 Answer::Succeeded("up\n".into())
             }
             (wire::UP, _) => Answer::Throttled { pause: 0.0 },
-            (wire::NEWS, &Method::POST) => self.news(&mut request).await,
+            (wire::NEWS, &Method::POST) => self.news(&mut request, connection).await,
             (wire::NEWS, _) => Answer::Invalid(StatusCode::METHOD_NOT_ALLOWED, "news come by POST"),
-            (wire::HOSTS, _) => self.pushed_list(request).await,
+            (wire::HOSTS, _) => self.pushed_list(request, connection).await,
             _ => {
                 let class = request::operation(request.path()).to_owned();
                 match request::read_job(request, received_at).await {
@@ -229,7 +243,7 @@
                     }
                     Err(invalid) => {
                         if !matches!(invalid, Answer::Invalid(_, request::BODY_INCOMPLETE)) {
-                            let _ = self.events.send(DriverEvent::Ended(class, JobResult::Errored));
+                            self.report(connection, DriverEvent::Ended(class, JobResult::Errored)).await;
                         }
                         invalid
                     }
@@ -241,13 +255,14 @@
 
     /// Handles an executor's job status update. While another process of this node is alive, the update is
     /// acknowledged once the process that serves the job has received it, and otherwise at once.
-    async fn news(&self, request: &mut Request) -> Answer {
+    async fn news(&self, request: &mut Request, connection: Option<&Rc<ClientConnection>>) -> Answer {
         let (acknowledge, acknowledged) = self.node_state.paired().then(oneshot::channel).unzip();
         let acknowledge = Cell::new(acknowledge);
         let news = |body: &Bytes| {
             Ok(DriverEvent::JobReport(callbacks::parse(body)?, body.clone(), acknowledge.take()))
         };
-        let answer = self.forward_body(request, wire::MAX_BODY_BYTES, "a job status update", news).await;
+        let limit = wire::MAX_BODY_BYTES;
+        let answer = self.forward_body(request, connection, (limit, "a job status update"), news).await;
         match (answer, acknowledged) {
             (Answer::Succeeded(body), Some(acknowledged)) => match acknowledged.await {
                 Ok(false) => Answer::Throttled { pause: 0.0 },
@@ -258,7 +273,7 @@
     }
 
     /// Handles a pushed list of executors. Only discovery's host may push one, so that clients can't.
-    async fn pushed_list(&self, mut request: Request) -> Answer {
+    async fn pushed_list(&self, mut request: Request, connection: Option<&Rc<ClientConnection>>) -> Answer {
         let peer = request.peer_addr().map(|peer| peer.ip());
         if peer.is_none() || peer != self.node_state.lists_from() {
             return Answer::Invalid(StatusCode::FORBIDDEN, "the list is not taken from there");
@@ -270,7 +285,8 @@
             let hosts = serde_json::from_slice::<Hosts>(body).map_err(|e| e.to_string())?;
             Ok(DriverEvent::Watch(NO_WATCH, WatchEvent::Listed(hosts.into())))
         };
-        self.forward_body(&mut request, discovery::MAX_LIST_BYTES, "a list of executors", list).await
+        let limit = discovery::MAX_LIST_BYTES;
+        self.forward_body(&mut request, connection, (limit, "a list of executors"), list).await
     }
 
     /// Parses a body of at most `most` bytes and sends the result to the driver. `what` names the body in the
@@ -278,8 +294,8 @@
     async fn forward_body(
         &self,
         request: &mut Request,
-        most: usize,
-        what: &str,
+        connection: Option<&Rc<ClientConnection>>,
+        (most, what): (usize, &str),
         parse: impl Fn(&Bytes) -> Result<DriverEvent, String>,
     ) -> Answer {
         let payload = request.take_payload();
@@ -289,7 +305,7 @@
         };
         match parse(&body) {
             Ok(event) => {
-                let _ = self.events.send(event);
+                self.report(connection, event).await;
                 Answer::Succeeded("".into())
             }
             Err(e) => {
@@ -310,17 +326,18 @@
         if self.connections.borrow().values().filter(is_waiting).count()
             > self.node_state.share_of(self.max_waiting)
         {
-            let _ = self.events.send(DriverEvent::Ended(job.call.class, JobResult::Throttled));
+            self.report(connection, DriverEvent::Ended(job.call.class, JobResult::Throttled)).await;
             return (
                 Answer::Throttled { pause: OVERLOAD_RETRY_AFTER.min(self.node_state.max_pause()) },
                 AfterResponse::Close,
             );
         }
+        let slot = self.queue_slot(connection).await;
         let id = self.node_state.next_id();
         connection.iter().for_each(|connection| connection.set_job(id));
         let (answer, answered) = oneshot::channel();
         let client = Client { answer, connection: connection.cloned() };
-        let _ = self.events.send(DriverEvent::Accepted(id, Box::new(job), client));
+        self.events.send(slot, DriverEvent::Accepted(id, Box::new(job), client));
         // actix-http drops this future, and the guard with it, when the client closes the connection.
         let mut guard = DisconnectGuard { id, events: &self.events, answered: false };
         let answer = answered.await;
@@ -332,14 +349,14 @@
 /// Reports the client as disconnected if it is dropped before the job is answered.
 struct DisconnectGuard<'a> {
     id: InvocationId,
-    events: &'a EventSender,
+    events: &'a ClientEvents,
     answered: bool,
 }
 
 impl Drop for DisconnectGuard<'_> {
     fn drop(&mut self) {
         if !self.answered {
-            let _ = self.events.send(DriverEvent::Disconnected(self.id));
+            self.events.client_disconnected(self.id);
         }
     }
 }
@@ -434,7 +451,7 @@
             // The client disconnected during the handover.
             (Err(_), Some((connection, id, _))) => {
                 connection.set_closed();
-                let _ = server.events.send(DriverEvent::Disconnected(id));
+                server.events.client_disconnected(id);
             }
             (Err(_), None) => {}
         }
--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -527,7 +527,7 @@
         let addr = listener.local_addr().expect("an address");
         actix_rt::spawn(server::accept(listener, server, unbounded_channel().1));
         let made = actix_rt::task::spawn_blocking(move || client(addr)).await.expect("a client");
-        let taken = |what: &DriverEvent| matches!(what, DriverEvent::Accepted(..));
+        let taken = |what: &DriverEvent| matches!(what, DriverEvent::FromClient(event, _) if matches!(**event, DriverEvent::Accepted(..)));
         (made, std::iter::from_fn(|| event_receiver.try_recv().ok()).filter(taken).count())
     })
 }
--- a/crates/coveroute-node/tests/crowds/harness.rs
+++ b/crates/coveroute-node/tests/crowds/harness.rs
@@ -56,19 +56,25 @@
     ask(&mut stream, &get(path)).map(|answer| answer.0)
 }
 
+/// The time for which a client waits for a job: the budget sent to the node, and a margin for a busy machine.
+const JOB_TIMEOUT: Duration = Duration::from_millis(2500);
+
+/// Sends a job that runs for `millis` once, on a new connection, and returns the response.
+pub fn job_once(node: SocketAddr, id: &str, millis: u64) -> Option<(u16, String)> {
+    let body = millis.to_string();
+    let request = format!(
+        "POST /look HTTP/1.1\r\nHost: b\r\nX-Call-Id: {id}\r\nX-Budget-Ms: 2000\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    ask_within(JOB_TIMEOUT, &mut TcpStream::connect_timeout(&node, JOB_TIMEOUT).ok()?, &request)
+}
+
 /// Sends a job that runs for `millis` from another thread, which returns the response. Retries on 503, as clients may: an
 /// executor that was discovered just now is cold.
 pub fn job(node: SocketAddr, id: &str, millis: u64) -> thread::JoinHandle<Option<(u16, String)>> {
     const TRIES: usize = 3;
-    const TIMEOUT: Duration = Duration::from_millis(2500); // The budget sent to the node, and a margin for a busy machine.
-    let (id, body) = (id.to_owned(), millis.to_string());
-    let call = move |again: usize| {
-        let request = format!(
-            "POST /look HTTP/1.1\r\nHost: b\r\nX-Call-Id: {id}-{again}\r\nX-Budget-Ms: 2000\r\nContent-Length: {}\r\n\r\n{body}",
-            body.len()
-        );
-        ask_within(TIMEOUT, &mut TcpStream::connect_timeout(&node, TIMEOUT).ok()?, &request)
-    };
+    let id = id.to_owned();
+    let call = move |again: usize| job_once(node, &format!("{id}-{again}"), millis);
     thread::spawn(move || {
         for again in 1..TRIES {
             match call(again) {
--- a/crates/coveroute-node/tests/crowds/memory.rs
+++ b/crates/coveroute-node/tests/crowds/memory.rs
@@ -1,4 +1,5 @@
-//! Clients that send many small parts at once, to real processes under a small memory limit.
+//! Crowds of clients that send much, little by little or nothing of use, to real processes under a small memory limit.
+//! Beside each crowd, usual clients measure whether they are answered in time.
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::thread;
@@ -8,8 +9,8 @@
 use test_case::test_case;
 
 use crate::harness::{
-    executor, job, status, unused_addr, wait_until, Discovery, DiscoveryLimits, NodeOptions, Process, Setup,
-    MEMORY_MB, MEMORY_SETTING,
+    executor, job, job_once, status, unused_addr, wait_until, Discovery, DiscoveryLimits, NodeOptions,
+    Process, Setup, MEMORY_MB, MEMORY_SETTING,
 };
 
 const DESCRIPTORS: usize = 512;
@@ -18,6 +19,77 @@
 const READY: Duration = Duration::from_secs(10);
 /// A client that is not served must be answered or disconnected within this time.
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(3);
+/// How often a usual client sends a job.
+const USUAL_INTERVAL: Duration = Duration::from_millis(100);
+
+/// What the node used beside a crowd, and what usual clients were answered.
+struct Measured {
+    peak_mb: f64,
+    usual: Vec<(Option<u16>, Duration)>,
+}
+
+impl Measured {
+    fn assert_within_limits(&self) {
+        let unanswered = self.usual.iter().filter(|(status, _)| status.is_none()).count();
+        let mut times: Vec<Duration> = self.usual.iter().map(|usual| usual.1).collect();
+        times.sort();
+        let report = format!(
+            "{:.1} MB of {MEMORY_MB}; of {} usual jobs {unanswered} without an answer, median {:.3?}, longest {:.3?}",
+            self.peak_mb,
+            times.len(),
+            times[times.len() / 2],
+            times[times.len() - 1],
+        );
+        println!("{report}");
+        assert!(self.peak_mb < MEMORY_MB, "{report}");
+        assert_eq!(unanswered, 0, "{report}");
+    }
+}
+
+/// Starts a node and runs the crowd against it until the end that it is given, with a usual client beside it.
+fn measure(clients: usize, crowd: impl Fn(SocketAddr, usize, Instant) + Sync) -> Measured {
+    let node = unused_addr();
+    let discovery = Discovery::stopped(executor(node), DiscoveryLimits::NONE);
+    discovery.start();
+    let setup = Setup { settings: vec![MEMORY_SETTING], ..Setup::default() };
+    let options = NodeOptions::with_descriptors(DESCRIPTORS);
+    let mut process = Process::start_with(node, discovery.addr, options, &[], &setup);
+    assert!(wait_until(READY, || status(node, "/up") == Some(200)), "{}", process.log());
+    let end = Instant::now() + DURATION;
+    let usual = thread::scope(|scope| {
+        for client in 0..clients {
+            let crowd = &crowd;
+            scope.spawn(move || crowd(node, client, end));
+        }
+        let mut jobs = Vec::new();
+        while Instant::now() < end {
+            let call = format!("usual-{}", jobs.len());
+            jobs.push(scope.spawn(move || {
+                let begun = Instant::now();
+                (job_once(node, &call, 20).map(|answer| answer.0), begun.elapsed())
+            }));
+            thread::sleep(USUAL_INTERVAL);
+        }
+        jobs.into_iter().map(|job| job.join().expect("a client")).collect()
+    });
+    assert!(!process.has_exited(), "{}", process.log());
+    let peak_mb = resource_usage(process.id()).peak_mb;
+    let served = job(node, "after", 20).join().expect("a client").map(|answer| answer.0);
+    assert_eq!(served, Some(200));
+    Measured { peak_mb, usual }
+}
+
+fn connect(node: SocketAddr) -> Option<TcpStream> {
+    let stream = TcpStream::connect_timeout(&node, CLIENT_TIMEOUT).ok()?;
+    stream.set_read_timeout(Some(CLIENT_TIMEOUT)).ok()?;
+    stream.set_write_timeout(Some(CLIENT_TIMEOUT)).ok()?;
+    Some(stream)
+}
+
+fn read_to_end(stream: &mut TcpStream, end: Instant) {
+    let mut answers = [0; 4096];
+    while stream.read(&mut answers).is_ok_and(|count| count > 0) && Instant::now() < end {}
+}
 
 fn head(client: usize, at: usize) -> String {
     format!("POST /look HTTP/1.1\r\nHost: n\r\nX-Call-Id: m-{client}-{at}\r\nX-Budget-Ms: 2000\r\n")
@@ -47,41 +119,27 @@
     (0..80).map(request).collect::<String>().into_bytes()
 }
 
+/// 300 jobs without an id.
+fn jobs_without_an_id(_: usize) -> Vec<u8> {
+    b"POST /look HTTP/1.1\r\nHost: n\r\nContent-Length: 0\r\n\r\n".repeat(300)
+}
+
 /// Sends the bytes on new connections until the end, and reads what is answered.
 fn flood(node: SocketAddr, bytes: &[u8], end: Instant) {
     while Instant::now() < end {
-        let Ok(mut stream) = TcpStream::connect_timeout(&node, CLIENT_TIMEOUT) else { continue };
-        let _ = stream.set_read_timeout(Some(CLIENT_TIMEOUT));
-        let _ = stream.set_write_timeout(Some(CLIENT_TIMEOUT));
+        let Some(mut stream) = connect(node) else { continue };
         let _ = stream.write_all(bytes);
-        let mut answers = [0; 4096];
-        while stream.read(&mut answers).is_ok_and(|count| count > 0) && Instant::now() < end {}
+        read_to_end(&mut stream, end);
     }
 }
 
 // Guards against a node that is killed for its memory: it decoded all small requests and chunks that had been received,
-// and each takes many times its bytes then.
+// and each takes many times its bytes then; and those that it turned away were queued for the driver without a bound.
 #[test_case(requests; "requests")]
 #[test_case(invalid_requests; "invalid requests")]
+#[test_case(jobs_without_an_id; "jobs without an id")]
 #[test_case(chunks; "chunks")]
 #[test_case(headers; "requests with many headers")]
 fn many_small_parts_at_once_stay_within_the_memory_limit(bytes: fn(usize) -> Vec<u8>) {
-    let node = unused_addr();
-    let discovery = Discovery::stopped(executor(node), DiscoveryLimits::NONE);
-    discovery.start();
-    let setup = Setup { settings: vec![MEMORY_SETTING], ..Setup::default() };
-    let options = NodeOptions::with_descriptors(DESCRIPTORS);
-    let mut process = Process::start_with(node, discovery.addr, options, &[], &setup);
-    assert!(wait_until(READY, || status(node, "/up") == Some(200)), "{}", process.log());
-    let end = Instant::now() + DURATION;
-    thread::scope(|scope| {
-        for client in 0..CLIENTS {
-            scope.spawn(move || flood(node, &bytes(client), end));
-        }
-    });
-    assert!(!process.has_exited(), "{}", process.log());
-    let peak_mb = resource_usage(process.id()).peak_mb;
-    assert!(peak_mb < MEMORY_MB, "{peak_mb:.1} MB of {MEMORY_MB}");
-    let served = job(node, "after", 20).join().expect("a client").map(|answer| answer.0);
-    assert_eq!(served, Some(200));
+    measure(CLIENTS, |node, client, end| flood(node, &bytes(client), end)).assert_within_limits();
 }
