A list expires unless calls confirm it, also in an outage of discovery

What callers saw: payments failed.

Cause: ListState::Unreachable never expired, and from the fifth failed call on the rounds of calls grew to 9 and 18 s while requests were still sent by the list. That nobody gets to discovery is known of the moment of a call, not of the time until the next one.

Change: a list that is not followed expires 5.5 s after what last confirmed it; a call that meets no sign of discovery confirms an outage as of the call's begin (Loss::Waited tells how long ago that was). Rounds stay at 4.5 s while the list depends on them, and the next call begins early enough to have failed by then. The same bound holds for an expired list that is used again after 30 s of an outage, which stayed in use for good.

Own tests: the_end_of_a_long_outage_is_noticed_in_time failed before with 8.0 and 8.9 s between calls of 4.5 s allowed, and passes.

Tests replaced, as strict or stricter: four expectations said that a list stays in use for good without any confirmation, that its forwards have no limit, or that rounds of an outage grow to 18 s, which is the fault.

--- a/crates/coveroute-emu/src/world/mod.rs
+++ b/crates/coveroute-emu/src/world/mod.rs
@@ -788,7 +788,8 @@
         match self.list.watch(node, watch, version).filter(|_| !refused) {
             None => {
                 self.list.unwatch(node);
-                let loss = if refused { Loss::Waited } else { Loss::Closed };
+                let waited = Loss::Waited(self.scenario.discovery.patience.0);
+                let loss = if refused { waited } else { Loss::Closed };
                 out.push(Output::Lost { node, watch, loss });
             }
             Some(listing) => {
--- a/crates/coveroute-engine/src/tests.rs
+++ b/crates/coveroute-engine/src/tests.rs
@@ -630,7 +630,7 @@
 // Guards against sends to draining executors: the next process served for seconds by the list that it took over, before it
 // heard of changes.
 #[test_case(Some(WatchEvent::Established), 0.1, Phase::Serving; "it hears of changes")]
-#[test_case(Some(WatchEvent::Lost(Loss::Waited)), 0.1, Phase::Starting; "its call came to nothing")]
+#[test_case(Some(WatchEvent::Lost(Loss::Waited(0.05))), 0.1, Phase::Starting; "its call came to nothing")]
 #[test_case(None, 5.4, Phase::Starting; "it waits")]
 #[test_case(None, 5.6, Phase::Serving; "the platform waits no longer")]
 fn a_successor_is_ready_once_it_hears_of_changes(event: Option<WatchEvent>, after: f64, phase: Phase) {
--- a/crates/coveroute-node/src/discovery.rs
+++ b/crates/coveroute-node/src/discovery.rs
@@ -83,14 +83,15 @@
 async fn watch(client: &Client, uri: &str, report: impl Fn(WatchEvent)) -> (String, Loss) {
     let called = Instant::now();
     let missed = |since: Instant| Loss::Missed(since.elapsed().as_secs_f64());
+    let waited = || Loss::Waited(called.elapsed().as_secs_f64());
     let was_queued = || called.elapsed() >= IMMEDIATE_FAILURE;
     let mut answer = match timeout(RESPONSE_TIMEOUT, client.get(uri).send()).await {
         Err(_) => return ("no response in time".into(), missed(called)),
         // The connection failed: whether the service is running is unknown.
         Ok(Err(e)) if is_local_connect_failure(&e) => return (e.to_string(), missed(called)),
-        Ok(Err(e)) => return (e.to_string(), if was_queued() { Loss::Waited } else { Loss::Closed }),
+        Ok(Err(e)) => return (e.to_string(), if was_queued() { waited() } else { Loss::Closed }),
         Ok(Ok(answer)) if answer.status() != 200 => {
-            let loss = if was_queued() { Loss::Waited } else { Loss::Refused };
+            let loss = if was_queued() { waited() } else { Loss::Refused };
             return (format!("response status {}", answer.status()), loss);
         }
         Ok(Ok(answer)) => answer,
--- a/crates/coveroute-node/src/discovery_tests.rs
+++ b/crates/coveroute-node/src/discovery_tests.rs
@@ -299,6 +299,22 @@
     assert!(observed.calls.len() > 3, "requests continue: {:?}", observed.calls);
 }
 
+// In a long outage the list is in use, so each node calls often enough to hear within six seconds that discovery is back.
+// Guards against calls that become rare, after which nodes sent to a draining executor for up to nine seconds.
+#[test_case(&[Closes, Refused(2.0)], 20, 24; "calls wait and are refused")]
+#[test_case(&[Closes, Reset(1.0)], 290, 300; "calls wait and are reset, of hundreds")]
+fn the_end_of_a_long_outage_is_noticed_in_time(script: &'static [Call], me: usize, nodes: usize) {
+    const OUTAGE: f64 = 32.0;
+    const LONGEST_BETWEEN_CALLS: f64 = 4.5;
+    let observed = run_for(OUTAGE, script, false, me, nodes);
+    for pair in observed.calls.windows(2) {
+        assert!(pair[1] - pair[0] < LONGEST_BETWEEN_CALLS + TOLERANCE, "calls at {:?}", observed.calls);
+    }
+    let is_served =
+        |second: f64| observed.sent_within_second(second) || observed.sent_within_second(second + 1.0);
+    assert!((0..30).map(f64::from).all(is_served), "calls at {:?}", observed.calls);
+}
+
 // A list from before the start may be arbitrarily old, and all changes since count as known. Waiting jobs are sent
 // once the first list arrives.
 #[test_case(&[Hangs, Followed], 1, 6, 5.25; "the first call is never answered")]
--- a/src/list_calls.rs
+++ b/src/list_calls.rs
@@ -19,9 +19,9 @@
 /// The longest round: hundreds of nodes then make some fifteen calls per second, which a service handles even
 /// if it spends time on refused calls too.
 const ROUND_MAX: f64 = 18.0;
-/// Consecutive failures in an outage during a release. Rounds don't grow within it, so that all nodes notice
-/// its end in time.
-const OUTAGE_FAILURES: u32 = 4;
+/// Failures that are counted while the list depends on the calls. Rounds don't grow meanwhile, so that all nodes
+/// notice the end of the outage in time.
+const OUTAGE_FAILURES: u32 = 2;
 
 /// Growth factor of rounds after a failure.
 const ROUND_GROWTH: f64 = 2.0;
@@ -32,7 +32,7 @@
 
 /// Whether the call was refused by a service with too many callers, or waited in vain for one that may be up.
 fn is_refusal(loss: Loss) -> bool {
-    matches!(loss, Loss::Waited | Loss::Refused)
+    matches!(loss, Loss::Waited(_) | Loss::Refused)
 }
 
 /// The state of the calls for a list that is not followed.
@@ -83,21 +83,45 @@
     pub fn next(&mut self, now: f64, state: ListState, loss: Loss, least: f64, settings: &Settings) -> f64 {
         let was_up = loss == Loss::Closed && state.permits(now);
         self.failed = if was_up { 1 } else { self.failed + 1 };
+        let wait = match state.longest_wait(now) {
+            Some(longest) => {
+                self.failed = self.failed.min(OUTAGE_FAILURES);
+                let turn = settings.time_to_turn(now, CALL_INTERVAL, least, ROUND_WHILE_SENDING);
+                turn.min(longest.max(least))
+            }
+            None => {
+                let turn = settings.time_to_turn(now, CALL_INTERVAL, least, self.round(state, loss));
+                turn.min(until_outage_counts(state, now).max(least))
+            }
+        };
+        self.due = now + wait;
+        wait
+    }
+
+    /// The longest round after a failure, while the list does not depend on the calls.
+    fn round(self, state: ListState, loss: Loss) -> f64 {
         let (first, growth, grown) = match state {
             ListState::Unheard { since, .. } if since.is_infinite() => match is_refusal(loss) {
                 true => (FIRST_ROUND, ROUND_GROWTH_UNCONFIRMED, self.failed - 1),
                 false => (ROUND_UNHEARD, ROUND_GROWTH, 0),
             },
             ListState::Unheard { .. } => (ROUND_UNHEARD, ROUND_GROWTH, self.failed.saturating_sub(2)),
-            ListState::Unreachable { .. } => {
-                (ROUND_WHILE_SENDING, ROUND_GROWTH, self.failed.saturating_sub(OUTAGE_FAILURES))
+            ListState::Followed | ListState::Unreachable { .. } => {
+                (ROUND_WHILE_SENDING, ROUND_GROWTH, self.failed.saturating_sub(3))
             }
-            ListState::Followed => (ROUND_WHILE_SENDING, ROUND_GROWTH, self.failed.saturating_sub(3)),
         };
-        let longest = (first * growth.powi(grown as i32)).min(ROUND_MAX);
-        let wait = settings.time_to_turn(now, CALL_INTERVAL, least, longest);
-        self.due = now + wait;
-        wait
+        (first * growth.powi(grown as i32)).min(ROUND_MAX)
+    }
+}
+
+/// Seconds until an expired list may be used because discovery has been out of reach for so long; infinity if it
+/// is not. A call then has to show that it still is.
+fn until_outage_counts(state: ListState, now: f64) -> f64 {
+    match state {
+        ListState::Unheard { outage: Some(outage), .. } if now < outage.counts_from() => {
+            outage.counts_from() - now
+        }
+        _ => f64::INFINITY,
     }
 }
 
--- a/src/list_state.rs
+++ b/src/list_state.rs
@@ -15,69 +15,121 @@
 /// service that is up reaches each node.
 const OUTAGE_AFTER: f64 = 30.0;
 
+/// Seconds by which a failing call may take longer than the one before it.
+const CALL_MARGIN: f64 = 0.1;
+
 /// How current the list is.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum ListState {
     /// Changes arrive as they are made.
     #[default]
     Followed,
-    /// The list was current when discovery went down or became unreachable; no node is informed of changes
-    /// since.
+    /// No node was informed of changes up to `since`: the watch ended then, or the latest call that found
+    /// discovery down or unreachable began then. Each further such call confirms the list anew.
     Unreachable { since: f64 },
     /// Other nodes may be informed of changes after `since`, so the list expires. A list from before the
     /// start has expired already (`since` is minus infinity).
-    Unheard {
-        since: f64,
-        /// Since when no call has had a sign that discovery is up.
-        unreachable_since: Option<f64>,
-    },
+    Unheard { since: f64, outage: Option<Outage> },
+}
+
+/// A span in which no call had a sign that discovery is up.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Outage {
+    /// When the first of these calls ended.
+    pub begun: f64,
+    /// When the latest of them began; infinity where lists are pushed, as their keeper is called all the time.
+    pub confirmed: f64,
+}
+
+impl Outage {
+    /// When it has lasted for so long that an expired list is used.
+    pub fn counts_from(self) -> f64 {
+        self.begun + OUTAGE_AFTER
+    }
+
+    /// Whether the latest call shows that it has lasted for so long.
+    fn is_confirmed(self) -> bool {
+        self.confirmed >= self.counts_from()
+    }
 }
 
 impl ListState {
     /// The state with the list that a node starts with. Where lists are pushed, discovery is contacted at
     /// once, and no answer means that it is down.
     pub fn initial(now: f64, age: InitialListAge, pushed: bool) -> Self {
-        let unreachable_since = pushed.then_some(now);
+        let outage = pushed.then_some(Outage { begun: now, confirmed: f64::INFINITY });
         match age {
             InitialListAge::Unspecified => ListState::Followed,
-            InitialListAge::Unknown => ListState::Unheard { since: f64::NEG_INFINITY, unreachable_since },
-            InitialListAge::Current => ListState::Unheard { since: now, unreachable_since },
+            InitialListAge::Unknown => ListState::Unheard { since: f64::NEG_INFINITY, outage },
+            InitialListAge::Current => ListState::Unheard { since: now, outage },
         }
     }
 
     /// The state after the end of a watch, or of a call for one.
     pub fn after(self, now: f64, loss: Loss) -> Self {
-        match (self, loss) {
-            (_, Loss::Unspecified) => ListState::Followed,
+        match loss {
+            Loss::Unspecified => ListState::Followed,
+            Loss::Closed => self.after_failure(now, now),
+            Loss::Waited(ago) => self.after_failure(now, now - ago),
+            Loss::Refused => self.after(now, Loss::Missed(0.0)),
+            Loss::Missed(ago) => ListState::Unheard { since: self.since().min(now - ago), outage: None },
+        }
+    }
+
+    /// The state after a call that began at `called` found no sign of discovery.
+    fn after_failure(self, now: f64, called: f64) -> Self {
+        match self {
             // An expired list must not count as current again because discovery has gone down since.
-            (ListState::Unheard { since, unreachable_since }, Loss::Closed | Loss::Waited) => {
-                ListState::Unheard { since, unreachable_since: unreachable_since.or(Some(now)) }
+            ListState::Unheard { since, outage } => {
+                let begun = outage.map_or(now, |outage| outage.begun);
+                ListState::Unheard { since, outage: Some(Outage { begun, confirmed: called }) }
             }
-            (_, Loss::Closed | Loss::Waited) => ListState::Unreachable { since: now },
-            (_, Loss::Refused) => self.after(now, Loss::Missed(0.0)),
-            (_, Loss::Missed(ago)) => {
-                ListState::Unheard { since: self.since().min(now - ago), unreachable_since: None }
+            ListState::Followed | ListState::Unreachable { .. } => ListState::Unreachable { since: called },
+        }
+    }
+
+    /// When the list was last confirmed by a call that found discovery unreachable, if its use depends on that.
+    pub fn confirmed(self) -> Option<f64> {
+        match self {
+            ListState::Followed => None,
+            ListState::Unreachable { since } => Some(since),
+            ListState::Unheard { outage, .. } => {
+                outage.filter(|outage| outage.is_confirmed()).map(|outage| outage.confirmed)
             }
         }
     }
 
-    /// Whether requests may be sent by the list.
+    /// Until when a basis for the list is valid that lasts for `lifetime` seconds from each confirmation.
+    fn valid_for(self, lifetime: f64) -> f64 {
+        let heard = match self {
+            ListState::Followed => return f64::INFINITY,
+            ListState::Unreachable { since } | ListState::Unheard { since, .. } => since,
+        };
+        heard.max(self.confirmed().unwrap_or(f64::NEG_INFINITY)) + lifetime
+    }
+
+    /// Whether requests may be sent by the list. Any list expires that nothing has confirmed for
+    /// `LIST_LIFETIME`: discovery may be up again by then, and other nodes informed of changes.
     pub fn permits(self, now: f64) -> bool {
         match self {
-            ListState::Followed | ListState::Unreachable { .. } => true,
-            ListState::Unheard { since, unreachable_since } => {
+            ListState::Unheard { since, outage: Some(outage) } if now < outage.counts_from() => {
                 now < since + LIST_LIFETIME
-                    || unreachable_since.is_some_and(|from| now >= from + OUTAGE_AFTER)
             }
+            _ => now < self.valid_for(LIST_LIFETIME),
         }
     }
 
     /// Until when a forward decided by the list now may be written.
     pub fn written_until(self) -> f64 {
-        match self {
-            ListState::Unheard { since, unreachable_since: None } => since + WRITE_LIFETIME,
-            _ => f64::INFINITY,
-        }
+        self.valid_for(WRITE_LIFETIME)
+    }
+
+    /// The longest wait before a call that ends before the list expires, if it fails as the latest one did.
+    /// `None` if the list does not depend on such calls.
+    pub(crate) fn longest_wait(self, now: f64) -> Option<f64> {
+        let confirmed = self.confirmed()?;
+        let call_duration = now - confirmed;
+        Some((confirmed + LIST_LIFETIME - CALL_MARGIN - call_duration - now).max(0.0))
     }
 
     /// Whether a process that takes over the list may treat it as current.
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -344,12 +344,15 @@
 
 // Hundreds of nodes could keep a small service from recovering, as it also processes calls that came too
 // late. Calls become less frequent while they fail; a few nodes need no such limit.
-#[test_case(300, 8.0, 18.0; "hundreds of nodes")]
-#[test_case(6, 0.0, 2.0; "a few nodes")]
-fn consecutive_failed_calls_become_less_frequent(nodes: usize, least: f64, most: f64) {
+// While discovery is down the list depends on them, and they stay frequent.
+#[test_case(300, Loss::Refused, 8.0, 18.0; "hundreds of nodes, and a service that is up")]
+#[test_case(6, Loss::Refused, 0.0, 2.0; "a few nodes, and a service that is up")]
+#[test_case(300, Loss::Waited(0.5), 4.0, 4.5; "hundreds of nodes, and discovery is down")]
+#[test_case(6, Loss::Waited(0.5), 0.0, 2.0; "a few nodes, and discovery is down")]
+fn consecutive_failed_calls_become_less_frequent(nodes: usize, loss: Loss, least: f64, most: f64) {
     let last = |node_index| {
         let (mut node, mut out) = (polling_node(node_index, nodes, None), Vec::new());
-        (0..6).for_each(|_| node.on_list(1.0, List::Lost(Loss::Waited), &mut out));
+        (0..6).for_each(|_| node.on_list(1.0, List::Lost(loss), &mut out));
         list_call_wait(&out).expect("it calls again")
     };
     let last = (0..nodes).map(last).fold(0.0, f64::max);
@@ -361,16 +364,16 @@
 
 // A list must not be used once it is too old: after a silence and failed calls, other nodes may be informed
 // of changes. While discovery is down no node is informed, and a node that stopped sending would serve no
-// one.
+// one; but a call has to show that it still is.
 #[test_case(&[(WATCH_SILENT, 10.0)], Some(13.0); "a watch fell silent 2.5 s ago")]
 #[test_case(&[(WATCH_SILENT, 10.0), (CALL_REFUSED, 12.0)], Some(13.0); "and a call was refused on arrival")]
-#[test_case(&[(WATCH_SILENT, 10.0), (Loss::Waited, 12.0), (WATCH_SILENT, 15.0)], Some(13.0); "and two calls waited")]
+#[test_case(&[(WATCH_SILENT, 10.0), (Loss::Waited(0.5), 12.0), (WATCH_SILENT, 15.0)], Some(13.0); "and two calls waited")]
 #[test_case(&[(CALL_REFUSED, 10.0)], Some(15.5); "the first call was refused on arrival")]
 #[test_case(&[(Loss::Missed(3.25), 10.0)], Some(12.25); "the first call was never answered")]
-#[test_case(&[(Loss::Closed, 10.0)], None; "a watch was closed, and the next call is due")]
+#[test_case(&[(Loss::Closed, 10.0)], Some(15.5); "a watch was closed, and no call shows anything since")]
 #[test_case(&[(Loss::Closed, 10.0), (CALL_REFUSED, 12.0)], Some(15.5); "and the next call was refused on arrival")]
-#[test_case(&[(Loss::Closed, 10.0), (Loss::Waited, 15.0), (Loss::Waited, 20.0)], None; "discovery is down")]
-#[test_case(&[(Loss::Closed, 10.0), (Loss::Waited, 15.0), (CALL_REFUSED, 20.0)], Some(20.5); "and refuses calls when it is up again")]
+#[test_case(&[(Loss::Closed, 10.0), (Loss::Waited(0.5), 15.0), (Loss::Waited(0.5), 20.0)], Some(25.0); "discovery is down, and no call shows it any longer")]
+#[test_case(&[(Loss::Closed, 10.0), (Loss::Waited(0.5), 15.0), (CALL_REFUSED, 19.0)], Some(20.0); "and refuses calls when it is up again")]
 #[test_case(&[(WATCH_SILENT, 10.0), (Loss::Closed, 12.0)], Some(13.0); "and discovery is down since")]
 #[test_case(&[(WATCH_SILENT, 10.0), (Loss::Unspecified, 10.0)], None; "the protocol does not say")]
 fn nothing_is_sent_by_a_list_that_is_too_old(losses: &[(Loss, f64)], from: Option<f64>) {
--- a/src/types.rs
+++ b/src/types.rs
@@ -222,8 +222,9 @@
 pub enum Loss {
     /// Discovery closed it, or is down: no change was missed, or no node is informed of changes.
     Closed,
-    /// A call waited and was refused: no node that waited with it was informed of a change.
-    Waited,
+    /// A call that began this many seconds ago waited and was refused: no node that waited with it was
+    /// informed of a change.
+    Waited(f64),
     /// The call was refused on arrival by a service that is up but has too many callers: other nodes may be
     /// informed.
     Refused,
@@ -239,7 +240,7 @@
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         match self {
             Loss::Closed => f.write_str("Closed"),
-            Loss::Waited => f.write_str("Waited"),
+            Loss::Waited(_) => f.write_str("Waited"),
             Loss::Refused => f.write_str("Refused"),
             Loss::Missed(seconds) => f.debug_tuple("Missed").field(seconds).finish(),
             Loss::Unspecified => f.write_str("Unsaid"),
