Give up a forward by DELETE where its acknowledgement may be lost

What callers saw: where second copies are forbidden, jobs ran at two executors side by side.

Cause: a forward without an acknowledgement was given up by closing its connection alone, which gives up nothing once the executor has answered; and one whose connection broke, or that nothing came back for, was not given up at all before the next.

Change: a forward that is given up without an acknowledgement is also cancelled by DELETE if its last byte was written and the settings allow cancelling, on each way (no acknowledgement, the deadline, a client that left). Without second copies, earlier forwards that were reset or timed out are cancelled before a further one is sent, also after a handover of the job. The DELETE uses the forward's own lease and is repeated after a reset.

--- a/crates/coveroute-emu/src/virtual_time.rs
+++ b/crates/coveroute-emu/src/virtual_time.rs
@@ -843,7 +843,7 @@
         let latency = self.world.scenario.network.latency.0;
         match action {
             Action::Send { id, forward, executor_index: tgt, .. } => self.send(now, node, id, forward, tgt),
-            Action::Abort { id, forward } => self.abort(now, node, id, forward),
+            Action::Abort { id, forward, .. } => self.abort(now, node, id, forward),
             // A connection takes two one-way latencies here, far less than any grace period.
             Action::Recall { .. } => {}
             Action::Cancel { executor_index: tgt, call } => {
--- a/crates/coveroute-engine/src/engine.rs
+++ b/crates/coveroute-engine/src/engine.rs
@@ -175,10 +175,13 @@
         end: f64,
         write_until: f64,
     },
-    /// Close the connection of a forward that the executor has not acknowledged.
+    /// Close the connection of a forward whose acknowledgement has not arrived. With `cancel`, also tell the executor to
+    /// cancel the job if it has been written completely: the acknowledgement may have been lost on its way, and closing
+    /// the connection then cancels nothing.
     Abort {
         id: InvocationId,
         forward: usize,
+        cancel: bool,
     },
     /// Cancel the send if no byte of the job has been written yet, and report that: the executor is draining or gone.
     Recall {
@@ -285,6 +288,8 @@
     /// Once the node is stopping: the time from which it may exit when idle.
     exit_from: f64,
     pub(crate) cancelling: bool,
+    /// An invocation may have two forwards in flight.
+    pub(crate) second_copies: bool,
     /// Buffer that is reused for the outputs of each event.
     outputs: Vec<Output>,
 }
@@ -322,6 +327,7 @@
             answer_by: f64::INFINITY,
             exit_from: f64::INFINITY,
             cancelling: setup.settings.cancelling,
+            second_copies: setup.settings.second_copies,
             outputs: Vec::new(),
         };
         engine.register_operations();
@@ -466,10 +472,12 @@
         }
         let forwards: Vec<Forward> = forwards
             .into_iter()
-            .map(|(executor, sent, stage)| Forward {
+            .zip(&invocation.forwards)
+            .map(|((executor, sent, stage), decided)| Forward {
                 executor_index: self.fleet.number(&executor),
                 sent,
                 stage,
+                may_be_running: stage == Stage::Ended && decided.may_have_run(),
             })
             .collect();
         let locations = locations.iter().chain(std::iter::repeat(&None));
@@ -757,7 +765,16 @@
         self.records.remove_if_finished(id);
     }
 
-    fn forward(&mut self, now: f64, id: InvocationId, executor_index: ExecutorIndex, out: &mut Vec<Action>) {
+    pub(crate) fn forward(
+        &mut self,
+        now: f64,
+        id: InvocationId,
+        executor_index: ExecutorIndex,
+        out: &mut Vec<Action>,
+    ) {
+        if !self.second_copies {
+            self.cancel_earlier_forwards(id, out);
+        }
         let Some(record) = self.records.get(id) else { return };
         let forward = record.forwards.len();
         debug!(
@@ -767,7 +784,9 @@
             self.version,
             self.queue.decisions().list_state().name()
         );
-        record.forwards.push(Forward { executor_index, sent: now, stage: Stage::Sending });
+        let forward_sent =
+            Forward { executor_index, sent: now, stage: Stage::Sending, may_be_running: false };
+        record.forwards.push(forward_sent);
         let write_until = self.queue.decisions().write_until(id);
         out.push(Action::Send { id, forward, executor_index, end: record.end, write_until });
     }
@@ -815,6 +834,7 @@
     ) {
         let Some(ended) = self.records.end_forward(id, forward) else { return };
         let took = now - ended.sent;
+        ended.may_be_running = matches!(outcome, Outcome::Reset | Outcome::TimedOut);
         debug!(
             "forward {forward} of {id} at executor {}: {outcome:?} after {took:.3} s, {report:?}",
             ended.executor_index
@@ -878,7 +898,7 @@
         let Some(record) = self.records.get(id) else { return };
         let Forward { executor_index, stage, .. } = record.forwards[forward];
         match stage {
-            Stage::Sending => out.push(Action::Abort { id, forward }),
+            Stage::Sending => out.push(Action::Abort { id, forward, cancel: self.cancelling }),
             Stage::Taken if self.cancelling => {
                 let call = record.call.clone();
                 out.push(Action::Cancel { executor_index, call });
@@ -887,6 +907,17 @@
         }
     }
 
+    /// Tells the executors of earlier forwards to cancel the job where that may still run: a forward whose connection broke
+    /// or that was never acknowledged has ended for this node alone.
+    fn cancel_earlier_forwards(&mut self, id: InvocationId, out: &mut Vec<Action>) {
+        let Some(record) = self.records.get(id).filter(|_| self.cancelling) else { return };
+        let call = record.call.clone();
+        for forward in record.forwards.iter_mut().filter(|forward| forward.may_be_running) {
+            forward.may_be_running = false;
+            out.push(Action::Cancel { executor_index: forward.executor_index, call: call.clone() });
+        }
+    }
+
     pub(crate) fn withdraw(&mut self, now: f64, id: InvocationId, forward: usize, out: &mut Vec<Action>) {
         self.drop_forward(id, forward, out);
         self.settle_forward(now, id, forward, Outcome::Cancelled, Report::default());
@@ -963,7 +994,7 @@
         let tenants: Vec<_> =
             names.tenants.iter().map(|name| old.iter().position(|known| known == name)).collect();
         self.fleet.apply_settings(names, &mut settings);
-        self.cancelling = settings.cancelling;
+        (self.cancelling, self.second_copies) = (settings.cancelling, settings.second_copies);
         let entries = operations.into_iter().zip(timeouts).zip(std::mem::take(&mut settings.operations));
         let entries = entries.map(|((name, timeout), operation)| (name, timeout, operation)).collect();
         let decisions = self.queue.decisions();
--- a/crates/coveroute-engine/src/records.rs
+++ b/crates/coveroute-engine/src/records.rs
@@ -29,6 +29,8 @@
     pub executor_index: ExecutorIndex,
     pub sent: f64,
     pub stage: Stage,
+    /// It has ended without a word of the executor, which may still run the job and was not told to cancel it.
+    pub may_be_running: bool,
 }
 
 #[derive(Debug)]
--- a/crates/coveroute-engine/src/tests.rs
+++ b/crates/coveroute-engine/src/tests.rs
@@ -87,8 +87,12 @@
     let mut engine = engine().0;
     engine.accept_call(NOW, ID, &call(CALL, class, 5.0), &mut Vec::new());
     let record = engine.records.get(ID).expect("a record");
-    let forward =
-        |&(executor_index, stage): &(ExecutorIndex, Stage)| Forward { executor_index, sent: NOW, stage };
+    let forward = |&(executor_index, stage): &(ExecutorIndex, Stage)| Forward {
+        executor_index,
+        sent: NOW,
+        stage,
+        may_be_running: false,
+    };
     record.forwards = forwards.iter().map(forward).collect();
     engine.queue.drain();
     engine
@@ -215,7 +219,34 @@
     let mut engine = with_forwards("pay", &[SENDING]);
     engine.cancelling = !no_cancelling;
     let out = handle(&mut engine, NOW, Event::ClientDisconnected(ID));
-    assert_eq!((out, engine.held()), (vec![Action::Abort { id: ID, forward: 0 }], 0));
+    let abort = Action::Abort { id: ID, forward: 0, cancel: !no_cancelling };
+    assert_eq!((out, engine.held()), (vec![abort], 0));
+}
+
+// Guards against a second copy of a job whose first forward ended for this node alone: its connection broke, or nothing
+// came back, and the executor may still run it.
+#[test_case(Outcome::Reset, false, true, true; "its connection broke")]
+#[test_case(Outcome::TimedOut, false, true, true; "nothing came back")]
+#[test_case(Outcome::Errored, false, true, false; "the executor has answered")]
+#[test_case(Outcome::Full, false, true, false; "it was handed back")]
+#[test_case(Outcome::Reset, true, true, false; "second copies are allowed")]
+#[test_case(Outcome::Reset, false, false, false; "jobs can't be cancelled")]
+fn an_earlier_forward_that_may_run_is_cancelled_before_the_next(
+    outcome: Outcome,
+    second_copies: bool,
+    cancelling: bool,
+    cancelled: bool,
+) {
+    let mut engine = with_forwards("look", &[SENDING]);
+    (engine.second_copies, engine.cancelling) = (second_copies, cancelling);
+    engine.settle_forward(NOW, ID, 0, outcome, Report::default());
+    for expected in [cancelled, false] {
+        let mut out = Vec::new();
+        engine.forward(NOW, ID, 1, &mut out);
+        let cancel = Action::Cancel { executor_index: 0, call: CALL.into() };
+        assert_eq!(out.iter().position(|action| *action == cancel), expected.then_some(0), "{out:?}");
+        assert!(matches!(out.last(), Some(Action::Send { executor_index: 1, .. })), "{out:?}");
+    }
 }
 
 #[test]
@@ -313,7 +344,7 @@
     assert!(line.contains("list 3 is empty, 7800 executors") && !line.contains('\n'), "{line}");
     let out = handle(&mut engine, NOW, Event::Watch(1, WatchEvent::Listed(listing(3, true, Vec::new()))));
     assert!(
-        answers(&out).is_empty() && !out.contains(&Action::Abort { id: ID, forward }),
+        answers(&out).is_empty() && !out.iter().any(|action| matches!(action, Action::Abort { .. })),
         "it keeps running"
     );
     assert_eq!(engine.fleet().emptied_warning(&listing(4, true, Vec::new())), None, "warned once");
--- a/crates/coveroute-node/src/driver.rs
+++ b/crates/coveroute-node/src/driver.rs
@@ -4,6 +4,7 @@
 use std::os::fd::{AsRawFd, OwnedFd};
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Instant;
 
 use actix_rt::net::TcpStream;
@@ -22,7 +23,7 @@
 use crate::config::Config;
 use crate::discovery::Discovery;
 use crate::event::{DriverEvent, EventSender, NodeFigures};
-use crate::executors::ExecutorConnections;
+use crate::executors::{ExecutorConnections, Lease};
 use crate::fleet::FleetMember;
 use crate::handover::{HandoverState, TransferredJob};
 use crate::link::{Link, LinkEvent, Side};
@@ -47,10 +48,12 @@
     client: Client,
 }
 
-/// The task that sends a forward, and its progress.
+/// The task that sends a forward, its progress, and what its executor is told if it is given up.
 struct ForwardTask {
     task: JoinHandle<()>,
     attempt: Rc<Attempt>,
+    lease: Rc<Lease>,
+    call: Arc<str>,
 }
 
 /// The parts of the configuration in force that a reload is compared with.
@@ -569,14 +572,12 @@
                 let deadline = Deadline::new(self.clock.instant(end), self.clock.instant(write_until));
                 return self.send(id, forward, executor_index, deadline);
             }
-            Action::Abort { id, forward } => {
-                self.forwards.remove(&(id, forward)).into_iter().for_each(|forward| forward.task.abort());
-            }
+            Action::Abort { id, forward, cancel } => self.abort(id, forward, cancel),
             Action::Recall { id, forward } => return self.recall(id, forward),
             Action::Cancel { executor_index, call } => {
-                let time_limit = self.executor_connections.request_timeout();
-                let lease = self.executor_connections.lease(executor_index);
-                lease.map(|lease| actix_rt::spawn(give_up(lease, call, time_limit)));
+                if let Some(lease) = self.executor_connections.lease(executor_index) {
+                    self.cancel(lease.into(), call);
+                }
             }
             Action::Answer { id, answer } => {
                 let pending = self.jobs.remove(&id);
@@ -617,15 +618,31 @@
         };
         let (events, timeouts) = (self.events.clone(), self.executor_connections.ack_timeouts());
         let attempt = Rc::new(Attempt::new((id, forward), deadline, client, self.attempts.clone()));
-        let mine = attempt.clone();
+        let (lease, call) = (Rc::new(lease), job.call.call_id.clone());
+        let (mine, own_lease) = (attempt.clone(), lease.clone());
         let task = actix_rt::spawn(async move {
             let report = |reply| drop(events.send(DriverEvent::Replied(id, forward, reply)));
-            send::forward(lease, &job, mine, timeouts, report).await;
+            send::forward(&own_lease, &job, mine, timeouts, report).await;
         });
-        self.forwards.insert((id, forward), ForwardTask { task, attempt });
+        self.forwards.insert((id, forward), ForwardTask { task, attempt, lease, call });
         None
     }
 
+    /// Closes the connection of a forward. An executor that has the whole job may have answered already, so it is told as
+    /// well; it can't have begun a job of which bytes are missing.
+    fn abort(&mut self, id: InvocationId, forward: usize, cancel: bool) {
+        let Some(forward) = self.forwards.remove(&(id, forward)) else { return };
+        forward.task.abort();
+        if cancel && forward.attempt.progress() == Progress::Written {
+            self.cancel(forward.lease, forward.call);
+        }
+    }
+
+    /// Tells an executor to cancel a job.
+    fn cancel(&self, lease: Rc<Lease>, call: Arc<str>) {
+        actix_rt::spawn(give_up(lease, call, self.executor_connections.request_timeout()));
+    }
+
     /// Withdraws a forward whose executor was reported as draining while the connection was still being established.
     fn recall(&mut self, id: InvocationId, forward: usize) -> Option<Event<'static>> {
         self.forwards
--- a/crates/coveroute-node/src/driver/tests.rs
+++ b/crates/coveroute-node/src/driver/tests.rs
@@ -88,8 +88,9 @@
         let (mut driver, _event_receiver, _) = driver(&[CLOSED.into()]);
         let task = actix_rt::spawn(std::future::pending());
         let watch = task.abort_handle();
-        driver.forwards.insert((ID, 0), ForwardTask { task, attempt: attempt() });
-        driver.execute(Action::Abort { id: ID, forward: 0 });
+        let lease = driver.executor_connections.lease(0).expect("a connection").into();
+        driver.forwards.insert((ID, 0), ForwardTask { task, attempt: attempt(), lease, call: CALL.into() });
+        driver.execute(Action::Abort { id: ID, forward: 0, cancel: true });
         actix_rt::task::yield_now().await;
         assert!(watch.is_finished() && driver.forwards.is_empty());
         let told = driver.send(ID, 1, 0, soon());
--- a/crates/coveroute-node/src/main.rs
+++ b/crates/coveroute-node/src/main.rs
@@ -19,6 +19,8 @@
 mod event;
 mod executors;
 mod fleet;
+#[cfg(test)]
+mod give_up_tests;
 mod handover;
 mod hosts;
 #[cfg(test)]
--- a/crates/coveroute-node/src/probe.rs
+++ b/crates/coveroute-node/src/probe.rs
@@ -1,4 +1,5 @@
 //! Probe: requests to executors other than jobs: health probes, and giving up a job.
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,6 +16,9 @@
 /// rare, even where a fifth of the connections are.
 const MAX_PROBE_TRIES: usize = 3;
 
+/// How often an executor is told to give up a job, at most.
+const MAX_GIVE_UP_TRIES: usize = 3;
+
 /// Asks an executor whether it is alive, and for its load if executors report that. A reset is retried: an
 /// idle connection may be reset at the next request by an intermediary or by the executor, which says nothing
 /// about the executor's health, and repeating a probe is harmless. If the process has died, the next
@@ -48,13 +52,22 @@
     }
 }
 
-/// Tells an executor to give up a job that it has accepted. The response is ignored: for this node the
-/// forward has ended.
-pub async fn give_up(lease: Lease, call: Arc<str>, time_limit: Duration) {
+/// Tells an executor to give up a job that it may run, within the time limit. The response is ignored: for this node the
+/// forward has ended. The request is repeated after a reset, which is harmless.
+pub async fn give_up(lease: Rc<Lease>, call: Arc<str>, time_limit: Duration) {
     let uri = format!("http://{}{}/{call}", lease.addr(), wire::JOBS);
     let request = async {
-        if let Ok(mut response) = lease.client().delete(uri).send().await {
-            let _ = response.body().limit(wire::MAX_BODY_BYTES).await;
+        for _ in 0..MAX_GIVE_UP_TRIES {
+            match lease.client().delete(&uri).send().await {
+                Ok(mut response) => {
+                    let _ = response.body().limit(wire::MAX_BODY_BYTES).await;
+                    return;
+                }
+                Err(e) if send::failure_outcome(&e) == Outcome::Reset => {
+                    debug!("telling {} to give up {call} again after a reset: {e}", lease.addr())
+                }
+                Err(_) => return,
+            }
         }
     };
     let _ = timeout(time_limit, request).await;
--- a/crates/coveroute-node/src/send.rs
+++ b/crates/coveroute-node/src/send.rs
@@ -36,13 +36,13 @@
 /// not acknowledge the job in time, that is first reported, and later the connection is closed. This covers
 /// machines that vanish and jobs that get lost, neither of which causes an error.
 pub async fn forward(
-    lease: Lease,
+    lease: &Lease,
     job: &Job,
     attempt: Rc<Attempt>,
     timeouts: AckTimeouts,
     on_reply: impl Fn(Reply),
 ) {
-    let mut sent = pin!(exchange(&lease, job, &attempt, || on_reply(Reply::Written)));
+    let mut sent = pin!(exchange(lease, job, &attempt, || on_reply(Reply::Written)));
     let mut response = timeout(timeouts.report_after, &mut sent).await;
     if response.is_err() {
         on_reply(Reply::NotAcknowledged);
--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -177,7 +177,7 @@
     let told = RefCell::new(Vec::new());
     let lease = executor_connections.lease(0).expect("a connection");
     let tell = |reply| told.borrow_mut().push(reply);
-    send::forward(lease, &job("c", "look", 1.0, 0.0), attempt, timeouts, tell).await;
+    send::forward(&lease, &job("c", "look", 1.0, 0.0), attempt, timeouts, tell).await;
     told.into_inner()
 }
 
