One bound for what all clients together send ahead of their answers

Cause: each connection held up to 96 KiB behind a pending request without regard to the others, its parser's buffer kept the size of the largest burst of 64 KiB while a body arrived, and more connections were admitted than fit, at 192 KiB each.

Change: all connections together hold a sixteenth of the memory limit; beyond, each holds 8 KiB. Bodies go to the parser by 16 KiB. 256 KiB are reckoned for each client when connections are counted out.

--- a/crates/coveroute-emu/src/capacity/mod.rs
+++ b/crates/coveroute-emu/src/capacity/mod.rs
@@ -345,8 +345,8 @@
             let connections = running + running / 3 + OWN_DESCRIPTORS;
             let (runs, timeout) = (1e3 * *running as f64 / rate, 60.0);
             // A node accepts no more waiting clients than fit: they may use a third of the descriptors and half of the
-            // memory, with up to 192 KiB each (`docs/CAPACITY.md`, Running tasks).
-            let (sockets, memory_mb) = (3 * connections, 64 + connections * 2 * 192 / 1024);
+            // memory, with up to 256 KiB each (`docs/CAPACITY.md`, Running tasks).
+            let (sockets, memory_mb) = (3 * connections, 64 + connections * 2 * 256 / 1024);
             LoadPlan { connections, sockets, memory_mb, runs, timeout, ..plan(1_000, rate) }
         })
         .collect();
--- a/crates/coveroute-node/src/client_connection.rs
+++ b/crates/coveroute-node/src/client_connection.rs
@@ -13,6 +13,7 @@
 
 use crate::answer::Answer;
 use crate::arrival::newest_byte_age;
+use crate::held_bytes::HeldBytes;
 
 /// Where a connection stands in the request cycle.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -63,6 +64,8 @@
     job: Cell<Option<InvocationId>>,
     /// Bytes that were received and not passed to the parser yet.
     unparsed: Cell<usize>,
+    /// The count of these bytes over all connections.
+    held_bytes: Rc<HeldBytes>,
     /// The answer to a request waits for the driver: no further request is passed to the parser.
     is_paused: Cell<bool>,
     /// Received bytes were discarded: the connection can't be reused after the response.
@@ -93,7 +96,7 @@
 }
 
 impl ClientConnection {
-    pub fn new(socket: RawFd) -> Self {
+    pub fn new(socket: RawFd, held_bytes: Rc<HeldBytes>) -> Self {
         let now = Instant::now();
         let (state, since, job) = (Cell::new(ConnectionState::Connected), Cell::new(now), Cell::new(None));
         let (newest_arrival, accept_wait_since) = (Cell::new(now), Cell::new(None));
@@ -107,6 +110,7 @@
             socket,
             job,
             unparsed,
+            held_bytes,
             is_paused: Cell::new(false),
             has_overrun,
             is_write_pending,
@@ -125,7 +129,7 @@
     #[cfg(test)]
     pub fn with_age(state: ConnectionState, age: Duration) -> Self {
         let since = Instant::now().checked_sub(age).expect("a machine that is up for longer");
-        let connection = ClientConnection::new(-1);
+        let connection = ClientConnection::new(-1, HeldBytes::unlimited());
         connection.set_closed();
         connection.state.set(state);
         connection.since.set(since);
@@ -189,7 +193,12 @@
 
     /// Records how many received bytes have not been passed to the parser yet.
     pub fn set_unparsed(&self, count: usize) {
-        self.unparsed.set(count);
+        self.held_bytes.update(self.unparsed.replace(count), count);
+    }
+
+    /// How many such bytes the connection may hold while a request is pending.
+    pub fn max_held(&self) -> usize {
+        self.held_bytes.max_of_connection()
     }
 
     /// Bytes were passed to the parser. On a new connection the request time limit runs from connecting: sending a
@@ -295,3 +304,9 @@
         self.since.set(Instant::now());
     }
 }
+
+impl Drop for ClientConnection {
+    fn drop(&mut self) {
+        self.set_unparsed(0);
+    }
+}
--- a/crates/coveroute-node/src/client_stream.rs
+++ b/crates/coveroute-node/src/client_stream.rs
@@ -12,21 +12,21 @@
 use memchr::memchr_iter;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-use crate::client_connection::ClientConnection;
+use crate::client_connection::{ClientConnection, ConnectionState};
 use crate::socket::Socket;
 
 /// Largest single read from the socket, in bytes.
 const MAX_READ: usize = 16 * 1024;
-/// Bytes that are passed on, at most, before the parser runs. It starts an incomplete head anew each time.
-const MAX_BURST: usize = 64 * 1024;
+/// Bytes of a head that are passed on, at most, before the parser runs. It starts an incomplete head anew each time.
+const MAX_HEAD_BURST: usize = 64 * 1024;
+/// The same for a body, of which the parser takes any part. Its buffer keeps the size of the largest burst.
+const MAX_BODY_BURST: usize = 16 * 1024;
 /// Lines that are passed on before the parser runs: what it makes of bytes grows with the requests, headers and chunks
 /// in them, each of which takes a line.
 const MAX_LINES: usize = 256;
 /// Bytes that are passed on although a request head ends before them. Fewer would make a body of empty lines
 /// expensive to read.
 const MIN_PORTION: usize = 512;
-/// Bytes that are held while a request is pending: one more complete request, head and body.
-const MAX_HELD: usize = 96 * 1024;
 
 /// The stream of a client connection. Tracks when requests begin and end, so that clients that never complete
 /// a request are disconnected on any request: actix-http's timeout covers only the first request head.
@@ -37,12 +37,14 @@
     unparsed: BytesMut,
     /// Bytes that may still be passed on before the parser runs.
     burst_left: usize,
+    /// The head of the request that is being received has been passed on.
+    is_head_passed: bool,
 }
 
 impl ClientStream {
     pub fn new(socket: TcpStream, connection: Rc<ClientConnection>) -> Self {
         let (socket, unparsed) = (Socket::new(socket), BytesMut::new());
-        ClientStream { socket, connection, unparsed, burst_left: MAX_BURST }
+        ClientStream { socket, connection, unparsed, burst_left: MAX_HEAD_BURST, is_head_passed: false }
     }
 
     /// Receives bytes and returns their number, 0 at the end of the stream.
@@ -63,7 +65,7 @@
     /// Receives while a request is pending, to detect the end of the stream: a client may send a lot and disconnect, and
     /// the end lies behind all those bytes.
     fn poll_until_end(&mut self, cx: &mut Context) -> Poll<io::Result<()>> {
-        while self.unparsed.len() < MAX_HELD {
+        while self.unparsed.len() < self.connection.max_held() {
             if ready!(self.poll_receive(cx))? == 0 {
                 return Poll::Ready(Ok(()));
             }
@@ -84,11 +86,20 @@
         }
     }
 
+    /// Lets the parser run before more is passed on than now is allowed.
+    fn begin_burst(&mut self) {
+        self.burst_left = if self.is_head_passed { MAX_BODY_BURST } else { MAX_HEAD_BURST };
+    }
+
     /// Passes the next portion on.
     fn pass_portion(&mut self, buf: &mut ReadBuf) {
+        if self.connection.state() != ConnectionState::ReadingRequest {
+            self.is_head_passed = false;
+        }
         let (portion, is_cut) = portion_len(&self.unparsed);
-        let count = portion.min(buf.remaining());
+        let count = portion.min(buf.remaining()).min(self.burst_left);
         buf.put_slice(&self.unparsed[..count]);
+        self.is_head_passed |= is_cut;
         self.burst_left = if is_cut { 0 } else { self.burst_left.saturating_sub(count) };
         self.unparsed.advance(count);
         if self.unparsed.is_empty() {
@@ -119,6 +130,7 @@
 
 impl Drop for ClientStream {
     fn drop(&mut self) {
+        self.connection.set_unparsed(0);
         self.connection.set_closed();
     }
 }
@@ -126,7 +138,7 @@
 impl AsyncRead for ClientStream {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         if self.connection.holds_back() {
-            self.burst_left = MAX_BURST;
+            self.begin_burst();
             return self.poll_until_end(cx);
         }
         if self.unparsed.is_empty() {
@@ -134,13 +146,13 @@
                 Poll::Ready(0) => return Poll::Ready(Ok(())),
                 Poll::Ready(_) => {}
                 Poll::Pending => {
-                    self.burst_left = MAX_BURST;
+                    self.begin_burst();
                     return Poll::Pending;
                 }
             }
         }
         if self.burst_left == 0 {
-            self.burst_left = MAX_BURST;
+            self.begin_burst();
             cx.waker().wake_by_ref();
             return Poll::Pending;
         }
--- a/crates/coveroute-node/src/disconnect_tests.rs
+++ b/crates/coveroute-node/src/disconnect_tests.rs
@@ -21,6 +21,7 @@
 
 use crate::clock::seconds;
 use crate::event::DriverEvent;
+use crate::held_bytes::HeldBytes;
 use crate::race_tests::{disconnect, kernel_value, Disconnect, MAX_NOTICE_DELAY};
 use crate::server::{self, ClientServer};
 use crate::tests::{block, config_with, discovery_connected, driver_with_config};
@@ -189,8 +190,13 @@
     block(async move {
         let (mut driver, events, event_receiver, node_state) = driver_with_config(config);
         driver.handle_event(discovery_connected());
-        let server =
-            Rc::new(ClientServer::new(crate::clock::Clock::new(), node_state, events.clone(), (600, 64)));
+        let server = Rc::new(ClientServer::new(
+            crate::clock::Clock::new(),
+            node_state,
+            events.clone(),
+            (600, 64),
+            HeldBytes::unlimited(),
+        ));
         let listener = actix_rt::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let addr = listener.local_addr().expect("an address");
         actix_rt::spawn(server::accept(listener, server, unbounded_channel().1));
--- a/crates/coveroute-node/src/driver.rs
+++ b/crates/coveroute-node/src/driver.rs
@@ -26,6 +26,7 @@
 use crate::executors::{ExecutorConnections, Lease};
 use crate::fleet::FleetMember;
 use crate::handover::{HandoverState, TransferredJob};
+use crate::held_bytes::HeldBytes;
 use crate::link::{Link, LinkEvent, Side};
 use crate::node_state::NodeState;
 use crate::peers::Peers;
@@ -486,7 +487,7 @@
         let Some(job) = job else { return error!("invalid job handed over by the predecessor") };
         let (id, (answer, answered)) = (self.node_state.next_id(), oneshot::channel());
         // The client may have disconnected during the handover, so the socket is checked before anything is sent.
-        let connection = Rc::new(ClientConnection::new(socket.as_raw_fd()));
+        let connection = Rc::new(ClientConnection::new(socket.as_raw_fd(), HeldBytes::unlimited()));
         let client = Client { answer, connection: Some(connection.clone()) };
         self.jobs.insert(id, PendingJob { job: Rc::new(job), client });
         let mine = connection.clone();
--- a/crates/coveroute-node/src/main.rs
+++ b/crates/coveroute-node/src/main.rs
@@ -22,6 +22,7 @@
 #[cfg(test)]
 mod give_up_tests;
 mod handover;
+mod held_bytes;
 mod hosts;
 #[cfg(test)]
 mod large_input_tests;
@@ -66,6 +67,7 @@
 use event::{DriverEvent, EventSender};
 use executors::ExecutorConnections;
 use fleet::FleetMember;
+use held_bytes::HeldBytes;
 use node_state::NodeState;
 use server::ClientServer;
 
@@ -215,8 +217,8 @@
 /// for executors that report, idle clients and clients that are throttled. The remaining sixth is for connections that
 /// are being closed and for the process's own descriptors.
 fn descriptor_limits(sockets: usize, memory_mb: usize) -> (usize, (usize, usize)) {
-    // A client's connection may buffer 128 KiB of request head and 64 KiB of body.
-    const KIB_PER_CLIENT: usize = 192;
+    // A client's connection may buffer 128 KiB of request head, 64 KiB of body, and the same body for its executor.
+    const KIB_PER_CLIENT: usize = 256;
     let clients_in_memory = memory_mb * 1024 / KIB_PER_CLIENT;
     (sockets / 3, ((sockets / 3).min(clients_in_memory / 2), (sockets / 6).min(clients_in_memory / 8)))
 }
@@ -246,7 +248,9 @@
     let node_state = Rc::new(NodeState::new());
     let (executors, clients) = descriptor_limits(config.sockets, config.memory_mb);
     let executor_connections = ExecutorConnections::new(executors, config.dial, config.idle);
-    let server = Rc::new(ClientServer::new(clock, node_state.clone(), events.clone(), clients));
+    let held_bytes = HeldBytes::new(config.memory_mb);
+    let server = ClientServer::new(clock, node_state.clone(), events.clone(), clients, held_bytes);
+    let server = Rc::new(server);
     let fleet_member = match (fleet, &datagrams) {
         (Some((membership, plan, _)), Some(socket)) => {
             let socket = socket.try_clone().map_err(|e| e.to_string())?;
--- a/crates/coveroute-node/src/race_tests.rs
+++ b/crates/coveroute-node/src/race_tests.rs
@@ -16,6 +16,7 @@
 use crate::client_stream::ClientStream;
 use crate::clock::{seconds, Clock};
 use crate::event::DriverEvent;
+use crate::held_bytes::HeldBytes;
 use crate::node_state::NodeState;
 use crate::server::{self, ClientServer};
 use crate::tests::block;
@@ -29,7 +30,13 @@
 /// Starts a server on a port of its own. The test takes the place of the driver and receives its events.
 async fn server() -> (SocketAddr, UnboundedReceiver<DriverEvent>, Rc<ClientServer>) {
     let (events, event_receiver) = unbounded_channel();
-    let server = Rc::new(ClientServer::new(Clock::new(), Rc::new(NodeState::new()), events, (8, 4)));
+    let server = Rc::new(ClientServer::new(
+        Clock::new(),
+        Rc::new(NodeState::new()),
+        events,
+        (8, 4),
+        HeldBytes::unlimited(),
+    ));
     let listener = actix_rt::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let addr = listener.local_addr().expect("an address");
     actix_rt::spawn(server::accept(listener, server.clone(), unbounded_channel().1));
@@ -193,7 +200,7 @@
         let addr = listener.local_addr().expect("an address");
         let client = actix_rt::net::TcpStream::connect(addr).await.expect("a connection");
         let socket = listener.accept().await.expect("a connection").0;
-        let connection = Rc::new(ClientConnection::new(-1));
+        let connection = Rc::new(ClientConnection::new(-1, HeldBytes::unlimited()));
         let mut stream = ClientStream::new(socket, connection.clone());
         connection.set_answered();
         assert!(!connection.is_busy(), "nothing is being written");
@@ -224,7 +231,7 @@
 // process, which would continue in the middle of them.
 #[test]
 fn a_connection_with_discarded_bytes_is_not_handed_over() {
-    let connection = ClientConnection::new(-1);
+    let connection = ClientConnection::new(-1, HeldBytes::unlimited());
     connection.set_waiting();
     connection.set_job(1);
     assert!(connection.handover().is_some() && connection.is_reusable());
--- a/crates/coveroute-node/src/server.rs
+++ b/crates/coveroute-node/src/server.rs
@@ -28,6 +28,7 @@
 use crate::clock::Clock;
 use crate::descriptors::Descriptors;
 use crate::event::{ClientEvents, DriverEvent, EventSender, QueueSlot};
+use crate::held_bytes::HeldBytes;
 use crate::hosts::Hosts;
 use crate::node_state::NodeState;
 use crate::socket::Socket;
@@ -60,6 +61,8 @@
     max_waiting: usize,
     /// Maximum number of connections beyond those: idle, or given only an immediate answer.
     max_others: usize,
+    /// The bytes that all connections hold.
+    held_bytes: Rc<HeldBytes>,
     /// Since when connections may have been waiting to be accepted; `None` if none is waiting.
     accept_wait_since: Cell<Option<Instant>>,
     descriptors: Cell<Descriptors>,
@@ -73,6 +76,7 @@
         node_state: Rc<NodeState>,
         events: EventSender,
         (max_waiting, max_others): (usize, usize),
+        held_bytes: Rc<HeldBytes>,
     ) -> Self {
         ClientServer {
             clock,
@@ -81,6 +85,7 @@
             connections: ClientConnections::default(),
             max_waiting,
             max_others,
+            held_bytes,
             accept_wait_since: Cell::new(None),
             descriptors: Cell::default(),
             connection_ended: Notify::new(),
@@ -534,7 +539,8 @@
     S: Service<(ClientStream, Option<SocketAddr>), Response = ()> + 'static,
     S::Error: std::fmt::Debug,
 {
-    let connection = Rc::new(ClientConnection::new(socket.as_raw_fd()).accept_wait_since(accept_wait_since));
+    let connection = ClientConnection::new(socket.as_raw_fd(), server.held_bytes.clone());
+    let connection = Rc::new(connection.accept_wait_since(accept_wait_since));
     server.connections.borrow_mut().insert(peer, connection.clone());
     let stream = ClientStream::new(socket, connection.clone());
     let (server, serving) = (server.clone(), service.call((stream, Some(peer))));
--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -32,6 +32,7 @@
 use crate::executors::{AckTimeouts, ExecutorConnections};
 use crate::fleet::{FleetMember, Membership};
 use crate::handover::HandoverState;
+use crate::held_bytes::HeldBytes;
 use crate::hosts::Hosts;
 use crate::link::Message;
 use crate::logger::{Decision, RateLimiter};
@@ -521,7 +522,7 @@
         let (clock, node_state, (events, mut event_receiver)) =
             (Clock::new(), Rc::new(NodeState::new()), unbounded_channel());
         node_state.set_phase(Phase::Serving);
-        let server = Rc::new(ClientServer::new(clock, node_state, events, (2, 1)));
+        let server = Rc::new(ClientServer::new(clock, node_state, events, (2, 1), HeldBytes::unlimited()));
         actix_rt::spawn(server::sweep(server.clone()));
         let listener = actix_rt::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let addr = listener.local_addr().expect("an address");
@@ -538,7 +539,8 @@
 fn connections_can_be_used_again(phase: Phase, kept: [bool; 3]) {
     let node_state = Rc::new(NodeState::new());
     node_state.set_phase(phase);
-    let server = ClientServer::new(Clock::new(), node_state, unbounded_channel().0, (2, 1));
+    let server =
+        ClientServer::new(Clock::new(), node_state, unbounded_channel().0, (2, 1), HeldBytes::unlimited());
     let throttled = [0.5, 0.0].map(|pause| Answer::Throttled { pause });
     let [later, at_once] = throttled.each_ref().map(|answer| server.keeps_open(answer));
     assert_eq!([server.keeps_open(&Answer::Succeeded("r".into())), later, at_once], kept);
@@ -956,7 +958,13 @@
     let config = config_with(&[("on_request", mode), ("127.0.0.1:8500", discovery)]);
     block(async move {
         let (mut driver, events, mut event_receiver, node_state) = driver_with_config(config);
-        let server = Rc::new(ClientServer::new(Clock::new(), node_state.clone(), events, (2, 1)));
+        let server = Rc::new(ClientServer::new(
+            Clock::new(),
+            node_state.clone(),
+            events,
+            (2, 1),
+            HeldBytes::unlimited(),
+        ));
         let listener = actix_rt::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let addr = listener.local_addr().expect("an address");
         actix_rt::spawn(server::accept(listener, server, unbounded_channel().1));
--- a/crates/coveroute-node/tests/crowds/memory.rs
+++ b/crates/coveroute-node/tests/crowds/memory.rs
@@ -2,6 +2,7 @@
 //! Beside each crowd, usual clients measure whether they are answered in time.
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -148,6 +149,82 @@
     measure(CLIENTS, |node, client, end| flood(node, &bytes(client), end)).assert_within_limits();
 }
 
+/// Sends the bytes in one piece and then nothing more.
+fn stop_half_way(mut stream: TcpStream, bytes: &[u8], end: Instant) {
+    let _ = stream.write_all(bytes);
+    read_to_end(&mut stream, end);
+}
+
+/// Sends the bytes in small pieces with pauses.
+fn write_slowly(mut stream: TcpStream, bytes: &[u8], end: Instant) {
+    const PIECE: usize = 1024;
+    const PAUSE: Duration = Duration::from_millis(20);
+    for piece in bytes.chunks(PIECE) {
+        if Instant::now() > end || stream.write_all(piece).is_err() {
+            return;
+        }
+        thread::sleep(PAUSE);
+    }
+    read_to_end(&mut stream, end);
+}
+
+/// A job of the largest size, without its last byte.
+fn incomplete_job(client: usize, at: usize) -> Vec<u8> {
+    const BODY: usize = 64 * 1024;
+    [format!("{}Content-Length: {BODY}\r\n\r\n", head(client, at)).into_bytes(), vec![b'x'; BODY - 1]]
+        .concat()
+}
+
+/// A head of as many bytes as the node reads, in fields of a few bytes, without its end.
+fn incomplete_head(client: usize, at: usize) -> Vec<u8> {
+    const HEAD: usize = 120 * 1024;
+    [head(client, at).into_bytes(), b"a:\r\n".repeat(HEAD / 4)].concat()
+}
+
+/// A head in few long fields, without its end.
+fn incomplete_long_head(client: usize, at: usize) -> Vec<u8> {
+    const HEAD: usize = 120 * 1024;
+    let mut bytes = head(client, at).into_bytes();
+    bytes.extend_from_slice(b"a:");
+    bytes.resize(HEAD, b'x');
+    bytes
+}
+
+/// Jobs with a head of many fields and a large body, the last one incomplete.
+fn jobs_ahead(client: usize, at: usize) -> Vec<u8> {
+    const BODY: usize = 40 * 1024;
+    let short: String = (0..85).map(|at| format!("a{at}:\r\n")).collect();
+    let job = |part: usize| {
+        let head = head(client, at * 100 + part);
+        [format!("{head}Content-Length: {BODY}\r\n{short}\r\n").into_bytes(), vec![b'x'; BODY]].concat()
+    };
+    (0..6).flat_map(job).collect()
+}
+
+type Request = fn(usize, usize) -> Vec<u8>;
+type Writer = fn(TcpStream, &[u8], Instant);
+
+// Guards against a node that is killed for its memory: each of hundreds of connections held a large request and as much
+// again that was sent ahead.
+#[test_case(incomplete_job, stop_half_way; "jobs stopped half way")]
+#[test_case(incomplete_job, write_slowly; "jobs written slowly")]
+#[test_case(incomplete_head, stop_half_way; "heads of many short fields, stopped half way")]
+#[test_case(incomplete_head, write_slowly; "heads of many short fields, written slowly")]
+#[test_case(incomplete_long_head, stop_half_way; "long heads, stopped half way")]
+#[test_case(incomplete_long_head, write_slowly; "long heads, written slowly")]
+#[test_case(jobs_ahead, stop_half_way; "large jobs sent ahead")]
+#[test_case(jobs_ahead, write_slowly; "large jobs sent ahead slowly")]
+fn crowds_with_large_requests_stay_within_the_memory_limit(request: Request, write: Writer) {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let crowd = |node, client, end| {
+        while Instant::now() < end {
+            let Some(stream) = connect(node) else { continue };
+            write(stream, &request(client, NEXT.fetch_add(1, Ordering::Relaxed)), end);
+        }
+    };
+    measure(CLIENTS, crowd).assert_within_limits();
+}
+
 /// Sends requests on one connection at full speed, from a thread of their own, and reads what is answered if `reads`. Begins
 /// again on a new connection when the node has closed it.
 fn stream_requests(node: SocketAddr, request: fn(usize) -> String, reads: bool, end: Instant) {
