A call that comes again does not run twice at another process of the node

Cause: a process handed on, once, the ids of the calls that it still served, not of those that had ended, and calls that it took afterwards were unknown to the next process. And the ids of ended calls shared one queue of 4,096 with requests that were refused at once, which displaced them within seconds.

Change: ended calls are handed on too; while another process lives, it is asked before a call is taken, by a report that names no executor, which earlier releases answer as well; without an answer within 0.1 s the call is taken. Calls with and without forwards are remembered apart. Found by reading: the end of a connection removed the entry of a later one from the same port.

Measured: a_call_that_comes_again_at_the_next_process_does_not_run_twice failed before in four of four cases, a_call_that_comes_again_after_its_client_has_left_does_not_run_twice after 6,000 refused calls; both pass now. Not shown: requests sent on after a close with much unread (ten cases, none later than 0.1 s), and a second run at once after the client left (409). Passed: replace 28, node unit tests 277, engine 90.

--- a/crates/coveroute-engine/src/engine.rs
+++ b/crates/coveroute-engine/src/engine.rs
@@ -248,6 +248,8 @@
 const IDLE_CLOSE_TIME: f64 = 0.2;
 /// The platform waits for the longest client timeout, at most this long, plus 0.7 s, and then kills the process.
 const MAX_STOP_WAIT: f64 = 3.0;
+/// Number of calls of earlier processes of the node that are remembered.
+const MAX_PREDECESSOR_CALLS: usize = 8192;
 /// Offsets within those 0.7 s: the last answers are due after the first, and the node exits unconditionally after the
 /// second.
 const LAST_ANSWER_OFFSET: f64 = 0.2;
@@ -276,7 +278,7 @@
     /// The entries of the operations, under the same indices as in the decisions.
     entries: Vec<Operation>,
     counts: Counts,
-    /// Calls that the previous process of this node still serves.
+    /// Calls that earlier processes of this node have served or still serve.
     served_by_predecessor: BTreeSet<String>,
     /// The overload factor of cold executors and the budget of forwards, as the settings have them.
     cold_factor: f64,
@@ -402,7 +404,8 @@
 
     /// The state that is handed to the next process of this node.
     pub fn state(&self) -> EngineState {
-        let calls = self.records.calls().map(|call| call.to_string()).collect();
+        let own = self.records.calls().map(|call| call.to_string());
+        let calls = self.served_by_predecessor.iter().cloned().chain(own).collect();
         let decisions = self.queue.decisions();
         let current = decisions.list_state().is_current();
         EngineState {
@@ -414,7 +417,8 @@
     fn restore_state(&mut self, now: f64, state: EngineState) {
         let measurements = state.measurements(&self.fleet, &self.operations, now);
         self.queue.decisions_mut().restore_measurements(&measurements);
-        self.served_by_predecessor = state.calls.into_iter().collect();
+        let older = state.calls.len().saturating_sub(MAX_PREDECESSOR_CALLS);
+        self.served_by_predecessor = state.calls.into_iter().skip(older).collect();
     }
 
     /// Removes a job so that another process can continue it, without answering the client or notifying executors.
--- a/crates/coveroute-engine/src/engine_state.rs
+++ b/crates/coveroute-engine/src/engine_state.rs
@@ -15,7 +15,7 @@
     /// The list was watched until the handover. State from older versions of the program lacks this field.
     #[serde(default)]
     pub current: bool,
-    /// Ids of calls that the previous process still serves.
+    /// Ids of calls that the previous process still serves, or that it or an earlier one has served.
     pub calls: Vec<String>,
     pub executors: Rows,
     pub operations: Rows,
--- a/crates/coveroute-engine/src/records.rs
+++ b/crates/coveroute-engine/src/records.rs
@@ -55,8 +55,9 @@
     }
 }
 
-/// Number of ids of ended calls that are remembered. Clients give every request a new id, so a repeated id comes from
-/// another client. This covers the last minute of a busy node and takes half a megabyte.
+/// Number of ids of ended calls that are remembered, of those with forwards and of those without any. Clients give every
+/// request a new id, so a repeated id comes from another client, or from one that has left and comes again. This covers
+/// the last minute of a busy node and takes half a megabyte each.
 const MAX_ENDED_CALLS: usize = 4096;
 
 #[derive(Debug, Default)]
@@ -64,8 +65,11 @@
     by_id: BTreeMap<InvocationId, Record>,
     /// By call id; `None` for calls that have ended.
     calls: HashMap<Arc<str>, Option<InvocationId>>,
-    /// Call ids of ended calls, oldest first.
+    /// Call ids of ended calls that had forwards, oldest first.
     ended: VecDeque<Arc<str>>,
+    /// Call ids of ended calls without a forward, oldest first. They are kept apart, so that requests that are refused
+    /// at once do not displace calls that may have run.
+    refused: VecDeque<Arc<str>>,
 }
 
 impl Records {
@@ -90,9 +94,10 @@
         Some(&record.operation)
     }
 
-    /// The ids of calls that have a record.
+    /// The ids of calls that may have run or may still run: the remembered ended ones, oldest first, and those that have a
+    /// record.
     pub fn calls(&self) -> impl Iterator<Item = &Arc<str>> {
-        self.by_id.values().map(|record| &record.call)
+        self.ended.iter().chain(self.by_id.values().map(|record| &record.call))
     }
 
     /// Removes the record without remembering its call id.
@@ -164,17 +169,18 @@
         let done = |record: &Record| !record.unanswered && record.open_forwards().is_empty();
         if self.by_id.get(&id).is_some_and(done) {
             if let Some(record) = self.by_id.remove(&id) {
-                self.remember_ended(record.call.clone());
+                self.remember_ended(&record);
             }
         }
     }
 
-    fn remember_ended(&mut self, call: Arc<str>) {
-        if self.ended.len() == MAX_ENDED_CALLS {
-            self.ended.pop_front().and_then(|oldest| self.calls.remove(&oldest));
+    fn remember_ended(&mut self, record: &Record) {
+        let remembered = if record.forwards.is_empty() { &mut self.refused } else { &mut self.ended };
+        if remembered.len() == MAX_ENDED_CALLS {
+            remembered.pop_front().and_then(|oldest| self.calls.remove(&oldest));
         }
-        self.calls.insert(call.clone(), None);
-        self.ended.push_back(call);
+        remembered.push_back(record.call.clone());
+        self.calls.insert(record.call.clone(), None);
     }
 
     /// Moves all later deadlines to `end`; returns the changed invocations with their new deadlines.
--- a/crates/coveroute-engine/src/tests.rs
+++ b/crates/coveroute-engine/src/tests.rs
@@ -202,15 +202,24 @@
     assert_eq!(engine.held(), usize::from(!ended), "the first one continues");
 }
 
-#[test]
-fn the_ids_of_ended_calls_are_bounded() {
+// Guards against a call that runs twice: requests that were refused at once displaced it from the remembered ones.
+#[test_case(true, false; "calls with forwards displace earlier ones")]
+#[test_case(false, true; "calls without a forward displace only their like")]
+fn the_ids_of_ended_calls_are_bounded(forwarded: bool, first_is_known: bool) {
     let mut engine = with_forwards("look", &[TAKEN]);
     handle(&mut engine, NOW, report(0, done()));
     for id in 0..9000 {
         handle(&mut engine, NOW, Event::CallReceived(ID + 2 + id, &call(&id.to_string(), "pay", 5.0)));
+        let record = engine.records.get(ID + 2 + id).expect("a record");
+        record.forwards.clear();
+        if forwarded {
+            let stage = Stage::Ended;
+            record.forwards.push(Forward { executor_index: 0, sent: NOW, stage, may_be_running: false });
+        }
         engine.answer(ID + 2 + id, Answer::Errored, &mut Vec::new());
     }
-    assert!(!engine.records.knows(CALL) && engine.records.knows("8999"), "only the latest ones are kept");
+    assert_eq!(engine.records.knows(CALL), first_is_known);
+    assert!(engine.records.knows("8999") && !engine.records.knows("0"), "only the latest ones are kept");
 }
 
 #[test_case(false; "with cancelling")]
--- a/crates/coveroute-node/src/callbacks.rs
+++ b/crates/coveroute-node/src/callbacks.rs
@@ -25,6 +25,14 @@
     load: Option<Gauge>,
 }
 
+/// The sender that `report_without_executor` names. No executor has this id.
+const NO_EXECUTOR: &str = "coveroute:no-executor";
+
+/// A status update on a call that matches no forward, whatever the call. A valid call id needs no escapes in JSON.
+pub fn report_without_executor(call: &str) -> String {
+    format!("{{\"id\":\"{call}\",\"from\":\"{NO_EXECUTOR}\",\"state\":\"started\"}}")
+}
+
 /// Parses a status update.
 pub fn parse(body: &[u8]) -> Result<JobReport, String> {
     let update: StatusUpdate = serde_json::from_slice(body).map_err(|e| e.to_string())?;
--- a/crates/coveroute-node/src/driver.rs
+++ b/crates/coveroute-node/src/driver.rs
@@ -280,6 +280,7 @@
                 self.dispatch(Event::JobReport(job_report));
                 ack.map(|ack| ack.send(settled));
             }
+            DriverEvent::CallQueried(call, reply) => self.query_call(&call, reply),
             DriverEvent::HandoverRequested(reply) => {
                 let _ = reply.send(HandoverState::of(
                     self.applied.discovery,
@@ -567,6 +568,20 @@
         });
     }
 
+    /// Asks the other processes of this node whether one of them knows the call. They are asked by a report on it that
+    /// names no executor, which changes nothing there, because processes of earlier releases know no other question.
+    fn query_call(&self, call: &str, reply: oneshot::Sender<bool>) {
+        let others: Vec<Rc<Link>> = self.predecessor.iter().chain(&self.successor).cloned().collect();
+        let report = callbacks::report_without_executor(call);
+        actix_rt::spawn(async move {
+            let mut is_known = false;
+            for link in others {
+                is_known |= link.relay_report(report.as_bytes()).await == Some(true);
+            }
+            let _ = reply.send(is_known);
+        });
+    }
+
     fn execute(&mut self, action: Action) -> Option<Event<'static>> {
         match action {
             Action::Send { id, forward, executor_index, end, write_until } => {
--- a/crates/coveroute-node/src/event.rs
+++ b/crates/coveroute-node/src/event.rs
@@ -78,6 +78,8 @@
     /// A job status update that no other process of this node recognized as its own, and whether it is
     /// acknowledged even if this process does not recognize it either.
     ReportRelayed(JobReport, Option<oneshot::Sender<bool>>, bool),
+    /// A client's request came while another process of this node is alive. The reply is whether that one knows the call.
+    CallQueried(Arc<str>, oneshot::Sender<bool>),
     /// A successor process asks for the state that it starts with.
     HandoverRequested(oneshot::Sender<HandoverState>),
     /// The successor has received that state.
--- a/crates/coveroute-node/src/race_tests.rs
+++ b/crates/coveroute-node/src/race_tests.rs
@@ -238,3 +238,20 @@
     connection.set_overrun();
     assert!(connection.handover().is_none() && !connection.is_reusable());
 }
+
+// A client may come again from the port that it has just left, before the end of its first connection is noticed.
+// Guards against a second connection that is forgotten with the first: its client would not be seen to leave.
+#[test]
+fn the_end_of_a_connection_leaves_a_later_one_from_the_same_port() {
+    let (node_state, events) = (Rc::new(NodeState::new()), unbounded_channel().0);
+    let server = ClientServer::new(Clock::new(), node_state, events, (8, 4), HeldBytes::unlimited());
+    let (connections, peer) = (server.connections(), ([127, 0, 0, 1], 40_000).into());
+    let connect = || Rc::new(ClientConnection::new(-1, HeldBytes::unlimited()));
+    let (first, second) = (connect(), connect());
+    connections.borrow_mut().insert(peer, first.clone());
+    connections.borrow_mut().insert(peer, second.clone());
+    server.remove_connection(peer, &first);
+    assert!(connections.borrow().contains_key(&peer));
+    server.remove_connection(peer, &second);
+    assert!(connections.borrow().is_empty());
+}
--- a/crates/coveroute-node/src/server.rs
+++ b/crates/coveroute-node/src/server.rs
@@ -15,7 +15,7 @@
 use actix_service::{fn_service, Service, ServiceFactory};
 use bytes::Bytes;
 use coveroute::types::InvocationId;
-use coveroute_engine::{JobResult, Phase, WatchEvent, NO_WATCH};
+use coveroute_engine::{self as engine, JobResult, Phase, Rejection, WatchEvent, NO_WATCH};
 use log::{debug, warn};
 use nix::errno::Errno;
 use tokio::io::{AsyncWriteExt, Interest};
@@ -44,6 +44,9 @@
 /// configured maximum is lower: about as long as the pending work takes.
 const OVERLOAD_RETRY_AFTER: f64 = 1.0;
 
+/// Time limit for the other process of a node to say whether it knows a call: many iterations of a busy event loop.
+const CALL_QUERY_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// What happens to a connection after its response.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum AfterResponse {
@@ -96,6 +99,15 @@
         self.connections.clone()
     }
 
+    /// Removes a connection that has ended, unless its client has connected again from the same port by now.
+    pub fn remove_connection(&self, peer: SocketAddr, ended: &Rc<ClientConnection>) {
+        let mut connections = self.connections.borrow_mut();
+        if connections.get(&peer).is_some_and(|current| Rc::ptr_eq(current, ended)) {
+            connections.remove(&peer);
+        }
+        self.connection_ended.notify_one();
+    }
+
     fn close_all(&self, which: impl Fn(&ClientConnection) -> bool) {
         self.connections
             .borrow()
@@ -337,6 +349,11 @@
                 AfterResponse::Close,
             );
         }
+        if self.node_state.paired() && self.is_known_elsewhere(&job).await {
+            let class = job.call.class;
+            self.report(connection, DriverEvent::Ended(class, JobResult::Errored)).await;
+            return (engine::Answer::Rejected(Rejection::DuplicateCall).into(), AfterResponse::KeepOpen);
+        }
         let slot = self.queue_slot(connection).await;
         let id = self.node_state.next_id();
         connection.iter().for_each(|connection| connection.set_job(id));
@@ -351,6 +368,17 @@
     }
 }
 
+impl ClientServer {
+    /// Whether another process of this node has the call, or has had it: it must not run a second time. A process that does
+    /// not reply in time does not hold up this one.
+    async fn is_known_elsewhere(&self, job: &request::Job) -> bool {
+        let (reply, replied) = oneshot::channel();
+        let slot = self.events.slot().await;
+        self.events.send(slot, DriverEvent::CallQueried(job.call.call_id.clone(), reply));
+        matches!(timeout(CALL_QUERY_TIMEOUT, replied).await, Ok(Ok(true)))
+    }
+}
+
 /// Waits while the connection passes no further request to the parser, which would decode all that has been received.
 async fn while_paused<T>(connection: Option<&Rc<ClientConnection>>, wait: impl Future<Output = T>) -> T {
     connection.iter().for_each(|connection| connection.set_paused(true));
@@ -504,8 +532,7 @@
             None => false,
         };
         own.set_closed();
-        self.connections.borrow_mut().remove(&peer);
-        self.connection_ended.notify_one();
+        self.remove_connection(peer, &own);
         kept.then(|| socket.into_stream())
     }
 }
@@ -552,8 +579,7 @@
             () = connection.close.notified() => {}
             ended = serving => if let Err(e) = ended { debug!("{peer}: {e:?}") },
         }
-        server.connections.borrow_mut().remove(&peer);
-        server.connection_ended.notify_one();
+        server.remove_connection(peer, &connection);
     });
 }
 
--- a/crates/coveroute-node/tests/crowds/harness.rs
+++ b/crates/coveroute-node/tests/crowds/harness.rs
@@ -115,6 +115,10 @@
         executor
     }
 
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
     /// Number of jobs received so far.
     pub fn jobs(&self) -> usize {
         self.jobs.load(Ordering::Relaxed)
--- a/crates/coveroute-node/tests/crowds/main.rs
+++ b/crates/coveroute-node/tests/crowds/main.rs
@@ -2,6 +2,7 @@
 //! that all restart at once.
 mod checker;
 mod deadline_propagation;
+mod departed_clients;
 mod descriptors;
 mod fault_table;
 mod harness;
--- a/crates/coveroute-node/tests/replace.rs
+++ b/crates/coveroute-node/tests/replace.rs
@@ -94,17 +94,21 @@
     addr
 }
 
-/// Starts a discovery service that lists only this executor.
-fn discovery(executor: SocketAddr) -> SocketAddr {
+/// Starts a discovery service that lists only this executor. It answers no call while `waits` is set.
+fn discovery(executor: SocketAddr, waits: Arc<AtomicBool>) -> SocketAddr {
     let listener = TcpListener::bind((unused_addr().ip(), 0)).expect("failed to bind a port");
     let addr = listener.local_addr().expect("no local address");
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
+            let waits = waits.clone();
             thread::spawn(move || {
                 let mut answers = stream.try_clone().expect("failed to clone the stream");
                 if read_message(&mut BufReader::new(stream)).is_none() {
                     return;
                 }
+                while waits.load(Ordering::SeqCst) {
+                    thread::sleep(Duration::from_millis(10));
+                }
                 let list = format!(
                     "{{\"version\":7,\"full\":true,\"servers\":[{{\"id\":\"s-0\",\"addr\":\"{executor}\",\"state\":\"up\"}}]}}\n"
                 );
@@ -127,6 +131,8 @@
     executions: Arc<AtomicU64>,
     /// Whether the executor rejects jobs for lack of capacity.
     full: Arc<AtomicBool>,
+    /// Whether discovery lets calls wait.
+    discovery_waits: Arc<AtomicBool>,
 }
 
 /// A process of the node, and its management address.
@@ -156,12 +162,14 @@
         std::fs::create_dir_all(&folder).expect("failed to create the folder");
         let (node, executions, full) =
             (unused_addr(), Arc::new(AtomicU64::new(0)), Arc::new(AtomicBool::new(false)));
-        let discovery = discovery(executor(node, executions.clone(), full.clone()));
+        let discovery_waits = Arc::new(AtomicBool::new(false));
+        let executor = executor(node, executions.clone(), full.clone());
+        let discovery = discovery(executor, discovery_waits.clone());
         let config = include_str!("../../../examples/config.json");
         let config = config.replace("127.0.0.1:9000", &node.to_string());
         let config = config.replace("127.0.0.1:8500", &discovery.to_string());
         std::fs::write(folder.join("config.json"), config).expect("failed to write the file");
-        Fixture { folder, node, executions, full }
+        Fixture { folder, node, executions, full, discovery_waits }
     }
 
     fn socket_path(&self) -> PathBuf {
@@ -399,6 +407,50 @@
     assert_eq!(fixture.executions.load(Ordering::Relaxed), 5, "number of executions");
 }
 
+/// When a call comes for the first time, relative to the start of the next process.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum FirstCall {
+    Before,
+    /// Before, and its client leaves while the job runs.
+    BeforeAndLeft,
+    /// While the next process waits for its list.
+    WhileItStarts,
+}
+
+// Guards against a job that runs twice: its call came again at the next process, which did not know it.
+#[test_case(FirstCall::Before, false; "it ended before")]
+#[test_case(FirstCall::Before, true; "it ended before, and the first process has ended")]
+#[test_case(FirstCall::BeforeAndLeft, false; "its client has left")]
+#[test_case(FirstCall::WhileItStarts, false; "it ended while the next process started")]
+fn a_call_that_comes_again_at_the_next_process_does_not_run_twice(first: FirstCall, has_ended: bool) {
+    let fixture = Fixture::new();
+    let mut old = fixture.start_replaceable();
+    match first {
+        FirstCall::WhileItStarts => fixture.discovery_waits.store(true, Ordering::SeqCst),
+        FirstCall::Before => assert_eq!(fixture.job("again", 10).join().expect("a client"), "r-again"),
+        FirstCall::BeforeAndLeft => {
+            let mut client = TcpStream::connect(fixture.node).expect("failed to connect");
+            let text = "POST /pay HTTP/1.1\r\nHost: b\r\nX-Call-Id: again\r\nX-Budget-Ms: 9000\r\nContent-Length: 3\r\n\r\n300";
+            client.write_all(text.as_bytes()).expect("failed to write");
+            wait_until(|| fixture.executions.load(Ordering::Relaxed) == 1);
+        }
+    }
+    let new = fixture.start(Some(&fixture.folder));
+    wait_until(|| fixture.log().contains("a successor process of this node has connected"));
+    if first == FirstCall::WhileItStarts {
+        assert_eq!(fixture.job("again", 10).join().expect("a client"), "r-again");
+        fixture.discovery_waits.store(false, Ordering::SeqCst);
+    }
+    wait_until(|| status(new.management, "/v1/readyz").as_deref() == Some("200"));
+    if has_ended {
+        old.signal("-TERM");
+        assert!(old.exits_successfully(), "the old process did not exit: {}", fixture.log());
+    }
+    assert_eq!(fixture.job("again", 10).join().expect("a client"), "this call has come before\n");
+    assert_eq!(fixture.executions.load(Ordering::Relaxed), 1, "number of executions");
+    check_answers(send_jobs(&fixture, "other", 3, 10));
+}
+
 #[test]
 fn a_client_that_disconnects_after_its_job_has_moved_is_noticed() {
     let fixture = Fixture::new();
