After a reload an old list expires before the new service's changes count as known

What it has counts as told 4 s after SIGHUP; the old list was used for 5.5 s.

Cause: the lifetime of a list was that of a silence, whatever the call was for that failed.

Change: ListState::SourceChanged; the list expires 3.5 s after the reload, unless the call shows that nobody is at the new service. Pushed lists are unchanged.

Not played on sockets.

--- a/crates/coveroute-engine/src/engine.rs
+++ b/crates/coveroute-engine/src/engine.rs
@@ -987,6 +987,7 @@
         // may number versions differently, so the whole list is requested.
         if list_source_changed && self.step(Step::Reload) {
             self.version = 0;
+            self.queue.push(Input::List(List::SourceChanged));
             self.follow(out);
         }
     }
--- a/crates/coveroute-engine/src/tests.rs
+++ b/crates/coveroute-engine/src/tests.rs
@@ -386,6 +386,19 @@
     assert_eq!((engine.phase(), engine.held()), (Phase::Serving, 1));
 }
 
+// Guards against jobs sent by an old list: what the service of a new configuration has counts as known after four seconds.
+#[test_case(3.3, true; "before the old list expires")]
+#[test_case(3.7, false; "after it has expired")]
+fn an_old_list_is_used_for_a_short_time_after_a_reload(after: f64, sent: bool) {
+    let mut engine = engine().0;
+    handle(&mut engine, NOW, Event::Reloaded { settings: None, list_source_changed: true });
+    handle(&mut engine, NOW, Event::Watch(2, WatchEvent::Lost(Loss::Refused)));
+    let mut call = call(CALL, "look", 5.0);
+    call.received_at = NOW + after;
+    let out = handle(&mut engine, NOW + after, Event::CallReceived(ID, &call));
+    assert_eq!(out.iter().any(|action| matches!(action, Action::Send { .. })), sent, "{out:?}");
+}
+
 #[test]
 fn a_reload_during_a_stop_changes_nothing() {
     let mut engine = with_forwards("look", &[TAKEN]);
--- a/src/list_calls.rs
+++ b/src/list_calls.rs
@@ -106,7 +106,7 @@
                 false => (ROUND_UNHEARD, ROUND_GROWTH, 0),
             },
             ListState::Unheard { .. } => (ROUND_UNHEARD, ROUND_GROWTH, self.failed.saturating_sub(2)),
-            ListState::Followed | ListState::Unreachable { .. } => {
+            ListState::Followed | ListState::Unreachable { .. } | ListState::SourceChanged { .. } => {
                 (ROUND_WHILE_SENDING, ROUND_GROWTH, self.failed.saturating_sub(3))
             }
         };
--- a/src/list_state.rs
+++ b/src/list_state.rs
@@ -7,6 +7,8 @@
 /// Seconds after which a list that receives no changes expires. A node counts as informed of a change six
 /// seconds after discovery has it, and a connection takes up to half a second of these.
 const LIST_LIFETIME: f64 = 5.5;
+/// The same after the configuration has named another service: its changes count as known after four seconds.
+const SOURCE_CHANGE_LIFETIME: f64 = 3.5;
 /// Seconds until which a forward decided before has to be written. The margin to six seconds covers a stall
 /// of the node after it has read the clock.
 const WRITE_LIFETIME: f64 = 5.85;
@@ -30,6 +32,9 @@
     /// Other nodes may be informed of changes after `since`, so the list expires. A list from before the
     /// start has expired already (`since` is minus infinity).
     Unheard { since: f64, outage: Option<Outage> },
+    /// The configuration has named another service, which has not answered yet. The list expires as one that
+    /// was current until `since`.
+    SourceChanged { since: f64 },
 }
 
 /// A span in which no call had a sign that discovery is up.
@@ -76,6 +81,17 @@
         }
     }
 
+    /// The state when the configuration names another service, which is called at once.
+    pub fn after_source_change(self, now: f64) -> Self {
+        let since = self.since().min(now + SOURCE_CHANGE_LIFETIME - LIST_LIFETIME);
+        match self {
+            ListState::Unheard { outage, .. } => ListState::Unheard { since, outage },
+            ListState::Followed | ListState::Unreachable { .. } | ListState::SourceChanged { .. } => {
+                ListState::SourceChanged { since }
+            }
+        }
+    }
+
     /// The state after a call that began at `called` found no sign of discovery.
     fn after_failure(self, now: f64, called: f64) -> Self {
         match self {
@@ -84,14 +100,16 @@
                 let begun = outage.map_or(now, |outage| outage.begun);
                 ListState::Unheard { since, outage: Some(Outage { begun, confirmed: called }) }
             }
-            ListState::Followed | ListState::Unreachable { .. } => ListState::Unreachable { since: called },
+            ListState::Followed | ListState::Unreachable { .. } | ListState::SourceChanged { .. } => {
+                ListState::Unreachable { since: called }
+            }
         }
     }
 
     /// When the list was last confirmed by a call that found discovery unreachable, if its use depends on that.
     pub fn confirmed(self) -> Option<f64> {
         match self {
-            ListState::Followed => None,
+            ListState::Followed | ListState::SourceChanged { .. } => None,
             ListState::Unreachable { since } => Some(since),
             ListState::Unheard { outage, .. } => {
                 outage.filter(|outage| outage.is_confirmed()).map(|outage| outage.confirmed)
@@ -103,7 +121,9 @@
     fn valid_for(self, lifetime: f64) -> f64 {
         let heard = match self {
             ListState::Followed => return f64::INFINITY,
-            ListState::Unreachable { since } | ListState::Unheard { since, .. } => since,
+            ListState::Unreachable { since }
+            | ListState::SourceChanged { since }
+            | ListState::Unheard { since, .. } => since,
         };
         heard.max(self.confirmed().unwrap_or(f64::NEG_INFINITY)) + lifetime
     }
@@ -141,7 +161,9 @@
     fn since(self) -> f64 {
         match self {
             ListState::Followed => f64::INFINITY,
-            ListState::Unreachable { since } | ListState::Unheard { since, .. } => since,
+            ListState::Unreachable { since }
+            | ListState::SourceChanged { since }
+            | ListState::Unheard { since, .. } => since,
         }
     }
 
@@ -151,7 +173,7 @@
             ListState::Followed => "followed",
             ListState::Unreachable { .. } => "unreachable",
             ListState::Unheard { since, .. } if since.is_infinite() => "unconfirmed",
-            ListState::Unheard { .. } => "unheard",
+            ListState::Unheard { .. } | ListState::SourceChanged { .. } => "unheard",
         }
     }
 
@@ -173,7 +195,7 @@
             ListState::Followed => Ok(()),
             ListState::Unreachable { since } => write!(f, " for {:.2} s", now - since),
             ListState::Unheard { since, .. } if since.is_infinite() => write!(f, ", nothing is sent by it"),
-            ListState::Unheard { since, .. } => {
+            ListState::Unheard { since, .. } | ListState::SourceChanged { since } => {
                 write!(f, " for {:.2} s, expires after {LIST_LIFETIME} s", now - since)
             }
         }
--- a/src/list_state/tests.rs
+++ b/src/list_state/tests.rs
@@ -58,6 +58,27 @@
     assert!(state.written_until() < START + until + 0.5, "{state:?}");
 }
 
+// The configuration names another service 10 s after the start; its changes count as known four seconds later. Guards
+// against an old list that was used for 5.5 s after that.
+#[test_case(&[], Some(REFUSED), 13.5; "the new service refuses calls")]
+#[test_case(&[], Some(HUNG), 13.5; "the new service does not answer")]
+#[test_case(&[], None, 13.5; "no call has ended yet")]
+#[test_case(&[(9.0, REFUSED)], Some(REFUSED), 13.5; "the old one refused calls too")]
+#[test_case(&[(6.0, REFUSED)], Some(REFUSED), 11.5; "the old one has refused calls for longer")]
+#[test_case(&[(6.0, REFUSED)], Some(Loss::Closed), 11.5; "the old one has refused calls for longer, and nobody is at the new one")]
+#[test_case(&[(9.0, Loss::Closed)], Some(REFUSED), 13.5; "the old one was down")]
+#[test_case(&[], Some(Loss::Closed), 18.8; "nobody is at the new service: no node is informed")]
+fn a_list_expires_sooner_after_a_change_of_its_source(
+    before: &[(f64, Loss)],
+    loss: Option<Loss>,
+    until: f64,
+) {
+    let state = after(InitialListAge::Unspecified, false, before).after_source_change(START + 10.0);
+    let state = loss.map_or(state, |loss| state.after(START + 13.3, loss));
+    assert!(state.permits(START + until - 0.01) && !state.permits(START + until + 0.01), "{state:?}");
+    assert!(!state.is_current() || loss == Some(Loss::Closed), "{state:?}");
+}
+
 // In a long outage calls that all fail keep an expired list in use, once it counts as one.
 #[test]
 fn calls_in_a_long_outage_keep_an_expired_list_in_use() {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -182,12 +182,16 @@
             List::Lost(loss) => self.list_state.after(now, loss),
             List::Initial(_, age) => ListState::initial(now, age, !self.settings.polls_list),
             List::Changes(_) | List::Whole(_) => ListState::Followed,
+            List::SourceChanged if self.settings.polls_list => self.list_state.after_source_change(now),
+            // The keeper of pushed lists belongs to the node.
+            List::SourceChanged => self.list_state,
         };
         out.extend(self.list_state.transition(now, state).map(Output::Log));
         self.list_state = state;
         let call = |after| Output::SetTimer { after, timer: LIST_CALL_TIMER };
         let whole = list.is_whole();
         let entries = match list {
+            List::SourceChanged => return,
             List::Lost(loss) => {
                 let after = self.list_calls.next(now, state, loss, SOLVE_INTERVAL, &self.settings);
                 return out.push(call(after));
--- a/src/types.rs
+++ b/src/types.rs
@@ -196,6 +196,8 @@
     Whole(Vec<Entry>),
     /// The list that this node starts with, and its age.
     Initial(Vec<Entry>, InitialListAge),
+    /// The configuration has named another service, which is being called.
+    SourceChanged,
     Lost(Loss),
 }
 
