An ended call takes the timer of its deadline with it

Change: Timers::schedule returns a key, a record keeps that of its deadline, and it is cancelled with the record, also when a job is handed over.

The growth of a process was not measured.

--- a/crates/coveroute-engine/src/engine.rs
+++ b/crates/coveroute-engine/src/engine.rs
@@ -219,7 +219,7 @@
 }
 
 #[derive(Debug)]
-enum Timer {
+pub(crate) enum Timer {
     /// A timer that the decisions have set.
     Decisions(u64),
     /// The deadline of an invocation.
@@ -257,7 +257,7 @@
 
 /// The state machine of one node process. `D` makes the routing decisions.
 pub struct Engine<D = Node> {
-    timers: Timers<Timer>,
+    pub(crate) timers: Timers<Timer>,
     phase: Phase,
     pub(crate) queue: DecisionQueue<D>,
     pub(crate) fleet: Fleet,
@@ -445,7 +445,9 @@
             self.queue.decisions_mut().import_invocation(id, handover.invocation);
             return None;
         }
-        self.records.remove(id);
+        if let Some(record) = self.records.remove(id) {
+            self.timers.cancel(record.timer);
+        }
         Some(handover)
     }
 
@@ -493,8 +495,8 @@
         let (call, operation) = (Arc::from(call), self.operations.name(invocation.op).clone());
         self.counts.register(&operation);
         let (due, end) = (deadline, deadline.min(self.answer_by));
-        self.timers.schedule(end, Timer::Deadline(id));
-        self.records.open(id, Record { call, operation, unanswered: true, end, due, forwards });
+        let timer = self.timers.schedule(end, Timer::Deadline(id));
+        self.records.open(id, Record { call, operation, unanswered: true, end, due, timer, forwards });
         self.queue.decisions_mut().import_invocation(id, invocation);
         self.queue.push(Input::Timer(DISPATCH_TIMER));
         self.run_decisions(now, out);
@@ -599,7 +601,9 @@
                 self.answer(id, Answer::Throttled { pause }, out);
             }
             Output::Error { id } => self.answer(id, Answer::Errored, out),
-            Output::SetTimer { after, timer } => self.timers.schedule(now + after, Timer::Decisions(timer)),
+            Output::SetTimer { after, timer } => {
+                self.timers.schedule(now + after, Timer::Decisions(timer));
+            }
             Output::Probe(executor_index) => out.push(Action::Probe(executor_index)),
             Output::Release(executor_index) => out.push(Action::Release(executor_index)),
             Output::SendToPeer { to, kind, executor_index, count } => {
@@ -625,7 +629,7 @@
         match age {
             _ if known.hosts.is_empty() => {}
             InitialListAge::Unknown | InitialListAge::Current => {
-                self.timers.schedule(now + READY_DEADLINE, Timer::PhaseStep(Step::ExecutorsKnown))
+                self.timers.schedule(now + READY_DEADLINE, Timer::PhaseStep(Step::ExecutorsKnown));
             }
             InitialListAge::Unspecified => drop(self.step(Step::ExecutorsKnown)),
         }
@@ -661,7 +665,9 @@
             WatchEvent::Lost(loss) => {
                 self.followed = false;
                 match self.list_pushed {
-                    true => self.timers.schedule(now + PUSHED_LIST_RETRY_DELAY, Timer::Follow(number)),
+                    true => {
+                        self.timers.schedule(now + PUSHED_LIST_RETRY_DELAY, Timer::Follow(number));
+                    }
                     false => self.queue.push(Input::List(List::Lost(loss))),
                 }
             }
@@ -711,9 +717,9 @@
     fn open(&mut self, now: f64, call: Arc<str>, submission: Submission) {
         let due = now + submission.timeout;
         let end = due.min(self.answer_by);
-        self.timers.schedule(end, Timer::Deadline(submission.id));
+        let timer = self.timers.schedule(end, Timer::Deadline(submission.id));
         let operation = self.operations.name(submission.operation).clone();
-        let record = Record { call, operation, unanswered: true, end, due, forwards: Vec::new() };
+        let record = Record { call, operation, unanswered: true, end, due, timer, forwards: Vec::new() };
         self.records.open(submission.id, record);
         self.queue.push(Input::Submitted(submission));
     }
@@ -731,14 +737,22 @@
 
     pub(crate) fn answer(&mut self, id: InvocationId, answer: Answer, out: &mut Vec<Action>) {
         self.send_final_answer(id, answer, out);
-        self.records.remove_if_finished(id);
+        self.remove_if_finished(id);
+    }
+
+    /// Forgets the invocation if its client has the answer and no forward is open, and its deadline with it: there would be
+    /// one for each request that was refused at once, for as long as its client would have waited.
+    fn remove_if_finished(&mut self, id: InvocationId) {
+        if let Some(record) = self.records.remove_if_finished(id) {
+            self.timers.cancel(record.timer);
+        }
     }
 
     fn client_left(&mut self, now: f64, id: InvocationId, out: &mut Vec<Action>) {
         if self.records.mark_answered(id).is_some() {
             self.close_invocation(now, id, out);
         }
-        self.records.remove_if_finished(id);
+        self.remove_if_finished(id);
     }
 
     /// Closes an invocation that ended without the decisions. Forwards that still wait for a connection are withdrawn:
@@ -766,7 +780,7 @@
             error!("invocation {id} was left without an answer");
             self.queue.push(Input::Expired(id));
         }
-        self.records.remove_if_finished(id);
+        self.remove_if_finished(id);
     }
 
     pub(crate) fn forward(
@@ -845,7 +859,7 @@
         );
         let ended = self.records.get(id).is_none_or(|record| !record.unanswered);
         self.queue.push(Input::Settled(Settled { id, forward, outcome, took, ended, report }));
-        self.records.remove_if_finished(id);
+        self.remove_if_finished(id);
     }
 
     fn handle_report(&mut self, now: f64, job_report: JobReport, out: &mut Vec<Action>) {
@@ -894,7 +908,7 @@
             // A forward that was considered lost has succeeded after all.
             self.close_invocation(now, id, out);
         }
-        self.records.remove_if_finished(id);
+        self.remove_if_finished(id);
     }
 
     /// Abandons a forward: closes its connection, or cancels it at the executor that has accepted it.
--- a/crates/coveroute-engine/src/records.rs
+++ b/crates/coveroute-engine/src/records.rs
@@ -6,6 +6,8 @@
 use coveroute::types::{ExecutorIndex, InvocationId};
 use serde::{Deserialize, Serialize};
 
+use crate::timers::TimerKey;
+
 /// Progress of a forward.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Stage {
@@ -44,6 +46,8 @@
     pub end: f64,
     /// Deadline without regard to a stop of this process.
     pub due: f64,
+    /// The timer of its deadline.
+    pub timer: TimerKey,
     pub forwards: Vec<Forward>,
 }
 
@@ -164,14 +168,13 @@
             .any(|earlier| earlier.stage == Stage::Returned && same_executor(earlier))
     }
 
-    /// Removes the record if the client has its answer and no forward is open.
-    pub fn remove_if_finished(&mut self, id: InvocationId) {
+    /// Removes the record and returns it if the client has its answer and no forward is open.
+    pub fn remove_if_finished(&mut self, id: InvocationId) -> Option<Record> {
         let done = |record: &Record| !record.unanswered && record.open_forwards().is_empty();
-        if self.by_id.get(&id).is_some_and(done) {
-            if let Some(record) = self.by_id.remove(&id) {
-                self.remember_ended(&record);
-            }
-        }
+        self.by_id.get(&id).filter(|record| done(record))?;
+        let record = self.by_id.remove(&id)?;
+        self.remember_ended(&record);
+        Some(record)
     }
 
     fn remember_ended(&mut self, record: &Record) {
--- a/crates/coveroute-engine/src/tests.rs
+++ b/crates/coveroute-engine/src/tests.rs
@@ -222,6 +222,24 @@
     assert!(engine.records.knows("8999") && !engine.records.knows("0"), "only the latest ones are kept");
 }
 
+// Guards against memory that grows with the requests that are refused at once: each left the timer of its deadline.
+#[test]
+fn an_ended_call_leaves_no_timer() {
+    let mut engine = engine().0;
+    let before = engine.timers.len();
+    for id in 0..1000 {
+        handle(&mut engine, NOW, Event::CallReceived(ID + id, &call(&id.to_string(), "pay", 5.0)));
+        engine.answer(ID + id, Answer::Throttled { pause: 0.0 }, &mut Vec::new());
+        handle(&mut engine, NOW, Event::ClientDisconnected(ID + id));
+        let open = engine.records.get(ID + id).map_or(0, |record| record.forwards.len());
+        for forward in 0..open {
+            engine.withdraw(NOW, ID + id, forward, &mut Vec::new());
+        }
+    }
+    assert_eq!(engine.held(), 0);
+    assert!(engine.timers.len() <= before + 2, "{} timers, {before} before", engine.timers.len());
+}
+
 #[test_case(false; "with cancelling")]
 #[test_case(true; "without cancelling")]
 fn nothing_is_sent_for_a_client_that_has_left(no_cancelling: bool) {
--- a/crates/coveroute-engine/src/timers.rs
+++ b/crates/coveroute-engine/src/timers.rs
@@ -1,10 +1,12 @@
 //! A queue of timers ordered by due time; timers with the same due time keep the order in which they were scheduled.
 use std::collections::BTreeMap;
 
+/// Identifies a scheduled timer: the bits of its due time, and its sequence number.
+pub type TimerKey = (u64, u64);
+
 #[derive(Debug)]
 pub struct Timers<T> {
-    /// By the bits of the due time and the sequence number.
-    due: BTreeMap<(u64, u64), T>,
+    due: BTreeMap<TimerKey, T>,
     /// Number of timers scheduled so far.
     scheduled: u64,
 }
@@ -15,11 +17,24 @@
     }
 
     /// Schedules a timer. One whose time is NaN is due at once, so that it is neither lost nor waits forever.
-    pub fn schedule(&mut self, at: f64, timer: T) {
+    pub fn schedule(&mut self, at: f64, timer: T) -> TimerKey {
         self.scheduled += 1;
         // The bit patterns of non-negative floats order like the numbers.
         let at = if at.is_nan() { 0.0 } else { at.max(0.0) };
-        self.due.insert((at.to_bits(), self.scheduled), timer);
+        let key = (at.to_bits(), self.scheduled);
+        self.due.insert(key, timer);
+        key
+    }
+
+    /// Removes a timer, if it is not due yet.
+    pub fn cancel(&mut self, key: TimerKey) {
+        self.due.remove(&key);
+    }
+
+    /// Number of scheduled timers.
+    #[cfg(test)]
+    pub fn len(&self) -> usize {
+        self.due.len()
     }
 
     pub fn next(&self) -> Option<f64> {
