A connection that waits for its turn is not handed over

Cause: since a request that is answered at once waits for a turn, or for a place in the driver's queue, the driver can run in between, and the parser may hold a second request by then. A handover of the connection, or its close as idle, would lose that. Found by reading; it was not seen.

Change: such a connection counts as busy and is not handed over. Test: a_connection_that_waits_for_its_turn_is_not_handed_over.

--- a/crates/coveroute-node/src/client_connection.rs
+++ b/crates/coveroute-node/src/client_connection.rs
@@ -148,10 +148,10 @@
         !self.is_busy() && self.state() != ConnectionState::AwaitingAnswer && self.since().elapsed() >= least
     }
 
-    /// Whether a request is being received or a response being written. The node must not stop in between:
-    /// the request's last byte may be in the next read, and then the request counts as accepted.
+    /// Whether a request is being received or answered at once, or a response being written. The node must not
+    /// stop in between: the request's last byte may be in the next read, and then the request counts as accepted.
     pub fn is_busy(&self) -> bool {
-        self.state() == ConnectionState::ReadingRequest || self.is_write_pending.get()
+        self.state() == ConnectionState::ReadingRequest || self.is_paused.get() || self.is_write_pending.get()
     }
 
     pub fn eviction_class(&self) -> EvictionClass {
@@ -236,6 +236,7 @@
     pub fn handover(&self) -> Option<Handover> {
         match (self.state(), self.job.get()) {
             _ if self.unparsed.get() > 0 || self.has_overrun.get() => None,
+            _ if self.is_paused.get() => None,
             _ if self.is_write_pending.get() || self.is_handed_over.get() => None,
             (ConnectionState::AwaitingAnswer, Some(id)) => Some(Handover::Waiting(id)),
             (ConnectionState::Connected | ConnectionState::Idle, _) => Some(Handover::Idle),
--- a/crates/coveroute-node/src/race_tests.rs
+++ b/crates/coveroute-node/src/race_tests.rs
@@ -239,6 +239,19 @@
     assert!(connection.handover().is_none() && !connection.is_reusable());
 }
 
+// The parser may hold a second request behind one that is answered at once. Guards against a handover in between, which
+// would lose it.
+#[test]
+fn a_connection_that_waits_for_its_turn_is_not_handed_over() {
+    let connection = ClientConnection::new(-1, HeldBytes::unlimited());
+    connection.set_answered();
+    assert!(connection.handover().is_some() && !connection.is_busy());
+    connection.set_paused(true);
+    assert!(connection.handover().is_none() && connection.is_busy());
+    connection.set_paused(false);
+    assert!(connection.handover().is_some() && !connection.is_busy());
+}
+
 // A client may come again from the port that it has just left, before the end of its first connection is noticed.
 // Guards against a second connection that is forgotten with the first: its client would not be seen to leave.
 #[test]
