An executor's 429 is no refusal to the client

An executor began one, its answer came spoilt as 429, the node handed the status on, and the client took it for a refusal and sent the payment again.

Cause: send::reply took all of 400 to 499 for a fault of the request. 429 says nothing of the request and proves nothing.

Change: 429 counts as an error of a forward that may have run, like 500.

--- a/crates/coveroute-node/src/driver/tests.rs
+++ b/crates/coveroute-node/src/driver/tests.rs
@@ -43,12 +43,16 @@
 const PROBED: &str = "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n{\"x0\":2}";
 const ACCEPTS: &str = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
 
+const REFUSES: &str = "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n";
+
 // The whole path with an executor that accepts a job and never reports again: the answer is final, in time, and right
-// for the operation.
+// for the operation. Guards against a refusal that an executor's spoilt answer words: the client tries again, and the job
+// runs twice.
 #[test_case(&[PROBED, ACCEPTS], "look", 0.6, 0.0, Answer::Throttled { pause: 0.0 }; "an idempotent job is throttled")]
 #[test_case(&[PROBED, ACCEPTS], "pay", 0.6, 0.0, Answer::Errored; "a job that may have run is not throttled")]
 #[test_case(&[PROBED, ACCEPTS], "pay", 0.9, 0.3, Answer::Errored; "time already spent is deducted")]
 #[test_case(&[PROBED, ""], "pay", 5.0, 0.0, Answer::Errored; "a reset fails at once")]
+#[test_case(&[PROBED, REFUSES], "pay", 5.0, 0.0, Answer::Errored; "a refusal without proof is no refusal to the client")]
 #[test_case(&[PROBED], "look", 0.12, 0.0, Answer::Throttled { pause: 0.0 }; "hardly any time left")]
 fn every_job_gets_an_answer_in_time(
     answers: &'static [&'static str],
--- a/crates/coveroute-node/src/send.rs
+++ b/crates/coveroute-node/src/send.rs
@@ -186,7 +186,8 @@
         (202, _) => return Reply::Taken,
         // Only the executor's own statement proves that the job never ran.
         (503 | 504, true) => Outcome::Full,
-        (500, _) => Outcome::Errored,
+        // To a client 429 is a refusal, after which trying again is harmless. It does not prove that the job never ran.
+        (500 | 429, _) => Outcome::Errored,
         (400..=499, _) => return Reply::Rejected(status.as_u16(), report(load)),
         _ => {
             warn!("unexpected status {status} from an executor in response to a job");
--- a/crates/coveroute-node/src/tests.rs
+++ b/crates/coveroute-node/src/tests.rs
@@ -351,6 +351,7 @@
 #[test_case(503, false, ended(Outcome::Errored); "a 503 without the header may have run")]
 #[test_case(500, true, ended(Outcome::Errored); "an error may have run")]
 #[test_case(200, false, ended(Outcome::Errored); "a result is not expected there")]
+#[test_case(429, false, ended(Outcome::Errored); "a refusal without proof may have run")]
 #[test_case(400, false, Reply::Rejected(400, Report::default()); "an invalid request")]
 fn replies_follow_from_the_status(status: u16, rejected: bool, expected: Reply) {
     let mut headers = HeaderMap::new();
