Crowd tests: one crowd at a time

Cause: cargo test runs these cases side by side, six crowds of 200 client threads on six cores, so that a node had a fraction of the core that it is deployed with; and an incomplete head is parsed anew with each piece, which makes this the dearest crowd.

Change: a lock lets one crowd be measured at a time. No bound, size or duration is changed.

--- a/crates/coveroute-node/tests/crowds/memory.rs
+++ b/crates/coveroute-node/tests/crowds/memory.rs
@@ -3,6 +3,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -52,8 +53,13 @@
     }
 }
 
+/// Held while a crowd is measured: several crowds of hundreds of clients at once would leave no node the core that it is
+/// deployed with.
+static ONE_CROWD: Mutex<()> = Mutex::new(());
+
 /// Starts a node and runs the crowd against it until the end that it is given, with a usual client beside it.
 fn measure(clients: usize, crowd: impl Fn(SocketAddr, usize, Instant) + Sync) -> Measured {
+    let _alone = ONE_CROWD.lock().unwrap_or_else(PoisonError::into_inner);
     let node = unused_addr();
     let discovery = Discovery::stopped(executor(node), DiscoveryLimits::NONE);
     discovery.start();
